Lay out the workspace and the first version of the daemon

Cause: the project starts; this is the thin path's product side: settings, configuration, inner protocol, ownership with leases and grants, dispatching by rank, the ledger, and the two HTTP interfaces.

--- /dev/null
+++ b/source/core/inner/frame.h
@@ -0,0 +1,39 @@
+// Framing of the inner protocol: a fixed header, then one encoded message. The same frame is one
+// UDP datagram or one stretch of a TCP stream.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/error.h"
+#include "inner/message_type.h"
+
+namespace mimosadeal {
+
+inline constexpr uint16_t kFrameMagic = 0x4D44;
+inline constexpr uint8_t kProtocolVersion = 1;
+inline constexpr size_t kFrameHeaderBytes = 8;
+// Fits the largest UDP datagram over IPv4.
+inline constexpr size_t kMaxDatagramBytes = 60 * 1024;
+
+struct Frame {
+  MessageType type = MessageType::kHello;
+  std::string_view body;  // Points into the buffer that was parsed.
+};
+
+struct ParsedFrame {
+  Frame frame;
+  size_t length = 0;  // Of the whole frame.
+};
+
+// Appends a frame to `out`.
+void AppendFrame(MessageType type, std::string_view body, std::string& out);
+
+// Returns the first frame in `buffer`, or nothing when it is not whole yet.
+// Errors: kMalformed (magic, protocol version, message type), kTooLarge. After an error the stream
+// cannot be read further.
+Result<std::optional<ParsedFrame>> ParseFrame(std::string_view buffer, size_t max_body_bytes);
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/inner/inner_transport.h
@@ -0,0 +1,93 @@
+// Carries messages between entry hosts: datagrams for leases, TCP connections for the rest.
+//
+// A reply travels back on the connection that its request came on. Connections are opened on demand
+// and closed by failure only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "common/error.h"
+#include "inner/messages.h"
+#include "inner/peer_connection.h"
+#include "net/socket_address.h"
+
+namespace mimosadeal {
+
+class EventLoop;
+class FdWatch;
+
+// Names one TCP connection for as long as the process lives.
+using ConnectionId = uint64_t;
+
+inline constexpr ConnectionId kNoConnection = 0;
+
+struct InnerTransportOptions {
+  std::string host_id;
+  SocketAddress address;
+  PeerConnectionLimits limits;
+  // Replaces a peer's address by another one; see Settings::routes.
+  std::map<std::string, std::string> routes;
+};
+
+struct InnerTransportHandlers {
+  std::function<void(ConnectionId, const Frame&)> on_frame;
+  std::function<void(const Frame&)> on_datagram;
+  std::function<void(ConnectionId)> on_disconnected;
+};
+
+class InnerTransport {
+ public:
+  // Errors: kIo when the address cannot be listened on.
+  static Result<std::unique_ptr<InnerTransport>> Listen(EventLoop& loop, InnerTransportOptions options,
+                                                        InnerTransportHandlers handlers);
+  ~InnerTransport();
+  InnerTransport(const InnerTransport&) = delete;
+  InnerTransport& operator=(const InnerTransport&) = delete;
+
+  // Returns the connection to the peer at `address`, opened if there is none.
+  ConnectionId ConnectionTo(const std::string& address);
+  // Closes the connection to the peer at `address`, if there is one, so that the next is new.
+  void Disconnect(ConnectionId id);
+
+  // Returns false when the connection is gone or its backlog is full; then nothing was sent.
+  template <typename Message>
+  bool Send(ConnectionId id, const Message& message) {
+    return SendBody(id, Message::kType, EncodeBody(message));
+  }
+
+  // Sends one datagram; it may be lost.
+  template <typename Message>
+  void SendDatagram(const std::string& address, const Message& message) {
+    SendDatagramBody(address, Message::kType, EncodeBody(message));
+  }
+
+  uint64_t control_bytes_sent() const { return control_bytes_sent_; }
+
+ private:
+  InnerTransport(EventLoop& loop, InnerTransportOptions options, InnerTransportHandlers handlers);
+
+  bool SendBody(ConnectionId id, MessageType type, const std::string& body);
+  void SendDatagramBody(const std::string& address, MessageType type, const std::string& body);
+  ConnectionId AddConnection(int fd);
+  void OnAcceptable();
+  void OnDatagram();
+  void OnClosed(ConnectionId id, const Error& error);
+  std::string Route(const std::string& address) const;
+
+  EventLoop& loop_;
+  InnerTransportOptions options_;
+  InnerTransportHandlers handlers_;
+  std::unique_ptr<FdWatch> listener_;
+  std::unique_ptr<FdWatch> datagrams_;
+  ConnectionId next_id_ = 1;
+  std::unordered_map<ConnectionId, std::unique_ptr<PeerConnection>> connections_;
+  // Invariant: holds only connections that are in connections_.
+  std::unordered_map<std::string, ConnectionId> by_address_;
+  uint64_t control_bytes_sent_ = 0;
+};
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/inner/message_type.h
@@ -0,0 +1,48 @@
+// The kinds of message between entry hosts, with their names.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+#include "common/enum_names.h"
+
+namespace mimosadeal {
+
+enum class MessageType : uint8_t {
+  kHello = 1,
+  kLeaseRequest = 2,
+  kLeaseReply = 3,
+  kControllerNotice = 4,
+  kTableRequest = 5,
+  kTableReply = 6,
+  kConfigurationRequest = 7,
+  kConfigurationReply = 8,
+  kDispatchRequest = 9,
+  kDispatchReply = 10,
+  kDispatchCancel = 11,
+  kLedgerUpdate = 12,
+  kLedgerAck = 13,
+  kLedgerFetch = 14,
+  kLedgerEntries = 15,
+};
+
+inline constexpr EnumNames<MessageType, 15> kMessageTypeNames = {{
+    {MessageType::kHello, "hello"},
+    {MessageType::kLeaseRequest, "lease-request"},
+    {MessageType::kLeaseReply, "lease-reply"},
+    {MessageType::kControllerNotice, "controller-notice"},
+    {MessageType::kTableRequest, "table-request"},
+    {MessageType::kTableReply, "table-reply"},
+    {MessageType::kConfigurationRequest, "configuration-request"},
+    {MessageType::kConfigurationReply, "configuration-reply"},
+    {MessageType::kDispatchRequest, "dispatch-request"},
+    {MessageType::kDispatchReply, "dispatch-reply"},
+    {MessageType::kDispatchCancel, "dispatch-cancel"},
+    {MessageType::kLedgerUpdate, "ledger-update"},
+    {MessageType::kLedgerAck, "ledger-ack"},
+    {MessageType::kLedgerFetch, "ledger-fetch"},
+    {MessageType::kLedgerEntries, "ledger-entries"},
+}};
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/inner/messages.cc
@@ -0,0 +1,50 @@
+#include "inner/messages.h"
+
+namespace mimosadeal {
+namespace {
+
+template <typename Message>
+Result<void> Check(std::string_view body) {
+  BOOST_OUTCOME_TRY(DecodeBody<Message>(body));
+  return outcome::success();
+}
+
+}  // namespace
+
+Result<void> CheckBody(MessageType type, std::string_view body) {
+  switch (type) {
+    case MessageType::kHello:
+      return Check<Hello>(body);
+    case MessageType::kLeaseRequest:
+      return Check<LeaseRequest>(body);
+    case MessageType::kLeaseReply:
+      return Check<LeaseReply>(body);
+    case MessageType::kControllerNotice:
+      return Check<ControllerNotice>(body);
+    case MessageType::kTableRequest:
+      return Check<TableRequest>(body);
+    case MessageType::kTableReply:
+      return Check<TableReply>(body);
+    case MessageType::kConfigurationRequest:
+      return Check<ConfigurationRequest>(body);
+    case MessageType::kConfigurationReply:
+      return Check<ConfigurationReply>(body);
+    case MessageType::kDispatchRequest:
+      return Check<DispatchRequest>(body);
+    case MessageType::kDispatchReply:
+      return Check<DispatchReply>(body);
+    case MessageType::kDispatchCancel:
+      return Check<DispatchCancel>(body);
+    case MessageType::kLedgerUpdate:
+      return Check<LedgerUpdate>(body);
+    case MessageType::kLedgerAck:
+      return Check<LedgerAck>(body);
+    case MessageType::kLedgerFetch:
+      return Check<LedgerFetch>(body);
+    case MessageType::kLedgerEntries:
+      return Check<LedgerEntries>(body);
+  }
+  return MakeError(ErrorCode::kMalformed, "unknown message type");
+}
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/inner/messages.h
@@ -0,0 +1,38 @@
+// Encoding and decoding of message bodies.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "common/error.h"
+#include "inner/control_messages.h"
+#include "inner/request_messages.h"
+
+namespace mimosadeal {
+
+template <typename Message>
+std::string EncodeBody(const Message& message) {
+  std::string body;
+  WireOutputArchive archive(body);
+  archive(message);
+  return body;
+}
+
+// Errors: kMalformed when the body is truncated, has bytes left over or holds a forged length.
+template <typename Message>
+Result<Message> DecodeBody(std::string_view body) {
+  Message message;
+  try {
+    WireInputArchive archive(body);
+    archive(message);
+    if (archive.bytes_left() != 0) return MakeError(ErrorCode::kMalformed, "bytes left over after the message");
+  } catch (const cereal::Exception& exception) {
+    return MakeError(ErrorCode::kMalformed, exception.what());
+  }
+  return message;
+}
+
+// Decodes the body of a message of any type and drops it. Errors: kMalformed.
+Result<void> CheckBody(MessageType type, std::string_view body);
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/net/fd_watch.cc
@@ -0,0 +1,49 @@
+#include "net/fd_watch.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+
+FdWatch::FdWatch(EventLoop& loop, int fd, Callbacks callbacks) : fd_(fd), callbacks_(std::move(callbacks)) {
+  lws_sock_file_fd_type descriptor{};
+  descriptor.filefd = fd;
+  wsi_ = lws_adopt_descriptor_vhost(loop.descriptor_vhost(), LWS_ADOPT_RAW_FILE_DESC, descriptor,
+                                    kFdWatchProtocol, nullptr);
+  if (wsi_ == nullptr) std::abort();
+  lws_set_opaque_user_data(wsi_, this);
+}
+
+FdWatch::~FdWatch() {
+  if (wsi_ == nullptr) return;
+  lws_set_opaque_user_data(wsi_, nullptr);
+  lws_set_timeout(wsi_, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
+}
+
+void FdWatch::RequestWritable() {
+  if (wsi_ != nullptr) lws_callback_on_writable(wsi_);
+}
+
+int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/, size_t /*length*/) {
+  if (wsi == nullptr) return 0;
+  auto* watch = static_cast<FdWatch*>(lws_get_opaque_user_data(wsi));
+  switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+      if (watch == nullptr) return -1;
+      watch->callbacks_.on_readable();
+      return 0;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+      if (watch == nullptr) return -1;
+      if (watch->callbacks_.on_writable) watch->callbacks_.on_writable();
+      return 0;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+      if (watch != nullptr) watch->wsi_ = nullptr;
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/server/ledger_intake.cc
@@ -0,0 +1,98 @@
+#include "server/ledger_intake.h"
+
+#include <utility>
+
+#include "common/log.h"
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+
+LedgerIntake::LedgerIntake(EventLoop& loop, InnerTransport& transport, Ledger& ledger, LedgerIntakeOptions options,
+                           std::function<void()> on_ready)
+    : loop_(loop), transport_(transport), ledger_(ledger), options_(std::move(options)), on_ready_(std::move(on_ready)) {}
+
+void LedgerIntake::OnTable(const OwnershipTable& table) {
+  std::map<ShardId, LedgerReadiness> shards;
+  std::map<std::string, std::vector<ShardId>> wanted;  // By former dispatcher.
+  for (const TableService& service : table.services) {
+    for (uint32_t shard = 0; shard < service.owners.size(); ++shard) {
+      const uint16_t owner = service.owners[shard];
+      if (owner == kNoUpstream || table.upstreams[owner].dispatcher != options_.process) continue;
+      const ShardId id{service.name, shard};
+      const auto known = shards_.find(id);
+      if (known != shards_.end()) {
+        shards.insert(*known);
+        continue;
+      }
+      const uint16_t former = service.last_dispatchers[shard];
+      const bool nothing_to_fetch = former == kNoHost || table.hosts[former].id == options_.process;
+      shards[id] = nothing_to_fetch ? LedgerReadiness::kReady : LedgerReadiness::kFetching;
+      if (!nothing_to_fetch) wanted[table.hosts[former].id].push_back(id);
+    }
+  }
+  shards_ = std::move(shards);
+  for (auto& [former, ids] : wanted) StartFetch(table, former, std::move(ids));
+}
+
+void LedgerIntake::StartFetch(const OwnershipTable& table, const std::string& former, std::vector<ShardId> shards) {
+  const uint64_t id = next_fetch_++;
+  LedgerFetch message;
+  message.fetch = id;
+  message.host = former;
+  for (const ShardId& shard : shards) message.shards.push_back({shard.first, shard.second});
+  Fetch& fetch = fetches_[id];
+  fetch.shards = std::move(shards);
+
+  const TableHost* former_host = FindHost(table, former);
+  std::vector<std::string> addresses;
+  if (former_host->live) addresses.push_back(former_host->address);
+  const TableHost* replica = FindHost(table, former_host->ledger_replica);
+  if (replica != nullptr && replica->live) addresses.push_back(replica->address);
+  for (const std::string& address : addresses) {
+    if (transport_.Send(transport_.ConnectionTo(address), message)) ++fetch.answers_awaited;
+  }
+  if (fetch.answers_awaited == 0) {
+    FinishFetch(id, false);
+    return;
+  }
+  loop_.timers().After(options_.fetch_timeout, [this, id] { FinishFetch(id, false); });
+}
+
+void LedgerIntake::OnEntries(const LedgerEntries& entries) {
+  const auto found = fetches_.find(entries.fetch);
+  if (found == fetches_.end()) return;
+  // Even a partial copy tells of requests that did run.
+  ledger_.Import(entries.records, loop_.timers().now());
+  --found->second.answers_awaited;
+  if (entries.complete || found->second.answers_awaited == 0) FinishFetch(entries.fetch, entries.complete);
+}
+
+void LedgerIntake::FinishFetch(uint64_t fetch_id, bool complete) {
+  const auto found = fetches_.find(fetch_id);
+  if (found == fetches_.end()) return;
+  const MonotonicTime now = loop_.timers().now();
+  for (const ShardId& id : found->second.shards) {
+    const auto shard = shards_.find(id);
+    if (shard == shards_.end()) continue;
+    shard->second = complete ? LedgerReadiness::kReady : LedgerReadiness::kIncomplete;
+    if (!complete) incomplete_until_[id] = now + options_.retention;
+  }
+  if (!complete) {
+    Log(LogPart::kDispatcher)
+        .warn("The ledger of {} shards is lost: repetitions on them are answered \"unknown\" for {} s.",
+              found->second.shards.size(), ToMilliseconds(options_.retention) / 1000);
+  }
+  fetches_.erase(found);
+  on_ready_();
+}
+
+LedgerReadiness LedgerIntake::ReadinessOf(const std::string& service, uint32_t shard, MonotonicTime now) const {
+  const auto found = shards_.find({service, shard});
+  if (found == shards_.end()) return LedgerReadiness::kFetching;
+  if (found->second != LedgerReadiness::kIncomplete) return found->second;
+  const auto until = incomplete_until_.find(found->first);
+  const bool passed = until == incomplete_until_.end() || until->second <= now;
+  return passed ? LedgerReadiness::kReady : LedgerReadiness::kIncomplete;
+}
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/server/node.h
@@ -0,0 +1,29 @@
+// One entry host's daemon: makes the parts and connects them.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "common/error.h"
+#include "settings/settings.h"
+
+namespace mimosadeal {
+
+class Node {
+ public:
+  // Errors: kIo when an address cannot be listened on.
+  static Result<std::unique_ptr<Node>> Start(Settings settings);
+  ~Node();
+
+  // Runs until a planned stop has ended: SIGTERM or SIGINT starts it.
+  void Run();
+
+  class Impl;
+
+ private:
+  explicit Node(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace mimosadeal
--- /dev/null
+++ b/source/core/settings/settings.h
@@ -0,0 +1,66 @@
+// The settings of one entry host, read once at start. What operators change while the system runs
+// is not here but in the configuration document (package configuration).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/boot_clock.h"
+
+namespace mimosadeal {
+
+struct Settings {
+  std::string host_id;
+  std::string zone;
+  std::string group;
+
+  std::string callers_address;
+  std::string operators_address;
+  std::string inner_address;
+
+  std::string platform_address;
+  Duration platform_timeout{};
+  Duration platform_poll{};
+  int64_t platform_connections = 0;
+
+  Duration lease_ttl{};
+  Duration lease_renew{};
+  Duration promise_ttl{};
+  Duration controller_silence{};
+  Duration grant_ttl{};
+  Duration grant_renew{};
+  Duration upstream_silence{};
+  double clock_rate_guard = 0;
+
+  int64_t max_body_bytes = 0;
+  int64_t max_response_bytes = 0;
+  int64_t max_descriptors = 0;
+  int64_t max_header_blocks = 0;
+  int64_t max_waiting_requests = 0;
+  int64_t max_queue_per_upstream = 0;
+  int64_t max_peer_backlog_bytes = 0;
+
+  Duration default_deadline{};
+  Duration longest_deadline{};
+  Duration owner_wait{};
+  Duration ledger_retention{};
+  int64_t ledger_entries = 0;
+  int64_t ledger_response_bytes = 0;
+  double retry_budget = 0;
+  int64_t metric_tenants = 0;
+
+  Duration drain_timeout{};
+
+  std::string log_level;
+  std::string log_format;
+  std::map<std::string, std::string> log_parts;
+
+  // Other entry hosts to ask at start when the platform does not answer.
+  std::vector<std::string> seed_peers;
+  // Replaces an address that the platform lists by another one, for networks with translation.
+  std::map<std::string, std::string> routes;
+};
+
+}  // namespace mimosadeal
