--- a/source/core/common/timer_service.cc
+++ b/source/core/common/timer_service.cc
@@ -2,16 +2,12 @@
 
 namespace mimosadeal {
 
-void TimerService::SetNow(MonotonicTime now) {
-  if (now > now_) now_ = now;
-}
-
 TimerId TimerService::After(Duration delay, Callback callback) {
-  return Add(now_ + delay, Duration::zero(), std::move(callback));
+  return Add(now() + delay, Duration::zero(), std::move(callback));
 }
 
 TimerId TimerService::Every(Duration period, Callback callback) {
-  return Add(now_ + period, period, std::move(callback));
+  return Add(now() + period, period, std::move(callback));
 }
 
 TimerId TimerService::Add(MonotonicTime due, Duration period, Callback callback) {
@@ -28,13 +24,13 @@
   timers_.erase(found);
 }
 
-void TimerService::RunDue(MonotonicTime now) {
-  SetNow(now);
+void TimerService::RunDue() {
+  const MonotonicTime round = now();
   // A timer added by a callback of this round waits for the next round, so that a callback that
   // re-arms itself with no delay cannot starve the loop.
   const TimerId first_new_id = next_id_;
   auto next = due_.begin();
-  while (next != due_.end() && next->first.first <= now_) {
+  while (next != due_.end() && next->first.first <= round) {
     const TimerId id = next->first.second;
     if (id >= first_new_id) {
       ++next;
@@ -44,7 +40,7 @@
     Timer& timer = timers_.at(id);
     Callback callback;
     if (timer.period > Duration::zero()) {
-      timer.due = now_ + timer.period;
+      timer.due = round + timer.period;
       due_.emplace(Order{timer.due, id}, 0);
       callback = timer.callback;
     } else {
--- a/source/core/common/timer_service.h
+++ b/source/core/common/timer_service.h
@@ -1,5 +1,4 @@
-// The timer service that parts subscribe to. It holds no clock of its own: the event loop, or a
-// test, tells it the time, so that the same code runs in real and in simulated time.
+// The timer service that parts subscribe to. Its clock is given, so that tests can set the time.
 #pragma once
 
 #include <cstdint>
@@ -21,12 +20,11 @@
  public:
   using Callback = std::function<void()>;
 
-  explicit TimerService(MonotonicTime now) : now_(now) {}
+  using Clock = std::function<MonotonicTime()>;
 
-  // The time that the current round of callbacks runs at.
-  MonotonicTime now() const { return now_; }
-  // Moves the time forward without running timers.
-  void SetNow(MonotonicTime now);
+  explicit TimerService(Clock clock) : clock_(std::move(clock)) {}
+
+  MonotonicTime now() const { return clock_(); }
 
   // Runs `callback` once after `delay`.
   TimerId After(Duration delay, Callback callback);
@@ -35,8 +33,8 @@
   // Does nothing when the timer has run or never existed.
   void Cancel(TimerId id);
 
-  // Runs every timer that is due at `now`, in order of due time.
-  void RunDue(MonotonicTime now);
+  // Runs every timer that is due, in order of due time.
+  void RunDue();
   std::optional<MonotonicTime> NextDue() const;
 
  private:
@@ -49,7 +47,7 @@
 
   TimerId Add(MonotonicTime due, Duration period, Callback callback);
 
-  MonotonicTime now_;
+  Clock clock_;
   TimerId next_id_ = 1;
   // Invariant: due_ holds exactly one entry for each timer in timers_.
   std::map<Order, char> due_;
--- a/source/core/net/event_loop.cc
+++ b/source/core/net/event_loop.cc
@@ -1,6 +1,8 @@
 #include "net/event_loop.h"
 
 #include <libwebsockets.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -11,9 +13,9 @@
 namespace mimosadeal {
 namespace {
 
-constexpr Duration kLongestWait = std::chrono::milliseconds(1000);
-
-void OnWakeup(lws_sorted_usec_list_t* /*entry*/) {}
+// lws_service takes a negative time to wait as none, and zero as its own choice.
+constexpr int kDoNotWait = -1;
+constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
 
 const std::array<lws_protocols, 2> kDescriptorProtocols = {{
     {kFdWatchProtocol, FdWatchCallback, 0, 0, 0, nullptr, 0},
@@ -23,7 +25,7 @@
 }  // namespace
 
 EventLoop::EventLoop(const EventLoopOptions& options)
-    : timers_(BootClock::now()), wakeup_(std::make_unique<lws_sorted_usec_list>()) {
+    : timers_(BootClock::now) {
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
@@ -39,10 +41,18 @@
   vhost_info.vhost_name = "descriptors";
   descriptor_vhost_ = lws_create_vhost(context_, &vhost_info);
   if (descriptor_vhost_ == nullptr) std::abort();
+
+  const int timer_fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (timer_fd < 0) std::abort();
+  timer_watch_ = std::make_unique<FdWatch>(*this, timer_fd, FdWatch::Callbacks{[timer_fd] {
+                                                                                 uint64_t expirations = 0;
+                                                                                 (void)!read(timer_fd, &expirations, sizeof(expirations));
+                                                                               },
+                                                                               nullptr});
 }
 
 EventLoop::~EventLoop() {
-  lws_sul_schedule(context_, 0, wakeup_.get(), OnWakeup, LWS_SET_TIMER_USEC_CANCEL);
+  timer_watch_.reset();
   lws_context_destroy(context_);
 }
 
@@ -51,10 +61,10 @@
 }
 
 void EventLoop::RunOnce() {
-  timers_.RunDue(BootClock::now());
-  ScheduleWakeup();
-  lws_service(context_, 0);
-  timers_.SetNow(BootClock::now());
+  timers_.RunDue();
+  const bool wait = ArmTimer() && !round_requested_;
+  round_requested_ = false;
+  lws_service(context_, wait ? 0 : kDoNotWait);
 }
 
 void EventLoop::Stop() {
@@ -64,13 +74,19 @@
 
 void EventLoop::Post(std::function<void()> callback) { timers_.After(Duration::zero(), std::move(callback)); }
 
-void EventLoop::ScheduleWakeup() {
-  const MonotonicTime now = BootClock::now();
-  const MonotonicTime due = timers_.NextDue().value_or(now + kLongestWait);
-  const Duration wait = std::clamp<Duration>(due - now, Duration::zero(), kLongestWait);
-  // Rounded up, so that the loop does not wake just before the timer is due.
-  const lws_usec_t microseconds = ToMicroseconds(wait) + 1;
-  lws_sul_schedule(context_, 0, wakeup_.get(), OnWakeup, microseconds);
+bool EventLoop::ArmTimer() {
+  const MonotonicTime due = timers_.NextDue().value_or(kForever);
+  if (due <= BootClock::now()) return false;
+  if (due == armed_for_) return true;
+  armed_for_ = due;
+  itimerspec spec{};  // All zero disarms.
+  if (due != kForever) {
+    const int64_t nanoseconds = std::max<int64_t>(1, due.time_since_epoch().count());
+    spec.it_value.tv_sec = nanoseconds / kNanosecondsPerSecond;
+    spec.it_value.tv_nsec = nanoseconds % kNanosecondsPerSecond;
+  }
+  timerfd_settime(timer_watch_->fd(), TFD_TIMER_ABSTIME, &spec, nullptr);
+  return true;
 }
 
 }  // namespace mimosadeal
--- a/source/core/net/event_loop.h
+++ b/source/core/net/event_loop.h
@@ -1,8 +1,6 @@
 // The one loop on the one thread: a libwebsockets context, with the timer service driven from it.
 #pragma once
 
-#include <sys/types.h>
-
 #include <functional>
 #include <memory>
 
@@ -10,10 +8,11 @@
 
 struct lws_context;
 struct lws_vhost;
-struct lws_sorted_usec_list;
 
 namespace mimosadeal {
 
+class FdWatch;
+
 struct EventLoopOptions {
   // Upper bound on open descriptors; memory for them is reserved at start.
   unsigned max_descriptors = 4096;
@@ -40,16 +39,23 @@
   // Runs one round: events that are ready, or the next timer, whichever comes first.
   void RunOnce();
   void Stop();
+  // Makes the next round look at its descriptors without waiting. Needed after a response's headers:
+  // libwebsockets does not wake by itself for the part of the body that came with them.
+  void RequestRound() { round_requested_ = true; }
   // Runs `callback` in the next round, outside the current callback.
   void Post(std::function<void()> callback);
 
  private:
-  void ScheduleWakeup();
+  // Lets the loop wake at the next timer, or returns false when that is due already. libwebsockets waits in whole milliseconds and would spin
+  // through the rest, so a timerfd(2) wakes it instead.
+  bool ArmTimer();
 
   TimerService timers_;
   lws_context* context_ = nullptr;
   lws_vhost* descriptor_vhost_ = nullptr;
-  std::unique_ptr<lws_sorted_usec_list> wakeup_;
+  std::unique_ptr<FdWatch> timer_watch_;
+  MonotonicTime armed_for_ = kForever;
+  bool round_requested_ = false;
   bool stopping_ = false;
 };
 
--- a/source/core/net/http_client_connection.cc
+++ b/source/core/net/http_client_connection.cc
@@ -257,6 +257,7 @@
 }
 
 int HttpClientConnection::Impl::OnResponseHeaders(lws* wsi) {
+  loop_.RequestRound();
   response_.status = static_cast<int>(lws_http_client_http_response(wsi));
   std::array<char, kMaxHeaderValueBytes + 1> buffer{};
   for (const HeaderToken& entry : kResponseTokens) {
--- a/source/core/net/http_message.h
+++ b/source/core/net/http_message.h
@@ -31,6 +31,8 @@
   std::string content_type = "application/json";
   HttpHeaders headers;  // Besides content-type and content-length.
   std::string body;
+  // Sends half of the body and closes, as a server that dies in the middle does. For stand-ins.
+  bool truncate_body = false;
 };
 
 // Returns `path` with every byte escaped that RFC 3986 does not allow in a path.
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -148,7 +148,9 @@
   info.user = this;
   info.keepalive_timeout = options_.idle_timeout_seconds;
   info.timeout_secs = static_cast<unsigned>(options_.request_timeout_seconds);
-  info.options = LWS_SERVER_OPTION_ONLY_RAW & 0U;
+  // With IPv6 on, libwebsockets takes an IPv4 number as "any address".
+  const bool is_ipv4 = options_.address.ip.find(':') == std::string::npos;
+  if (is_ipv4) info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
   vhost_ = lws_create_vhost(loop_.context(), &info);
   return vhost_ != nullptr && lws_get_vhost_listen_port(vhost_) == options_.address.port;
 }
@@ -252,9 +254,10 @@
   if (!exchange.response.has_value()) return 0;
   const bool written = WriteResponse(wsi, exchange);
   const bool close = exchange.close_after_response || !keep_alive_;
+  const bool cut_off = exchange.response->truncate_body;
   session->exchange = nullptr;
   exchanges_.erase(exchange.id);
-  if (!written) return -1;
+  if (!written || cut_off) return -1;
   if (close) {
     // Lets what libwebsockets still buffers go out before the connection closes.
     if (lws_http_transaction_completed(wsi) != 0) return -1;
@@ -312,8 +315,9 @@
   if (close && !AppendHeader(wsi, "connection", "close", &at, end)) return false;
   if (lws_finalize_http_header(wsi, &at, end) != 0) return false;
   if (has_body) {
-    std::memcpy(at, response.body.data(), response.body.size());
-    at += response.body.size();
+    const size_t length = response.truncate_body ? response.body.size() / 2 : response.body.size();
+    std::memcpy(at, response.body.data(), length);
+    at += length;
   }
   const size_t length = static_cast<size_t>(at - start);
   return lws_write(wsi, start, length, LWS_WRITE_HTTP_HEADERS) == static_cast<int>(length);
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -83,7 +83,7 @@
     const auto service = configuration_.services.find(entry.service);
     if (service == configuration_.services.end()) continue;
     if (known == upstreams_.end() && !dispatching) continue;
-    const auto address = ParseSocketAddress(entry.address);
+    const auto address = ParseSocketAddress(RouteAddress(environment_.settings.routes, entry.address));
     if (!address.has_value()) continue;
     Upstream& upstream = upstreams_[entry.id];
     if (upstream.link == nullptr || !(upstream.link->options().address == address.value())) {
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -63,4 +63,7 @@
   std::map<std::string, std::string> routes;
 };
 
+// Returns the address to use for one that the platform lists, by Settings::routes.
+std::string RouteAddress(const std::map<std::string, std::string>& routes, const std::string& address);
+
 }  // namespace mimosadeal
--- a/source/core/settings/settings_loader.cc
+++ b/source/core/settings/settings_loader.cc
@@ -243,6 +243,11 @@
   return text + ": " + message;
 }
 
+std::string RouteAddress(const std::map<std::string, std::string>& routes, const std::string& address) {
+  const auto found = routes.find(address);
+  return found == routes.end() ? address : found->second;
+}
+
 LoadedSettings ParseSettings(const std::string& text, const std::string& path,
                              const std::vector<std::string>& overrides) {
   LoadedSettings loaded;
