--- a/source/core/admission/rank_scheduler.cc
+++ b/source/core/admission/rank_scheduler.cc
@@ -11,22 +11,26 @@
 constexpr Duration kUsageWindow = std::chrono::milliseconds(1000);
 // Weight of the newest service time in the mean.
 constexpr double kServiceWeight = 0.1;
-// A rank below its share goes before more urgent ones once its head has waited this part of its
-// target; until then urgent work goes first.
+// A rank below its share goes before more urgent ones once its head has waited
+// this part of its target; until then urgent work goes first.
 constexpr double kShareUrgency = 0.5;
 // The least part of the slots that predictions count on for a rank.
 constexpr double kLeastFraction = 0.01;
 
-double Capacity(const SchedulerState& state) { return state.slots * ToSeconds(kUsageWindow); }
+double Capacity(const SchedulerState& state) {
+  return state.slots * ToSeconds(kUsageWindow);
+}
 
 void DecayUsage(SchedulerState& state, MonotonicTime now) {
   const Duration elapsed = now - state.usage_updated;
   if (elapsed <= Duration::zero()) return;
   const double factor = std::exp(-ToSeconds(elapsed) / ToSeconds(kUsageWindow));
   for (RankQueue& queue : state.queues) {
-    // Running requests use their slots all the time; this is the integral of use times decay.
+    // Running requests use their slots all the time; this is the integral of
+    // use times decay.
     queue.used_slot_seconds =
-        queue.used_slot_seconds * factor + queue.running * ToSeconds(kUsageWindow) * (1 - factor);
+        queue.used_slot_seconds * factor +
+        queue.running * ToSeconds(kUsageWindow) * (1 - factor);
   }
   state.usage_updated = now;
 }
@@ -35,7 +39,9 @@
   return state.queues[rank].used_slot_seconds / Capacity(state);
 }
 
-const WaitingRequest& Head(const RankQueue& queue) { return queue.flows.at(queue.turns.front()).front(); }
+const WaitingRequest& Head(const RankQueue& queue) {
+  return queue.flows.at(queue.turns.front()).front();
+}
 
 WaitingRequest PopHead(RankQueue& queue) {
   const uint64_t flow = queue.turns.front();
@@ -70,13 +76,17 @@
   std::optional<size_t> best;
   for (size_t rank = 0; rank < state.queues.size(); ++rank) {
     if (state.queues[rank].size == 0) continue;
-    if (!best.has_value() || Head(state.queues[rank]).arrived < Head(state.queues[*best]).arrived) best = rank;
+    if (!best.has_value() ||
+        Head(state.queues[rank]).arrived < Head(state.queues[*best]).arrived)
+      best = rank;
   }
   return best;
 }
 
-// Returns the rank that is furthest below its share and has waited long enough to claim it.
-std::optional<size_t> BelowShare(const SchedulerState& state, MonotonicTime now) {
+// Returns the rank that is furthest below its share and has waited long enough
+// to claim it.
+std::optional<size_t> BelowShare(const SchedulerState& state,
+                                 MonotonicTime now) {
   std::optional<size_t> best;
   double best_ratio = 1.0;
   for (size_t rank = 0; rank < state.queues.size(); ++rank) {
@@ -93,7 +103,8 @@
   return best;
 }
 
-std::optional<size_t> SelectRank(const SchedulerState& state, MonotonicTime now) {
+std::optional<size_t> SelectRank(const SchedulerState& state,
+                                 MonotonicTime now) {
   switch (state.policy) {
     case SchedulingPolicy::kFirstCome:
       return EarliestArrival(state);
@@ -106,8 +117,9 @@
   return below_share.has_value() ? below_share : MostUrgent(state);
 }
 
-// Returns the part of the slots that `rank` can count on: what more urgent ranks leave, and what less
-// urgent ones claim as their shares while they wait, but never less than its own share.
+// Returns the part of the slots that `rank` can count on: what more urgent
+// ranks leave, and what less urgent ones claim as their shares while they wait,
+// but never less than its own share.
 double ExpectedFraction(const SchedulerState& state, size_t rank) {
   double left = 1.0;
   for (size_t other = 0; other < state.queues.size(); ++other) {
@@ -119,7 +131,8 @@
   return std::max({left, state.ranks[rank].share, kLeastFraction});
 }
 
-// Requests that would be taken before one more request of `flow`, given that flows take turns.
+// Requests that would be taken before one more request of `flow`, given that
+// flows take turns.
 size_t RequestsAhead(const RankQueue& queue, uint64_t flow) {
   const auto found = queue.flows.find(flow);
   const size_t own = found == queue.flows.end() ? 0 : found->second.size();
@@ -132,7 +145,8 @@
 
 }  // namespace
 
-SchedulerState MakeScheduler(const ServiceConfiguration& service, size_t max_queue, MonotonicTime now) {
+SchedulerState MakeScheduler(const ServiceConfiguration& service,
+                             size_t max_queue, MonotonicTime now) {
   SchedulerState state;
   state.slots = service.slots;
   state.max_queue = max_queue;
@@ -142,13 +156,16 @@
   return state;
 }
 
-std::vector<WaitingRequest> Reconfigure(SchedulerState& state, const ServiceConfiguration& service) {
+std::vector<WaitingRequest> Reconfigure(SchedulerState& state,
+                                        const ServiceConfiguration& service) {
   std::vector<WaitingRequest> orphans;
   std::vector<RankQueue> queues(service.ranks.size());
   for (size_t rank = 0; rank < state.ranks.size(); ++rank) {
-    const auto found = std::find_if(service.ranks.begin(), service.ranks.end(), [&](const RankPolicy& policy) {
-      return policy.name == state.ranks[rank].name;
-    });
+    const auto found =
+        std::find_if(service.ranks.begin(), service.ranks.end(),
+                     [&](const RankPolicy& policy) {
+                       return policy.name == state.ranks[rank].name;
+                     });
     RankQueue& queue = state.queues[rank];
     if (found == service.ranks.end()) {
       while (queue.size > 0) orphans.push_back(PopHead(queue));
@@ -168,29 +185,36 @@
 
 Duration PredictWait(const SchedulerState& state, size_t rank, uint64_t flow) {
   const RankQueue& queue = state.queues[rank];
-  if (state.running < state.slots && WaitingCount(state) == 0) return Duration::zero();
+  if (state.running < state.slots && WaitingCount(state) == 0)
+    return Duration::zero();
   double seconds = 0;
   // More urgent requests that already wait go first, at the full rate.
   for (size_t other = 0; other < rank; ++other) {
-    seconds += static_cast<double>(state.queues[other].size) * ToSeconds(state.queues[other].mean_service) /
-               state.slots;
+    seconds += static_cast<double>(state.queues[other].size) *
+               ToSeconds(state.queues[other].mean_service) / state.slots;
   }
-  // One more than those ahead: on average a slot is half way through its present request.
+  // One more than those ahead: on average a slot is half way through its
+  // present request.
   const double own = static_cast<double>(RequestsAhead(queue, flow)) + 0.5;
-  seconds += own * ToSeconds(queue.mean_service) / (state.slots * ExpectedFraction(state, rank));
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  seconds += own * ToSeconds(queue.mean_service) /
+             (state.slots * ExpectedFraction(state, rank));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
 }
 
-AdmissionVerdict Offer(SchedulerState& state, const WaitingRequest& request, MonotonicTime now) {
+AdmissionVerdict Offer(SchedulerState& state, const WaitingRequest& request,
+                       MonotonicTime now) {
   DecayUsage(state, now);
   RankQueue& queue = state.queues[request.rank];
   if (state.policy != SchedulingPolicy::kShares) {
-    if (WaitingCount(state) >= state.max_queue) return {false, queue.mean_service};
+    if (WaitingCount(state) >= state.max_queue)
+      return {false, queue.mean_service};
     Push(queue, request);
     return {true, Duration::zero()};
   }
   const Duration wait = PredictWait(state, request.rank, request.flow);
-  const Duration allowed = std::min(request.deadline - request.arrived, state.ranks[request.rank].target);
+  const Duration allowed = std::min(request.deadline - request.arrived,
+                                    state.ranks[request.rank].target);
   const Duration needed = wait + queue.mean_service;
   if (needed > allowed || WaitingCount(state) >= state.max_queue) {
     return {false, std::max(needed - allowed, queue.mean_service)};
@@ -199,7 +223,8 @@
   return {true, Duration::zero()};
 }
 
-std::optional<WaitingRequest> TakeNext(SchedulerState& state, MonotonicTime now) {
+std::optional<WaitingRequest> TakeNext(SchedulerState& state,
+                                       MonotonicTime now) {
   if (state.running >= state.slots) return std::nullopt;
   DecayUsage(state, now);
   const auto rank = SelectRank(state, now);
@@ -209,7 +234,8 @@
   return PopHead(state.queues[*rank]);
 }
 
-void OnFinished(SchedulerState& state, size_t rank, Duration service_time, bool completed, MonotonicTime now) {
+void OnFinished(SchedulerState& state, size_t rank, Duration service_time,
+                bool completed, MonotonicTime now) {
   DecayUsage(state, now);
   RankQueue& queue = state.queues[rank];
   --state.running;
@@ -219,28 +245,32 @@
     queue.mean_service = service_time;
     return;
   }
-  const double mean =
-      ToSeconds(queue.mean_service) * (1 - kServiceWeight) + ToSeconds(service_time) * kServiceWeight;
-  queue.mean_service = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(mean));
+  const double mean = ToSeconds(queue.mean_service) * (1 - kServiceWeight) +
+                      ToSeconds(service_time) * kServiceWeight;
+  queue.mean_service =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(mean));
 }
 
 bool RemoveWaiting(SchedulerState& state, const WaitingRequest& request) {
   RankQueue& queue = state.queues[request.rank];
   const auto flow = queue.flows.find(request.flow);
   if (flow == queue.flows.end()) return false;
-  const auto found = std::find_if(flow->second.begin(), flow->second.end(), [&](const WaitingRequest& waiting) {
-    return waiting.ticket == request.ticket;
-  });
+  const auto found = std::find_if(flow->second.begin(), flow->second.end(),
+                                  [&](const WaitingRequest& waiting) {
+                                    return waiting.ticket == request.ticket;
+                                  });
   if (found == flow->second.end()) return false;
   flow->second.erase(found);
   --queue.size;
   if (!flow->second.empty()) return true;
   queue.flows.erase(flow);
-  queue.turns.erase(std::find(queue.turns.begin(), queue.turns.end(), request.flow));
+  queue.turns.erase(
+      std::find(queue.turns.begin(), queue.turns.end(), request.flow));
   return true;
 }
 
-std::vector<WaitingRequest> TakeExpired(SchedulerState& state, MonotonicTime now) {
+std::vector<WaitingRequest> TakeExpired(SchedulerState& state,
+                                        MonotonicTime now) {
   std::vector<WaitingRequest> expired;
   for (const RankQueue& queue : state.queues) {
     for (const auto& [flow, requests] : queue.flows) {
--- a/source/core/admission/scheduler_state.h
+++ b/source/core/admission/scheduler_state.h
@@ -1,4 +1,5 @@
-// The state of one upstream's queues, as plain data. rank_scheduler.h acts on it.
+// The state of one upstream's queues, as plain data. rank_scheduler.h acts on
+// it.
 #pragma once
 
 #include <cstdint>
@@ -12,9 +13,11 @@
 namespace mimosadeal {
 
 enum class SchedulingPolicy : uint8_t {
-  kShares,          // Urgent ranks first, each rank's share kept, admission by predicted wait.
-  kStrictPriority,  // Urgent ranks first, no admission. A baseline for measurements.
-  kFirstCome,       // Order of arrival, no admission. A baseline for measurements.
+  kShares,          // Urgent ranks first, each rank's share kept, admission by
+                    // predicted wait.
+  kStrictPriority,  // Urgent ranks first, no admission. A baseline for
+                    // measurements.
+  kFirstCome,  // Order of arrival, no admission. A baseline for measurements.
 };
 
 struct WaitingRequest {
@@ -28,7 +31,8 @@
 // The requests of one rank, taken in turn from each flow.
 struct RankQueue {
   std::map<uint64_t, std::deque<WaitingRequest>> flows;
-  // Invariant: holds each flow that has requests exactly once, in the order of their turns.
+  // Invariant: holds each flow that has requests exactly once, in the order of
+  // their turns.
   std::deque<uint64_t> turns;
   size_t size = 0;
 
--- a/source/core/common/boot_clock.h
+++ b/source/core/common/boot_clock.h
@@ -1,5 +1,6 @@
-// The monotonic clock that keeps counting through suspension. Leases are measured on it, so that a
-// host that was suspended sees its leases as lapsed when it resumes.
+// The monotonic clock that keeps counting through suspension. Leases are
+// measured on it, so that a host that was suspended sees its leases as lapsed
+// when it resumes.
 #pragma once
 
 #include <time.h>
@@ -16,11 +17,13 @@
   using time_point = std::chrono::time_point<BootClock>;
   static constexpr bool is_steady = true;
 
-  // Returns the time since boot, suspension included (clock_gettime(2), CLOCK_BOOTTIME).
+  // Returns the time since boot, suspension included (clock_gettime(2),
+  // CLOCK_BOOTTIME).
   static time_point now() noexcept {
     timespec spec{};
     clock_gettime(CLOCK_BOOTTIME, &spec);
-    return time_point(std::chrono::seconds(spec.tv_sec) + std::chrono::nanoseconds(spec.tv_nsec));
+    return time_point(std::chrono::seconds(spec.tv_sec) +
+                      std::chrono::nanoseconds(spec.tv_nsec));
   }
 };
 
@@ -31,13 +34,17 @@
 inline constexpr MonotonicTime kForever = MonotonicTime::max();
 
 inline int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
 }
 
 inline int64_t ToMicroseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
 }
 
-inline double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+inline double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 }  // namespace mimosadeal
--- a/source/core/common/enum_names.h
+++ b/source/core/common/enum_names.h
@@ -19,7 +19,8 @@
 
 // Returns the name of `value`, or "?" when the table lacks it.
 template <typename Enum, size_t kCount>
-constexpr std::string_view NameOf(const EnumNames<Enum, kCount>& table, Enum value) {
+constexpr std::string_view NameOf(const EnumNames<Enum, kCount>& table,
+                                  Enum value) {
   for (const EnumName<Enum>& entry : table) {
     if (entry.value == value) return entry.name;
   }
@@ -28,7 +29,8 @@
 
 // Returns the value called `name`, or nothing when the table lacks it.
 template <typename Enum, size_t kCount>
-constexpr std::optional<Enum> ValueOf(const EnumNames<Enum, kCount>& table, std::string_view name) {
+constexpr std::optional<Enum> ValueOf(const EnumNames<Enum, kCount>& table,
+                                      std::string_view name) {
   for (const EnumName<Enum>& entry : table) {
     if (entry.name == name) return entry.value;
   }
--- a/source/core/common/error.cc
+++ b/source/core/common/error.cc
@@ -19,7 +19,9 @@
 
 }  // namespace
 
-std::string_view ErrorCodeName(ErrorCode code) { return NameOf(kErrorCodeNames, code); }
+std::string_view ErrorCodeName(ErrorCode code) {
+  return NameOf(kErrorCodeNames, code);
+}
 
 std::string DescribeError(const Error& error) {
   return std::string(ErrorCodeName(error.code)) + ": " + error.message;
--- a/source/core/common/error.h
+++ b/source/core/common/error.h
@@ -1,5 +1,6 @@
-// Errors as values. Functions that can fail return Result<T>; only broken invariants stop the
-// process, which is what a wrong access to a Result does (policy::terminate).
+// Errors as values. Functions that can fail return Result<T>; only broken
+// invariants stop the process, which is what a wrong access to a Result does
+// (policy::terminate).
 #pragma once
 
 #include <boost/outcome/policy/terminate.hpp>
@@ -35,7 +36,9 @@
 template <typename T>
 using Result = outcome::basic_result<T, Error, outcome::policy::terminate>;
 
-inline Error MakeError(ErrorCode code, std::string message) { return Error{code, std::move(message)}; }
+inline Error MakeError(ErrorCode code, std::string message) {
+  return Error{code, std::move(message)};
+}
 
 // Returns "<code name>: <message>" for logs and problem details.
 std::string DescribeError(const Error& error);
--- a/source/core/common/ids.cc
+++ b/source/core/common/ids.cc
@@ -23,13 +23,15 @@
 
 uint64_t SystemSeed() {
   uint64_t seed = 0;
-  if (getrandom(&seed, sizeof(seed), 0) != static_cast<ssize_t>(sizeof(seed))) std::abort();
+  if (getrandom(&seed, sizeof(seed), 0) != static_cast<ssize_t>(sizeof(seed)))
+    std::abort();
   return seed;
 }
 
 std::string NewUniqueId() {
   std::array<char, 33> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(SystemSeed()),
+  std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(SystemSeed()),
                 static_cast<unsigned long long>(SystemSeed()));
   return text.data();
 }
--- a/source/core/common/ids.h
+++ b/source/core/common/ids.h
@@ -1,4 +1,5 @@
-// Random identifiers, a seedable generator for decisions, and the hash that spreads keys.
+// Random identifiers, a seedable generator for decisions, and the hash that
+// spreads keys.
 #pragma once
 
 #include <cstdint>
@@ -7,8 +8,8 @@
 
 namespace mimosadeal {
 
-// A small generator (SplitMix64) whose sequence depends only on its seed, so that a failing test
-// can be repeated from the seed that it prints.
+// A small generator (SplitMix64) whose sequence depends only on its seed, so
+// that a failing test can be repeated from the seed that it prints.
 class Random {
  public:
   explicit Random(uint64_t seed) : state_(seed) {}
@@ -26,7 +27,8 @@
 // Returns a seed from the operating system's generator (getrandom(2)).
 uint64_t SystemSeed();
 
-// Returns 128 random bits in hexadecimal, from the operating system's generator.
+// Returns 128 random bits in hexadecimal, from the operating system's
+// generator.
 std::string NewUniqueId();
 
 // Returns XXH3-64 of `text`, with `seed` mixed in.
--- a/source/core/common/log.cc
+++ b/source/core/common/log.cc
@@ -23,7 +23,8 @@
 }};
 
 constexpr char kTextPattern[] = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
-constexpr char kJsonPattern[] = R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":"%v"})";
+constexpr char kJsonPattern[] =
+    R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":"%v"})";
 
 using Loggers = std::array<std::shared_ptr<spdlog::logger>, kLogPartCount>;
 
@@ -31,7 +32,8 @@
   auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
   Loggers loggers;
   for (const EnumName<LogPart>& entry : kLogPartNames) {
-    auto logger = std::make_shared<spdlog::logger>(std::string(entry.name), sink);
+    auto logger =
+        std::make_shared<spdlog::logger>(std::string(entry.name), sink);
     logger->set_pattern(kTextPattern);
     loggers.at(static_cast<size_t>(entry.value)) = std::move(logger);
   }
@@ -45,11 +47,14 @@
 
 }  // namespace
 
-std::string_view LogPartName(LogPart part) { return NameOf(kLogPartNames, part); }
+std::string_view LogPartName(LogPart part) {
+  return NameOf(kLogPartNames, part);
+}
 
 void ConfigureLogging(LogFormat format, spdlog::level::level_enum level) {
   for (auto& logger : AllLoggers()) {
-    logger->set_pattern(format == LogFormat::kJson ? kJsonPattern : kTextPattern);
+    logger->set_pattern(format == LogFormat::kJson ? kJsonPattern
+                                                   : kTextPattern);
     logger->set_level(level);
     logger->flush_on(spdlog::level::info);
   }
@@ -62,6 +67,8 @@
   return true;
 }
 
-spdlog::logger& Log(LogPart part) { return *AllLoggers().at(static_cast<size_t>(part)); }
+spdlog::logger& Log(LogPart part) {
+  return *AllLoggers().at(static_cast<size_t>(part));
+}
 
 }  // namespace mimosadeal
--- a/source/core/common/log.h
+++ b/source/core/common/log.h
@@ -1,4 +1,5 @@
-// Logging by part: each part of the program has a fixed prefix and a level of its own.
+// Logging by part: each part of the program has a fixed prefix and a level of
+// its own.
 #pragma once
 
 #include <spdlog/spdlog.h>
@@ -27,7 +28,8 @@
 
 std::string_view LogPartName(LogPart part);
 
-// Sets the output format of every part and the level of parts that have none of their own.
+// Sets the output format of every part and the level of parts that have none of
+// their own.
 void ConfigureLogging(LogFormat format, spdlog::level::level_enum level);
 
 // Sets the level of one part. Returns false when no part is called `part_name`.
--- a/source/core/common/timer_service.cc
+++ b/source/core/common/timer_service.cc
@@ -10,7 +10,8 @@
   return Add(now() + period, period, std::move(callback));
 }
 
-TimerId TimerService::Add(MonotonicTime due, Duration period, Callback callback) {
+TimerId TimerService::Add(MonotonicTime due, Duration period,
+                          Callback callback) {
   const TimerId id = next_id_++;
   due_.emplace(Order{due, id}, 0);
   timers_.emplace(id, Timer{period, std::move(callback), due});
@@ -26,8 +27,8 @@
 
 void TimerService::RunDue() {
   const MonotonicTime round = now();
-  // A timer added by a callback of this round waits for the next round, so that a callback that
-  // re-arms itself with no delay cannot starve the loop.
+  // A timer added by a callback of this round waits for the next round, so that
+  // a callback that re-arms itself with no delay cannot starve the loop.
   const TimerId first_new_id = next_id_;
   auto next = due_.begin();
   while (next != due_.end() && next->first.first <= round) {
--- a/source/core/common/timer_service.h
+++ b/source/core/common/timer_service.h
@@ -1,4 +1,5 @@
-// The timer service that parts subscribe to. Its clock is given, so that tests can set the time.
+// The timer service that parts subscribe to. Its clock is given, so that tests
+// can set the time.
 #pragma once
 
 #include <cstdint>
@@ -28,7 +29,8 @@
 
   // Runs `callback` once after `delay`.
   TimerId After(Duration delay, Callback callback);
-  // Runs `callback` every `period` until cancelled. A late round is not made up for.
+  // Runs `callback` every `period` until cancelled. A late round is not made up
+  // for.
   TimerId Every(Duration period, Callback callback);
   // Does nothing when the timer has run or never existed.
   void Cancel(TimerId id);
--- a/source/core/configuration/configuration_parser.cc
+++ b/source/core/configuration/configuration_parser.cc
@@ -20,7 +20,8 @@
 // Reads one object, noting each fault and each member that nothing asked for.
 class ObjectReader {
  public:
-  ObjectReader(const Json& object, std::string path, std::vector<ConfigurationFault>& faults)
+  ObjectReader(const Json& object, std::string path,
+               std::vector<ConfigurationFault>& faults)
       : object_(object), path_(std::move(path)), faults_(faults) {
     if (!object_.is_object()) Fault("", "must be an object");
   }
@@ -41,20 +42,25 @@
     return found == object_.end() ? nullptr : &*found;
   }
 
-  double Number(const std::string& name, double fallback, double least, double greatest) {
+  double Number(const std::string& name, double fallback, double least,
+                double greatest) {
     const Json* value = Member(name);
     if (value == nullptr) return fallback;
     const double number = value->is_number() ? value->get<double>() : least - 1;
     if (number >= least && number <= greatest) return number;
-    Fault(name, "must be a number from " + Json(least).dump() + " to " + Json(greatest).dump());
+    Fault(name, "must be a number from " + Json(least).dump() + " to " +
+                    Json(greatest).dump());
     return fallback;
   }
 
-  int64_t Whole(const std::string& name, int64_t fallback, int64_t least, int64_t greatest) {
+  int64_t Whole(const std::string& name, int64_t fallback, int64_t least,
+                int64_t greatest) {
     const Json* value = Member(name);
     if (value == nullptr) return fallback;
-    if (value->is_number_integer() && *value >= least && *value <= greatest) return value->get<int64_t>();
-    Fault(name, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(greatest));
+    if (value->is_number_integer() && *value >= least && *value <= greatest)
+      return value->get<int64_t>();
+    Fault(name, "must be a whole number from " + std::to_string(least) +
+                    " to " + std::to_string(greatest));
     return fallback;
   }
 
@@ -102,7 +108,9 @@
     faults_.push_back({name.empty() ? path_ : path_ + "/" + name, message});
   }
 
-  std::string PathOf(const std::string& name) const { return path_ + "/" + name; }
+  std::string PathOf(const std::string& name) const {
+    return path_ + "/" + name;
+  }
   std::vector<ConfigurationFault>& faults() { return faults_; }
 
  private:
@@ -112,36 +120,46 @@
   std::set<std::string> known_;
 };
 
-Duration Milliseconds(double count) { return std::chrono::microseconds(static_cast<int64_t>(count * 1000)); }
+Duration Milliseconds(double count) {
+  return std::chrono::microseconds(static_cast<int64_t>(count * 1000));
+}
 
 void ReadRanks(ObjectReader& reader, ServiceConfiguration& service) {
   const Json* ranks = reader.Member("ranks");
-  if (ranks == nullptr || !ranks->is_object() || ranks->empty() || ranks->size() > kMaxRanks) {
-    reader.Fault("ranks", "must be an object of 1 to " + std::to_string(kMaxRanks) + " ranks");
+  if (ranks == nullptr || !ranks->is_object() || ranks->empty() ||
+      ranks->size() > kMaxRanks) {
+    reader.Fault("ranks", "must be an object of 1 to " +
+                              std::to_string(kMaxRanks) + " ranks");
     return;
   }
   double total_share = 0;
   for (const auto& [name, value] : ranks->items()) {
-    ObjectReader rank_reader(value, reader.PathOf("ranks/" + name), reader.faults());
+    ObjectReader rank_reader(value, reader.PathOf("ranks/" + name),
+                             reader.faults());
     RankPolicy rank;
     rank.name = name;
     rank.order = static_cast<int>(rank_reader.Whole("order", 0, 0, 1000));
-    rank.target = Milliseconds(rank_reader.Number("target_ms", 1000, 0.1, 3.6e6));
+    rank.target =
+        Milliseconds(rank_reader.Number("target_ms", 1000, 0.1, 3.6e6));
     rank.worth = rank_reader.Number("worth", 1, 0, 1e9);
     rank.share = rank_reader.Number("share", 0, 0, 1);
     total_share += rank.share;
     service.ranks.push_back(rank);
   }
-  if (total_share > 1.0) reader.Fault("ranks", "the shares add up to more than 1");
+  if (total_share > 1.0)
+    reader.Fault("ranks", "the shares add up to more than 1");
   std::stable_sort(service.ranks.begin(), service.ranks.end(),
-                   [](const RankPolicy& a, const RankPolicy& b) { return a.order < b.order; });
+                   [](const RankPolicy& a, const RankPolicy& b) {
+                     return a.order < b.order;
+                   });
 }
 
 void ReadRules(ObjectReader& reader, ServiceConfiguration& service) {
   const Json* rules = reader.Member("rules");
   if (rules == nullptr) return;
   if (!rules->is_array() || rules->size() > kMaxRules) {
-    reader.Fault("rules", "must be a list of at most " + std::to_string(kMaxRules) + " rules");
+    reader.Fault("rules", "must be a list of at most " +
+                              std::to_string(kMaxRules) + " rules");
     return;
   }
   size_t index = 0;
@@ -153,31 +171,38 @@
     rule.path_prefix = rule_reader.Text("path", "/");
     rule.rank = rule_reader.Text("rank", service.default_rank);
     rule.idempotent = rule_reader.Flag("idempotent", false);
-    if (FindRank(service, rule.rank) == nullptr) rule_reader.Fault("rank", "is not a rank of this service");
+    if (FindRank(service, rule.rank) == nullptr)
+      rule_reader.Fault("rank", "is not a rank of this service");
     service.rules.push_back(rule);
   }
 }
 
-ServiceConfiguration ReadService(const std::string& name, const Json& value, std::vector<ConfigurationFault>& faults) {
+ServiceConfiguration ReadService(const std::string& name, const Json& value,
+                                 std::vector<ConfigurationFault>& faults) {
   ServiceConfiguration service;
   ObjectReader reader(value, "/services/" + name, faults);
   service.name = name;
   service.divided_by_key = reader.Flag("divided_by_key", true);
-  service.key_path_segment = static_cast<int>(reader.Whole("key_path_segment", 0, 0, 16));
-  service.shards = static_cast<uint32_t>(reader.Whole("shards", kDefaultShards, 1, kMaxShards));
+  service.key_path_segment =
+      static_cast<int>(reader.Whole("key_path_segment", 0, 0, 16));
+  service.shards = static_cast<uint32_t>(
+      reader.Whole("shards", kDefaultShards, 1, kMaxShards));
   service.zones = reader.Texts("zones");
   std::sort(service.zones.begin(), service.zones.end());
-  if (service.zones.empty()) reader.Fault("zones", "must name at least one availability zone");
+  if (service.zones.empty())
+    reader.Fault("zones", "must name at least one availability zone");
   const std::string zone_loss = reader.Text("zone_loss", "wait");
   if (zone_loss == "reassign") {
     service.zone_loss = ZoneLoss::kReassign;
   } else if (zone_loss != "wait") {
     reader.Fault("zone_loss", "must be \"wait\" or \"reassign\"");
   }
-  service.reassign_after = Milliseconds(reader.Number("reassign_after_ms", 30000, 1000, 3.6e6));
+  service.reassign_after =
+      Milliseconds(reader.Number("reassign_after_ms", 30000, 1000, 3.6e6));
   service.upstreams_check_grants = reader.Flag("upstreams_check_grants", true);
   service.slots = static_cast<int>(reader.Whole("slots", 1, 1, 1024));
-  service.connections = static_cast<int>(reader.Whole("connections", 300, 2, 65536));
+  service.connections =
+      static_cast<int>(reader.Whole("connections", 300, 2, 65536));
   service.accept_without_id = reader.Flag("accept_without_id", false);
   ReadRanks(reader, service);
   service.default_rank = reader.RequiredText("default_rank");
@@ -195,36 +220,44 @@
   parsed.configuration.version = version;
   ObjectReader reader(document, "", parsed.faults);
   const Json* services = reader.Member("services");
-  if (services != nullptr && (!services->is_object() || services->size() > kMaxServices)) {
-    reader.Fault("services", "must be an object of at most " + std::to_string(kMaxServices) + " services");
+  if (services != nullptr &&
+      (!services->is_object() || services->size() > kMaxServices)) {
+    reader.Fault("services", "must be an object of at most " +
+                                 std::to_string(kMaxServices) + " services");
     services = nullptr;
   }
   if (services != nullptr) {
     for (const auto& [name, value] : services->items()) {
-      parsed.configuration.services.emplace(name, ReadService(name, value, parsed.faults));
+      parsed.configuration.services.emplace(
+          name, ReadService(name, value, parsed.faults));
     }
   }
-  // An object of flags rather than a list, so that a merge patch can add or remove one drain.
+  // An object of flags rather than a list, so that a merge patch can add or
+  // remove one drain.
   const Json* drains = reader.Member("drains");
   if (drains != nullptr) {
     ObjectReader drain_reader(*drains, "/drains", parsed.faults);
     if (drains->is_object()) {
       for (const auto& [id, value] : drains->items()) {
-        if (drain_reader.Flag(id, false)) parsed.configuration.drained_upstreams.insert(id);
+        if (drain_reader.Flag(id, false))
+          parsed.configuration.drained_upstreams.insert(id);
       }
     }
   }
   return parsed;
 }
 
-std::vector<ConfigurationFault> CheckSuccession(const Configuration& current, const Configuration& next) {
+std::vector<ConfigurationFault> CheckSuccession(const Configuration& current,
+                                                const Configuration& next) {
   std::vector<ConfigurationFault> faults;
   for (const auto& [name, service] : next.services) {
     const auto found = current.services.find(name);
     if (found == current.services.end()) continue;
     const std::string path = "/services/" + name;
-    if (found->second.shards != service.shards) faults.push_back({path + "/shards", "cannot change"});
-    if (found->second.zones != service.zones) faults.push_back({path + "/zones", "cannot change"});
+    if (found->second.shards != service.shards)
+      faults.push_back({path + "/shards", "cannot change"});
+    if (found->second.zones != service.zones)
+      faults.push_back({path + "/zones", "cannot change"});
     if (found->second.divided_by_key != service.divided_by_key) {
       faults.push_back({path + "/divided_by_key", "cannot change"});
     }
--- a/source/core/configuration/stored_configuration.h
+++ b/source/core/configuration/stored_configuration.h
@@ -1,5 +1,6 @@
-// The configuration as the platform's store keeps it: the document, its version, and the ids of the
-// latest patches, by which a patch whose reply was lost is recognised.
+// The configuration as the platform's store keeps it: the document, its
+// version, and the ids of the latest patches, by which a patch whose reply was
+// lost is recognised.
 #pragma once
 
 #include <cstdint>
@@ -25,17 +26,24 @@
   nlohmann::json document = nlohmann::json::object();
 };
 
-enum class PatchStatus : uint8_t { kApplied, kAlreadyApplied, kStale, kInvalid };
+enum class PatchStatus : uint8_t {
+  kApplied,
+  kAlreadyApplied,
+  kStale,
+  kInvalid
+};
 
 struct PatchResult {
   PatchStatus status = PatchStatus::kInvalid;
-  // kApplied: the next state. kAlreadyApplied: the version that the patch made. Otherwise current.
+  // kApplied: the next state. kAlreadyApplied: the version that the patch made.
+  // Otherwise current.
   StoredConfiguration next;
   std::vector<ConfigurationFault> faults;
 };
 
 // Applies a JSON merge patch (RFC 7396) made against `base_version`.
-PatchResult ApplyPatch(const StoredConfiguration& current, uint64_t base_version, const std::string& patch_id,
+PatchResult ApplyPatch(const StoredConfiguration& current,
+                       uint64_t base_version, const std::string& patch_id,
                        const nlohmann::json& patch);
 
 std::string EncodeStoredConfiguration(const StoredConfiguration& stored);
--- a/source/core/inner/control_messages.h
+++ b/source/core/inner/control_messages.h
@@ -1,5 +1,6 @@
-// Messages of the control path: leases, the ownership table and the configuration's version.
-// Lease messages travel by UDP, tables and configurations by TCP.
+// Messages of the control path: leases, the ownership table and the
+// configuration's version. Lease messages travel by UDP, tables and
+// configurations by TCP.
 #pragma once
 
 #include <compare>
@@ -12,7 +13,8 @@
 
 namespace mimosadeal {
 
-// Orders ownership tables: by the controller's term, then by the change within it.
+// Orders ownership tables: by the controller's term, then by the change within
+// it.
 struct TableVersion {
   uint64_t term = 0;
   uint64_t sequence = 0;
@@ -30,8 +32,9 @@
 // What a dispatcher reports of one upstream that it sends to.
 struct UpstreamReport {
   std::string upstream;
-  // The newest table whose revocations are in force at this upstream: acknowledged by it, or every
-  // older grant has certainly lapsed, with no request of a revoked shard still running.
+  // The newest table whose revocations are in force at this upstream:
+  // acknowledged by it, or every older grant has certainly lapsed, with no
+  // request of a revoked shard still running.
   TableVersion applied;
   uint8_t health = 0;  // UpstreamHealth.
   uint32_t load_permille = 0;
@@ -42,16 +45,18 @@
   }
 };
 
-// A dispatcher asks its controller to extend its lease. By sending it the dispatcher promises not to
-// help a later term to move anything until the promise time has passed.
+// A dispatcher asks its controller to extend its lease. By sending it the
+// dispatcher promises not to help a later term to move anything until the
+// promise time has passed.
 struct LeaseRequest {
   static constexpr MessageType kType = MessageType::kLeaseRequest;
 
   std::string host;
-  std::string address;             // The sender's inner address.
+  std::string address;  // The sender's inner address.
   uint64_t term = 0;
-  int64_t sent_at_ns = 0;          // The sender's clock; echoed.
-  int64_t controller_echo_ns = 0;  // The controller's clock, from its latest reply; 0 if none.
+  int64_t sent_at_ns = 0;  // The sender's clock; echoed.
+  int64_t controller_echo_ns =
+      0;  // The controller's clock, from its latest reply; 0 if none.
   // Time until the sender's promises to earlier terms have all passed.
   int64_t earlier_promise_left_ns = 0;
   TableVersion table;
@@ -63,7 +68,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(host, address, term, sent_at_ns, controller_echo_ns, earlier_promise_left_ns, table, configuration_version, leaving,
+    archive(host, address, term, sent_at_ns, controller_echo_ns,
+            earlier_promise_left_ns, table, configuration_version, leaving,
             outage_acknowledged, upstreams);
   }
 };
@@ -77,16 +83,17 @@
   std::string standby_address;
   int64_t request_sent_at_ns = 0;  // Echo of LeaseRequest::sent_at_ns.
   int64_t controller_time_ns = 0;  // To be echoed in the next request.
-  int64_t ttl_ns = 0;              // Counted from request_sent_at_ns; zero extends nothing.
-  // The controller cannot reach the store: until this ends it moves only what the standby has, and
-  // the standby may renew leases in its place.
+  int64_t ttl_ns = 0;  // Counted from request_sent_at_ns; zero extends nothing.
+  // The controller cannot reach the store: until this ends it moves only what
+  // the standby has, and the standby may renew leases in its place.
   bool outage = false;
   TableVersion table;
   uint64_t configuration_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(controller, term, standby, standby_address, request_sent_at_ns, controller_time_ns, ttl_ns, outage, table, configuration_version);
+    archive(controller, term, standby, standby_address, request_sent_at_ns,
+            controller_time_ns, ttl_ns, outage, table, configuration_version);
   }
 };
 
--- a/source/core/inner/frame.h
+++ b/source/core/inner/frame.h
@@ -1,5 +1,5 @@
-// Framing of the inner protocol: a fixed header, then one encoded message. The same frame is one
-// UDP datagram or one stretch of a TCP stream.
+// Framing of the inner protocol: a fixed header, then one encoded message. The
+// same frame is one UDP datagram or one stretch of a TCP stream.
 #pragma once
 
 #include <cstdint>
@@ -32,8 +32,9 @@
 void AppendFrame(MessageType type, std::string_view body, std::string& out);
 
 // Returns the first frame in `buffer`, or nothing when it is not whole yet.
-// Errors: kMalformed (magic, protocol version, message type), kTooLarge. After an error the stream
-// cannot be read further.
-Result<std::optional<ParsedFrame>> ParseFrame(std::string_view buffer, size_t max_body_bytes);
+// Errors: kMalformed (magic, protocol version, message type), kTooLarge. After
+// an error the stream cannot be read further.
+Result<std::optional<ParsedFrame>> ParseFrame(std::string_view buffer,
+                                              size_t max_body_bytes);
 
 }  // namespace mimosadeal
--- a/source/core/inner/inner_transport.cc
+++ b/source/core/inner/inner_transport.cc
@@ -19,27 +19,33 @@
 constexpr int kDatagramsPerRound = 256;
 
 bool IsControl(MessageType type) {
-  return type != MessageType::kDispatchRequest && type != MessageType::kDispatchReply &&
+  return type != MessageType::kDispatchRequest &&
+         type != MessageType::kDispatchReply &&
          type != MessageType::kDispatchCancel;
 }
 
 }  // namespace
 
-InnerTransport::InnerTransport(EventLoop& loop, InnerTransportOptions options, InnerTransportHandlers handlers)
-    : loop_(loop), options_(std::move(options)), handlers_(std::move(handlers)) {}
+InnerTransport::InnerTransport(EventLoop& loop, InnerTransportOptions options,
+                               InnerTransportHandlers handlers)
+    : loop_(loop),
+      options_(std::move(options)),
+      handlers_(std::move(handlers)) {}
 
 InnerTransport::~InnerTransport() = default;
 
-Result<std::unique_ptr<InnerTransport>> InnerTransport::Listen(EventLoop& loop, InnerTransportOptions options,
-                                                               InnerTransportHandlers handlers) {
+Result<std::unique_ptr<InnerTransport>> InnerTransport::Listen(
+    EventLoop& loop, InnerTransportOptions options,
+    InnerTransportHandlers handlers) {
   BOOST_OUTCOME_TRY(tcp, ListenTcp(options.address));
   BOOST_OUTCOME_TRY(udp, BindUdp(options.address));
-  std::unique_ptr<InnerTransport> transport(new InnerTransport(loop, std::move(options), std::move(handlers)));
+  std::unique_ptr<InnerTransport> transport(
+      new InnerTransport(loop, std::move(options), std::move(handlers)));
   InnerTransport* self = transport.get();
-  transport->listener_ =
-      std::make_unique<FdWatch>(loop, tcp, FdWatch::Callbacks{[self] { self->OnAcceptable(); }, nullptr});
-  transport->datagrams_ =
-      std::make_unique<FdWatch>(loop, udp, FdWatch::Callbacks{[self] { self->OnDatagram(); }, nullptr});
+  transport->listener_ = std::make_unique<FdWatch>(
+      loop, tcp, FdWatch::Callbacks{[self] { self->OnAcceptable(); }, nullptr});
+  transport->datagrams_ = std::make_unique<FdWatch>(
+      loop, udp, FdWatch::Callbacks{[self] { self->OnDatagram(); }, nullptr});
   return transport;
 }
 
@@ -64,9 +70,12 @@
 ConnectionId InnerTransport::AddConnection(int fd) {
   const ConnectionId id = next_id_++;
   PeerConnectionCallbacks callbacks;
-  callbacks.on_frame = [this, id](const Frame& frame) { handlers_.on_frame(id, frame); };
+  callbacks.on_frame = [this, id](const Frame& frame) {
+    handlers_.on_frame(id, frame);
+  };
   callbacks.on_closed = [this, id](const Error& error) { OnClosed(id, error); };
-  connections_[id] = std::make_unique<PeerConnection>(loop_, fd, options_.limits, std::move(callbacks));
+  connections_[id] = std::make_unique<PeerConnection>(
+      loop_, fd, options_.limits, std::move(callbacks));
   return id;
 }
 
@@ -82,14 +91,16 @@
     by_address_.erase(it);
     break;
   }
-  // Kept until the next round: the caller may be one of the connection's own callbacks.
+  // Kept until the next round: the caller may be one of the connection's own
+  // callbacks.
   std::shared_ptr<PeerConnection> closed = std::move(connections_.at(id));
   connections_.erase(id);
   loop_.Post([closed] {});
   handlers_.on_disconnected(id);
 }
 
-bool InnerTransport::SendBody(ConnectionId id, MessageType type, const std::string& body) {
+bool InnerTransport::SendBody(ConnectionId id, MessageType type,
+                              const std::string& body) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return false;
   if (!found->second->Send(type, body)) return false;
@@ -97,7 +108,9 @@
   return true;
 }
 
-void InnerTransport::SendDatagramBody(const std::string& address, MessageType type, const std::string& body) {
+void InnerTransport::SendDatagramBody(const std::string& address,
+                                      MessageType type,
+                                      const std::string& body) {
   const auto parsed = ParseSocketAddress(Route(address));
   if (!parsed.has_value()) return;
   const auto native = ToNative(parsed.value());
@@ -105,18 +118,21 @@
   std::string frame;
   AppendFrame(type, body, frame);
   if (frame.size() > kMaxDatagramBytes) {
-    Log(LogPart::kInner).error("A {} message of {} bytes does not fit a datagram.", NameOf(kMessageTypeNames, type),
-                               frame.size());
+    Log(LogPart::kInner)
+        .error("A {} message of {} bytes does not fit a datagram.",
+               NameOf(kMessageTypeNames, type), frame.size());
     return;
   }
   const auto* raw = reinterpret_cast<const sockaddr*>(&native.value().storage);
-  sendto(datagrams_->fd(), frame.data(), frame.size(), MSG_NOSIGNAL, raw, native.value().length);
+  sendto(datagrams_->fd(), frame.data(), frame.size(), MSG_NOSIGNAL, raw,
+         native.value().length);
   control_bytes_sent_ += frame.size();
 }
 
 void InnerTransport::OnAcceptable() {
   for (int i = 0; i < kAcceptsPerRound; ++i) {
-    const int fd = accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int fd = accept4(listener_->fd(), nullptr, nullptr,
+                           SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
     const int enabled = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
@@ -127,7 +143,8 @@
 void InnerTransport::OnDatagram() {
   std::array<char, 65536> buffer;
   for (int i = 0; i < kDatagramsPerRound; ++i) {
-    const ssize_t count = recv(datagrams_->fd(), buffer.data(), buffer.size(), 0);
+    const ssize_t count =
+        recv(datagrams_->fd(), buffer.data(), buffer.size(), 0);
     if (count < 0) return;
     const std::string_view datagram(buffer.data(), static_cast<size_t>(count));
     const auto parsed = ParseFrame(datagram, kMaxDatagramBytes);
--- a/source/core/inner/inner_transport.h
+++ b/source/core/inner/inner_transport.h
@@ -1,7 +1,8 @@
-// Carries messages between entry hosts: datagrams for leases, TCP connections for the rest.
+// Carries messages between entry hosts: datagrams for leases, TCP connections
+// for the rest.
 //
-// A reply travels back on the connection that its request came on. Connections are opened on demand
-// and closed by failure only.
+// A reply travels back on the connection that its request came on. Connections
+// are opened on demand and closed by failure only.
 #pragma once
 
 #include <functional>
@@ -42,18 +43,21 @@
 class InnerTransport {
  public:
   // Errors: kIo when the address cannot be listened on.
-  static Result<std::unique_ptr<InnerTransport>> Listen(EventLoop& loop, InnerTransportOptions options,
-                                                        InnerTransportHandlers handlers);
+  static Result<std::unique_ptr<InnerTransport>> Listen(
+      EventLoop& loop, InnerTransportOptions options,
+      InnerTransportHandlers handlers);
   ~InnerTransport();
   InnerTransport(const InnerTransport&) = delete;
   InnerTransport& operator=(const InnerTransport&) = delete;
 
   // Returns the connection to the peer at `address`, opened if there is none.
   ConnectionId ConnectionTo(const std::string& address);
-  // Closes the connection to the peer at `address`, if there is one, so that the next is new.
+  // Closes the connection to the peer at `address`, if there is one, so that
+  // the next is new.
   void Disconnect(ConnectionId id);
 
-  // Returns false when the connection is gone or its backlog is full; then nothing was sent.
+  // Returns false when the connection is gone or its backlog is full; then
+  // nothing was sent.
   template <typename Message>
   bool Send(ConnectionId id, const Message& message) {
     return SendBody(id, Message::kType, EncodeBody(message));
@@ -68,10 +72,12 @@
   uint64_t control_bytes_sent() const { return control_bytes_sent_; }
 
  private:
-  InnerTransport(EventLoop& loop, InnerTransportOptions options, InnerTransportHandlers handlers);
+  InnerTransport(EventLoop& loop, InnerTransportOptions options,
+                 InnerTransportHandlers handlers);
 
   bool SendBody(ConnectionId id, MessageType type, const std::string& body);
-  void SendDatagramBody(const std::string& address, MessageType type, const std::string& body);
+  void SendDatagramBody(const std::string& address, MessageType type,
+                        const std::string& body);
   ConnectionId AddConnection(int fd);
   void OnAcceptable();
   void OnDatagram();
@@ -84,7 +90,8 @@
   std::unique_ptr<FdWatch> listener_;
   std::unique_ptr<FdWatch> datagrams_;
   ConnectionId next_id_ = 1;
-  std::unordered_map<ConnectionId, std::unique_ptr<PeerConnection>> connections_;
+  std::unordered_map<ConnectionId, std::unique_ptr<PeerConnection>>
+      connections_;
   // Invariant: holds only connections that are in connections_.
   std::unordered_map<std::string, ConnectionId> by_address_;
   uint64_t control_bytes_sent_ = 0;
--- a/source/core/inner/messages.h
+++ b/source/core/inner/messages.h
@@ -18,14 +18,17 @@
   return body;
 }
 
-// Errors: kMalformed when the body is truncated, has bytes left over or holds a forged length.
+// Errors: kMalformed when the body is truncated, has bytes left over or holds a
+// forged length.
 template <typename Message>
 Result<Message> DecodeBody(std::string_view body) {
   Message message;
   try {
     WireInputArchive archive(body);
     archive(message);
-    if (archive.bytes_left() != 0) return MakeError(ErrorCode::kMalformed, "bytes left over after the message");
+    if (archive.bytes_left() != 0)
+      return MakeError(ErrorCode::kMalformed,
+                       "bytes left over after the message");
   } catch (const cereal::Exception& exception) {
     return MakeError(ErrorCode::kMalformed, exception.what());
   }
--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -13,15 +13,19 @@
 namespace {
 
 constexpr size_t kReadBytes = 64 * 1024;
-// Sent bytes are dropped from the front of the buffer once this many have gathered.
+// Sent bytes are dropped from the front of the buffer once this many have
+// gathered.
 constexpr size_t kCompactBytes = 256 * 1024;
 
 }  // namespace
 
-PeerConnection::PeerConnection(EventLoop& loop, int fd, PeerConnectionLimits limits, PeerConnectionCallbacks callbacks)
+PeerConnection::PeerConnection(EventLoop& loop, int fd,
+                               PeerConnectionLimits limits,
+                               PeerConnectionCallbacks callbacks)
     : loop_(loop), limits_(limits), callbacks_(std::move(callbacks)) {
   watch_ = std::make_unique<FdWatch>(
-      loop, fd, FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); }});
+      loop, fd,
+      FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); }});
 }
 
 PeerConnection::~PeerConnection() { *alive_ = false; }
@@ -29,7 +33,8 @@
 bool PeerConnection::Send(MessageType type, std::string_view body) {
   if (closed_) return false;
   const size_t backlog = output_.size() - sent_;
-  if (backlog + body.size() + kFrameHeaderBytes > limits_.max_backlog_bytes) return false;
+  if (backlog + body.size() + kFrameHeaderBytes > limits_.max_backlog_bytes)
+    return false;
   // Frames queued within one round leave together, in one system call.
   if (backlog == 0) watch_->RequestWritable();
   AppendFrame(type, body, output_);
@@ -39,7 +44,8 @@
 void PeerConnection::OnWritable() {
   if (closed_) return;
   while (sent_ < output_.size()) {
-    const ssize_t count = send(watch_->fd(), output_.data() + sent_, output_.size() - sent_, MSG_NOSIGNAL);
+    const ssize_t count = send(watch_->fd(), output_.data() + sent_,
+                               output_.size() - sent_, MSG_NOSIGNAL);
     if (count < 0) {
       if (errno == EAGAIN || errno == EWOULDBLOCK) break;
       Close(MakeError(ErrorCode::kIo, std::strerror(errno)));
@@ -81,7 +87,8 @@
   const std::shared_ptr<bool> alive = alive_;
   size_t consumed = 0;
   while (true) {
-    auto parsed = ParseFrame(std::string_view(input_).substr(consumed), limits_.max_body_bytes);
+    auto parsed = ParseFrame(std::string_view(input_).substr(consumed),
+                             limits_.max_body_bytes);
     if (!parsed.has_value()) {
       Close(parsed.error());
       return;
--- a/source/core/inner/peer_connection.h
+++ b/source/core/inner/peer_connection.h
@@ -20,21 +20,24 @@
 
 struct PeerConnectionCallbacks {
   std::function<void(const Frame&)> on_frame;
-  // Runs at most once, in a later round of the loop than the failure's cause when that is a Send.
+  // Runs at most once, in a later round of the loop than the failure's cause
+  // when that is a Send.
   std::function<void(const Error&)> on_closed;
 };
 
 class PeerConnection {
  public:
-  PeerConnection(EventLoop& loop, int fd, PeerConnectionLimits limits, PeerConnectionCallbacks callbacks);
+  PeerConnection(EventLoop& loop, int fd, PeerConnectionLimits limits,
+                 PeerConnectionCallbacks callbacks);
   ~PeerConnection();
   PeerConnection(const PeerConnection&) = delete;
   PeerConnection& operator=(const PeerConnection&) = delete;
 
-  // Queues one frame. Returns false, and queues nothing, when the connection is closed or the
-  // backlog would exceed its bound.
+  // Queues one frame. Returns false, and queues nothing, when the connection is
+  // closed or the backlog would exceed its bound.
   bool Send(MessageType type, std::string_view body);
-  // True when no byte of this connection's output has been taken by the system yet.
+  // True when no byte of this connection's output has been taken by the system
+  // yet.
   bool nothing_sent() const { return !any_sent_; }
 
  private:
--- a/source/core/inner/request_messages.h
+++ b/source/core/inner/request_messages.h
@@ -1,5 +1,5 @@
-// Messages of the request path: dispatching, cancelling, and replicating the ledger of
-// non-idempotent requests. All travel by TCP.
+// Messages of the request path: dispatching, cancelling, and replicating the
+// ledger of non-idempotent requests. All travel by TCP.
 #pragma once
 
 #include <cstdint>
@@ -40,12 +40,14 @@
 struct DispatchRequest {
   static constexpr MessageType kType = MessageType::kDispatchRequest;
 
-  uint64_t ticket = 0;  // Names the request on this connection; echoed in the reply.
+  uint64_t ticket =
+      0;  // Names the request on this connection; echoed in the reply.
   std::string service;
   uint32_t shard = 0;
   std::string rank;
   std::string tenant;
-  std::string id;  // The idempotency key, or an id of the ingress's own when `has_key` is false.
+  std::string id;  // The idempotency key, or an id of the ingress's own when
+                   // `has_key` is false.
   bool has_key = false;
   bool idempotent = false;
   uint8_t hops = 0;  // Hosts that have passed the request on.
@@ -57,8 +59,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ticket, service, shard, rank, tenant, id, has_key, idempotent, hops, time_left_us, method, path, headers,
-            body);
+    archive(ticket, service, shard, rank, tenant, id, has_key, idempotent, hops,
+            time_left_us, method, path, headers, body);
   }
 };
 
@@ -77,7 +79,8 @@
   uint64_t ticket = 0;
   uint8_t status = 0;   // DispatchStatus.
   uint8_t outcome = 0;  // RequestOutcome.
-  bool replayed = false;  // The stored outcome of an earlier request with the same id.
+  bool replayed =
+      false;  // The stored outcome of an earlier request with the same id.
   int32_t http_status = 0;
   int32_t retry_after_ms = 0;
   std::string detail;
@@ -86,7 +89,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ticket, status, outcome, replayed, http_status, retry_after_ms, detail, headers, body);
+    archive(ticket, status, outcome, replayed, http_status, retry_after_ms,
+            detail, headers, body);
   }
 };
 
@@ -113,21 +117,24 @@
   std::string content_type;
   std::string body;
   bool body_kept = false;
-  int64_t age_ms = 0;  // Time since the entry was made, at the moment of sending.
+  int64_t age_ms =
+      0;  // Time since the entry was made, at the moment of sending.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, id, shard, fingerprint, finished, outcome, http_status, content_type, body, body_kept, age_ms);
+    archive(service, id, shard, fingerprint, finished, outcome, http_status,
+            content_type, body, body_kept, age_ms);
   }
 };
 
-// Sends entries to the replica. `complete` tells that with this update the replica holds all of the
-// sender's entries.
+// Sends entries to the replica. `complete` tells that with this update the
+// replica holds all of the sender's entries.
 struct LedgerUpdate {
   static constexpr MessageType kType = MessageType::kLedgerUpdate;
 
-  std::string host;     // Whose ledger this is.
-  uint64_t stream = 0;  // Names one run of updates; a new one starts from nothing.
+  std::string host;  // Whose ledger this is.
+  uint64_t stream =
+      0;  // Names one run of updates; a new one starts from nothing.
   uint64_t sequence = 0;
   bool complete = false;
   std::vector<LedgerRecord> records;
@@ -160,7 +167,8 @@
   }
 };
 
-// Asks for the entries of `shards` that came from `host`: its own ledger, or its replica's copy.
+// Asks for the entries of `shards` that came from `host`: its own ledger, or
+// its replica's copy.
 struct LedgerFetch {
   static constexpr MessageType kType = MessageType::kLedgerFetch;
 
@@ -178,7 +186,8 @@
   static constexpr MessageType kType = MessageType::kLedgerEntries;
 
   uint64_t fetch = 0;
-  bool complete = false;  // False when the sender does not hold the whole of what was asked for.
+  bool complete = false;  // False when the sender does not hold the whole of
+                          // what was asked for.
   std::vector<LedgerRecord> records;
 
   template <class Archive>
--- a/source/core/inner/wire_archive.h
+++ b/source/core/inner/wire_archive.h
@@ -1,6 +1,7 @@
-// Cereal archives over one bounded buffer. Unlike cereal's own binary archive, the input checks each
-// length against the bytes that are left before anything is allocated, so that a forged length
-// cannot make the process reserve memory. Numbers are little-endian.
+// Cereal archives over one bounded buffer. Unlike cereal's own binary archive,
+// the input checks each length against the bytes that are left before anything
+// is allocated, so that a forged length cannot make the process reserve memory.
+// Numbers are little-endian.
 #pragma once
 
 #include <cereal/cereal.hpp>
@@ -14,33 +15,44 @@
 
 namespace mimosadeal {
 
-static_assert(__BYTE_ORDER__ == __ORDER_LITTLE_ENDIAN__, "the inner protocol is little-endian");
+static_assert(__BYTE_ORDER__ == __ORDER_LITTLE_ENDIAN__,
+              "the inner protocol is little-endian");
 
-class WireOutputArchive : public cereal::OutputArchive<WireOutputArchive, cereal::AllowEmptyClassElision> {
+class WireOutputArchive
+    : public cereal::OutputArchive<WireOutputArchive,
+                                   cereal::AllowEmptyClassElision> {
  public:
-  explicit WireOutputArchive(std::string& buffer) : OutputArchive(this), buffer_(buffer) {}
+  explicit WireOutputArchive(std::string& buffer)
+      : OutputArchive(this), buffer_(buffer) {}
 
-  void SaveBytes(const void* data, size_t length) { buffer_.append(static_cast<const char*>(data), length); }
+  void SaveBytes(const void* data, size_t length) {
+    buffer_.append(static_cast<const char*>(data), length);
+  }
 
  private:
   std::string& buffer_;
 };
 
-class WireInputArchive : public cereal::InputArchive<WireInputArchive, cereal::AllowEmptyClassElision> {
+class WireInputArchive
+    : public cereal::InputArchive<WireInputArchive,
+                                  cereal::AllowEmptyClassElision> {
  public:
-  explicit WireInputArchive(std::string_view data) : InputArchive(this), rest_(data) {}
+  explicit WireInputArchive(std::string_view data)
+      : InputArchive(this), rest_(data) {}
 
-  // Throws cereal::Exception, the only way that cereal takes an error; DecodeMessage catches it.
+  // Throws cereal::Exception, the only way that cereal takes an error;
+  // DecodeMessage catches it.
   void LoadBytes(void* data, size_t length) {
     Require(length);
     std::memcpy(data, rest_.data(), length);
     rest_.remove_prefix(length);
   }
 
-  // Throws when fewer than `length` bytes are left. An element takes at least one byte, so this
-  // also bounds the number of elements.
+  // Throws when fewer than `length` bytes are left. An element takes at least
+  // one byte, so this also bounds the number of elements.
   void Require(size_t length) const {
-    if (length > rest_.size()) throw cereal::Exception("length exceeds the frame");
+    if (length > rest_.size())
+      throw cereal::Exception("length exceeds the frame");
   }
 
   size_t bytes_left() const { return rest_.size(); }
@@ -50,12 +62,14 @@
 };
 
 template <typename T>
-std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive, const T& value) {
+std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_SAVE_FUNCTION_NAME(
+    WireOutputArchive& archive, const T& value) {
   archive.SaveBytes(&value, sizeof(value));
 }
 
 template <typename T>
-std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive, T& value) {
+std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(
+    WireInputArchive& archive, T& value) {
   if constexpr (std::is_same_v<T, bool>) {
     // Any byte but 0 and 1 would make an invalid bool.
     uint8_t byte = 0;
@@ -67,23 +81,27 @@
 }
 
 template <typename T>
-void CEREAL_SERIALIZE_FUNCTION_NAME(WireOutputArchive& archive, cereal::NameValuePair<T>& pair) {
+void CEREAL_SERIALIZE_FUNCTION_NAME(WireOutputArchive& archive,
+                                    cereal::NameValuePair<T>& pair) {
   archive(pair.value);
 }
 
 template <typename T>
-void CEREAL_SERIALIZE_FUNCTION_NAME(WireInputArchive& archive, cereal::NameValuePair<T>& pair) {
+void CEREAL_SERIALIZE_FUNCTION_NAME(WireInputArchive& archive,
+                                    cereal::NameValuePair<T>& pair) {
   archive(pair.value);
 }
 
 template <typename T>
-void CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive, const cereal::SizeTag<T>& tag) {
+void CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive,
+                               const cereal::SizeTag<T>& tag) {
   const auto size = static_cast<uint32_t>(tag.size);
   archive.SaveBytes(&size, sizeof(size));
 }
 
 template <typename T>
-void CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive, cereal::SizeTag<T>& tag) {
+void CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive,
+                               cereal::SizeTag<T>& tag) {
   uint32_t size = 0;
   archive.LoadBytes(&size, sizeof(size));
   archive.Require(size);
@@ -91,15 +109,18 @@
 }
 
 template <typename T>
-void CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive, const cereal::BinaryData<T>& data) {
+void CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive,
+                               const cereal::BinaryData<T>& data) {
   archive.SaveBytes(data.data, static_cast<size_t>(data.size));
 }
 
 template <typename T>
-void CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive, cereal::BinaryData<T>& data) {
+void CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive,
+                               cereal::BinaryData<T>& data) {
   archive.LoadBytes(data.data, static_cast<size_t>(data.size));
 }
 
 }  // namespace mimosadeal
 
-CEREAL_SETUP_ARCHIVE_TRAITS(mimosadeal::WireInputArchive, mimosadeal::WireOutputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(mimosadeal::WireInputArchive,
+                            mimosadeal::WireOutputArchive)
--- a/source/core/net/event_loop.cc
+++ b/source/core/net/event_loop.cc
@@ -13,7 +13,8 @@
 namespace mimosadeal {
 namespace {
 
-// lws_service takes a negative time to wait as none, and zero as its own choice.
+// lws_service takes a negative time to wait as none, and zero as its own
+// choice.
 constexpr int kDoNotWait = -1;
 constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
 
@@ -42,13 +43,17 @@
   descriptor_vhost_ = lws_create_vhost(context_, &vhost_info);
   if (descriptor_vhost_ == nullptr) std::abort();
 
-  const int timer_fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+  const int timer_fd =
+      timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
   if (timer_fd < 0) std::abort();
-  timer_watch_ = std::make_unique<FdWatch>(*this, timer_fd, FdWatch::Callbacks{[timer_fd] {
-                                                                                 uint64_t expirations = 0;
-                                                                                 (void)!read(timer_fd, &expirations, sizeof(expirations));
-                                                                               },
-                                                                               nullptr});
+  timer_watch_ = std::make_unique<FdWatch>(
+      *this, timer_fd,
+      FdWatch::Callbacks{[timer_fd] {
+                           uint64_t expirations = 0;
+                           (void)!read(timer_fd, &expirations,
+                                       sizeof(expirations));
+                         },
+                         nullptr});
 }
 
 EventLoop::~EventLoop() {
@@ -72,7 +77,9 @@
   lws_cancel_service(context_);
 }
 
-void EventLoop::Post(std::function<void()> callback) { timers_.After(Duration::zero(), std::move(callback)); }
+void EventLoop::Post(std::function<void()> callback) {
+  timers_.After(Duration::zero(), std::move(callback));
+}
 
 bool EventLoop::ArmTimer() {
   const MonotonicTime due = timers_.NextDue().value_or(kForever);
@@ -81,7 +88,8 @@
   armed_for_ = due;
   itimerspec spec{};  // All zero disarms.
   if (due != kForever) {
-    const int64_t nanoseconds = std::max<int64_t>(1, due.time_since_epoch().count());
+    const int64_t nanoseconds =
+        std::max<int64_t>(1, due.time_since_epoch().count());
     spec.it_value.tv_sec = nanoseconds / kNanosecondsPerSecond;
     spec.it_value.tv_nsec = nanoseconds % kNanosecondsPerSecond;
   }
--- a/source/core/net/fd_watch.cc
+++ b/source/core/net/fd_watch.cc
@@ -7,10 +7,12 @@
 
 namespace mimosadeal {
 
-FdWatch::FdWatch(EventLoop& loop, int fd, Callbacks callbacks) : fd_(fd), callbacks_(std::move(callbacks)) {
+FdWatch::FdWatch(EventLoop& loop, int fd, Callbacks callbacks)
+    : fd_(fd), callbacks_(std::move(callbacks)) {
   lws_sock_file_fd_type descriptor{};
   descriptor.filefd = fd;
-  wsi_ = lws_adopt_descriptor_vhost(loop.descriptor_vhost(), LWS_ADOPT_RAW_FILE_DESC, descriptor,
+  wsi_ = lws_adopt_descriptor_vhost(loop.descriptor_vhost(),
+                                    LWS_ADOPT_RAW_FILE_DESC, descriptor,
                                     kFdWatchProtocol, nullptr);
   if (wsi_ == nullptr) std::abort();
   lws_set_opaque_user_data(wsi_, this);
@@ -26,7 +28,8 @@
   if (wsi_ != nullptr) lws_callback_on_writable(wsi_);
 }
 
-int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/, size_t /*length*/) {
+int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/,
+                    void* /*in*/, size_t /*length*/) {
   if (wsi == nullptr) return 0;
   auto* watch = static_cast<FdWatch*>(lws_get_opaque_user_data(wsi));
   switch (reason) {
--- a/source/core/net/fd_watch.h
+++ b/source/core/net/fd_watch.h
@@ -1,4 +1,5 @@
-// Watches a descriptor of the process's own (UDP and TCP sockets, signalfd) in the event loop.
+// Watches a descriptor of the process's own (UDP and TCP sockets, signalfd) in
+// the event loop.
 #pragma once
 
 #include <libwebsockets.h>
@@ -11,7 +12,8 @@
 
 inline constexpr char kFdWatchProtocol[] = "fd-watch";
 
-// Owns the descriptor: destroying the watch closes it. The callbacks may destroy the watch.
+// Owns the descriptor: destroying the watch closes it. The callbacks may
+// destroy the watch.
 class FdWatch {
  public:
   struct Callbacks {
@@ -29,13 +31,15 @@
   void RequestWritable();
 
  private:
-  friend int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  friend int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                             void* in, size_t length);
 
   int fd_;
   Callbacks callbacks_;
   lws* wsi_ = nullptr;
 };
 
-int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
+                    size_t length);
 
 }  // namespace mimosadeal
--- a/source/core/net/http_client_connection.cc
+++ b/source/core/net/http_client_connection.cc
@@ -47,12 +47,17 @@
 
 }  // namespace
 
-std::string_view ClientFailureName(ClientFailure failure) { return NameOf(kClientFailureNames, failure); }
+std::string_view ClientFailureName(ClientFailure failure) {
+  return NameOf(kClientFailureNames, failure);
+}
 
-class HttpClientConnection::Impl : public std::enable_shared_from_this<HttpClientConnection::Impl> {
+class HttpClientConnection::Impl
+    : public std::enable_shared_from_this<HttpClientConnection::Impl> {
  public:
   Impl(EventLoop& loop, HttpClientOptions options)
-      : loop_(loop), options_(std::move(options)), vhost_name_(NextVhostName()) {}
+      : loop_(loop),
+        options_(std::move(options)),
+        vhost_name_(NextVhostName()) {}
 
   void CreateVhost();
   void Destroy();
@@ -60,17 +65,20 @@
   void Start(ClientRequest request, Callback callback);
   void AbortWith(ClientFailure failure);
 
-  static int LwsCallback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  static int LwsCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                         void* in, size_t length);
 
  private:
   void Connect();
-  int OnLwsEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
+  int OnLwsEvent(lws* wsi, lws_callback_reasons reason, void* in,
+                 size_t length);
   int AppendHeaders(lws* wsi, void* in, size_t length);
   int WriteBody(lws* wsi);
   int OnResponseHeaders(lws* wsi);
   int ReadBody(lws* wsi);
-  // Ends the request in flight. The callback runs in the next round of the loop, because
-  // libwebsockets does not count the connection as idle until this round is over.
+  // Ends the request in flight. The callback runs in the next round of the
+  // loop, because libwebsockets does not count the connection as idle until
+  // this round is over.
   void Finish(ClientFailure failure);
   void DetachWsi();
 
@@ -78,7 +86,8 @@
   HttpClientOptions options_;
   std::string vhost_name_;
   lws_vhost* vhost_ = nullptr;
-  // The transaction in flight; null between requests, while libwebsockets keeps the connection.
+  // The transaction in flight; null between requests, while libwebsockets keeps
+  // the connection.
   lws* wsi_ = nullptr;
   ClientRequest request_;
   ClientResponse response_;
@@ -91,7 +100,8 @@
 namespace {
 
 const std::array<lws_protocols, 2> kClientProtocols = {{
-    {kProtocolName, HttpClientConnection::Impl::LwsCallback, 0, 0, 0, nullptr, 0},
+    {kProtocolName, HttpClientConnection::Impl::LwsCallback, 0, 0, 0, nullptr,
+     0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
@@ -122,15 +132,17 @@
   wsi_ = nullptr;
 }
 
-void HttpClientConnection::Impl::Start(ClientRequest request, Callback callback) {
+void HttpClientConnection::Impl::Start(ClientRequest request,
+                                       Callback callback) {
   request_ = std::move(request);
   response_ = ClientResponse{};
   callback_ = std::move(callback);
   finishing_ = false;
-  timeout_ = loop_.timers().After(request_.timeout, [self = shared_from_this()] {
-    self->timeout_ = kNoTimer;
-    self->AbortWith(ClientFailure::kTimeout);
-  });
+  timeout_ =
+      loop_.timers().After(request_.timeout, [self = shared_from_this()] {
+        self->timeout_ = kNoTimer;
+        self->AbortWith(ClientFailure::kTimeout);
+      });
   Connect();
 }
 
@@ -140,7 +152,8 @@
   info.vhost = vhost_;
   info.address = options_.address.ip.c_str();
   info.port = options_.address.port;
-  // libwebsockets reuses a connection only when host and address are the same text.
+  // libwebsockets reuses a connection only when host and address are the same
+  // text.
   info.host = info.address;
   info.path = request_.path.c_str();
   info.method = request_.method.c_str();
@@ -175,7 +188,9 @@
   });
 }
 
-int HttpClientConnection::Impl::LwsCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* in,
+int HttpClientConnection::Impl::LwsCallback(lws* wsi,
+                                            lws_callback_reasons reason,
+                                            void* /*user*/, void* in,
                                             size_t length) {
   if (wsi == nullptr) return 0;
   auto* self = static_cast<Impl*>(lws_get_opaque_user_data(wsi));
@@ -183,7 +198,9 @@
   return self->OnLwsEvent(wsi, reason, in, length);
 }
 
-int HttpClientConnection::Impl::OnLwsEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length) {
+int HttpClientConnection::Impl::OnLwsEvent(lws* wsi,
+                                           lws_callback_reasons reason,
+                                           void* in, size_t length) {
   switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
       return AppendHeaders(wsi, in, length);
@@ -215,25 +232,30 @@
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       lws_set_opaque_user_data(wsi, nullptr);
       wsi_ = nullptr;
-      Finish(response_.request_written ? ClientFailure::kClosed : ClientFailure::kNotConnected);
+      Finish(response_.request_written ? ClientFailure::kClosed
+                                       : ClientFailure::kNotConnected);
       return 0;
     default:
       return 0;
   }
 }
 
-int HttpClientConnection::Impl::AppendHeaders(lws* wsi, void* in, size_t length) {
-  // From here on bytes may have left: the header block is written right after this call.
+int HttpClientConnection::Impl::AppendHeaders(lws* wsi, void* in,
+                                              size_t length) {
+  // From here on bytes may have left: the header block is written right after
+  // this call.
   response_.request_written = true;
   auto** at = static_cast<unsigned char**>(in);
   unsigned char* end = *at + length;
   HttpHeaders headers = request_.headers;
-  if (!request_.body.empty()) headers.push_back({"content-length", std::to_string(request_.body.size())});
+  if (!request_.body.empty())
+    headers.push_back({"content-length", std::to_string(request_.body.size())});
   for (const HttpHeader& header : headers) {
     const std::string name = header.name + ":";
-    if (lws_add_http_header_by_name(wsi, reinterpret_cast<const unsigned char*>(name.c_str()),
-                                    reinterpret_cast<const unsigned char*>(header.value.data()),
-                                    static_cast<int>(header.value.size()), at, end) != 0) {
+    if (lws_add_http_header_by_name(
+            wsi, reinterpret_cast<const unsigned char*>(name.c_str()),
+            reinterpret_cast<const unsigned char*>(header.value.data()),
+            static_cast<int>(header.value.size()), at, end) != 0) {
       response_.request_written = false;
       return -1;
     }
@@ -250,7 +272,8 @@
   std::string buffer(LWS_PRE, '\0');
   buffer += request_.body;
   auto* start = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
-  const int written = lws_write(wsi, start, request_.body.size(), LWS_WRITE_HTTP_FINAL);
+  const int written =
+      lws_write(wsi, start, request_.body.size(), LWS_WRITE_HTTP_FINAL);
   lws_client_http_body_pending(wsi, 0);
   request_.body.clear();
   return written < 0 ? -1 : 0;
@@ -261,20 +284,29 @@
   response_.status = static_cast<int>(lws_http_client_http_response(wsi));
   std::array<char, kMaxHeaderValueBytes + 1> buffer{};
   for (const HeaderToken& entry : kResponseTokens) {
-    const int copied = lws_hdr_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), entry.token);
-    if (copied > 0) response_.headers.push_back({entry.name, std::string(buffer.data(), static_cast<size_t>(copied))});
+    const int copied = lws_hdr_copy(
+        wsi, buffer.data(), static_cast<int>(buffer.size()), entry.token);
+    if (copied > 0)
+      response_.headers.push_back(
+          {entry.name,
+           std::string(buffer.data(), static_cast<size_t>(copied))});
   }
   for (const std::string& name : options_.custom_headers) {
     const std::string with_colon = name + ":";
     const int name_length = static_cast<int>(with_colon.size());
     const int copied =
-        lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), with_colon.c_str(), name_length);
-    if (copied > 0) response_.headers.push_back({name, std::string(buffer.data(), static_cast<size_t>(copied))});
+        lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()),
+                            with_colon.c_str(), name_length);
+    if (copied > 0)
+      response_.headers.push_back(
+          {name, std::string(buffer.data(), static_cast<size_t>(copied))});
   }
-  // A response that only the end of the connection delimits cannot be told from a truncated one.
-  const bool delimited = !FindHeader(response_.headers, "content-length").empty() ||
-                         !FindHeader(response_.headers, "transfer-encoding").empty() || response_.status == 204 ||
-                         response_.status == 304;
+  // A response that only the end of the connection delimits cannot be told from
+  // a truncated one.
+  const bool delimited =
+      !FindHeader(response_.headers, "content-length").empty() ||
+      !FindHeader(response_.headers, "transfer-encoding").empty() ||
+      response_.status == 204 || response_.status == 304;
   if (delimited) return 0;
   lws_set_opaque_user_data(wsi, nullptr);
   wsi_ = nullptr;
@@ -289,7 +321,8 @@
   return lws_http_client_read(wsi, &at, &length) < 0 ? -1 : 0;
 }
 
-HttpClientConnection::HttpClientConnection(EventLoop& loop, HttpClientOptions options)
+HttpClientConnection::HttpClientConnection(EventLoop& loop,
+                                           HttpClientOptions options)
     : impl_(std::make_shared<Impl>(loop, std::move(options))) {
   impl_->CreateVhost();
 }
@@ -302,6 +335,8 @@
   impl_->Start(std::move(request), std::move(callback));
 }
 
-void HttpClientConnection::Abort() { impl_->AbortWith(ClientFailure::kAborted); }
+void HttpClientConnection::Abort() {
+  impl_->AbortWith(ClientFailure::kAborted);
+}
 
 }  // namespace mimosadeal
--- a/source/core/net/http_client_connection.h
+++ b/source/core/net/http_client_connection.h
@@ -1,7 +1,9 @@
-// One HTTP/1.1 client connection that is kept open and carries at most one request at a time.
+// One HTTP/1.1 client connection that is kept open and carries at most one
+// request at a time.
 //
-// libwebsockets shares connections within a virtual host and queues requests behind one another on
-// them. A virtual host for each of these objects gives one connection, one request in flight.
+// libwebsockets shares connections within a virtual host and queues requests
+// behind one another on them. A virtual host for each of these objects gives
+// one connection, one request in flight.
 #pragma once
 
 #include <cstdint>
@@ -39,7 +41,8 @@
 
 struct ClientResponse {
   ClientFailure failure = ClientFailure::kNone;
-  // False only when it is certain that no byte of the request left this process.
+  // False only when it is certain that no byte of the request left this
+  // process.
   bool request_written = false;
   int status = 0;
   HttpHeaders headers;
@@ -49,7 +52,8 @@
 struct HttpClientOptions {
   SocketAddress address;
   size_t max_response_bytes = 0;
-  // Names of custom response headers (lower case) to read besides the standard ones.
+  // Names of custom response headers (lower case) to read besides the standard
+  // ones.
   std::vector<std::string> custom_headers;
 };
 
@@ -64,10 +68,11 @@
   HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
   bool busy() const;
-  // Sends a request; the connection must not be busy. The callback runs later, never from within
-  // this call, with the connection no longer busy.
+  // Sends a request; the connection must not be busy. The callback runs later,
+  // never from within this call, with the connection no longer busy.
   void Start(ClientRequest request, Callback callback);
-  // Closes the connection under the request in flight, whose callback then gets kAborted.
+  // Closes the connection under the request in flight, whose callback then gets
+  // kAborted.
   void Abort();
 
   class Impl;
--- a/source/core/net/http_message.h
+++ b/source/core/net/http_message.h
@@ -1,4 +1,5 @@
-// HTTP requests and responses as plain structs, shared by the server and the client.
+// HTTP requests and responses as plain structs, shared by the server and the
+// client.
 #pragma once
 
 #include <cstdint>
@@ -15,7 +16,8 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
-// Returns the value of the first header called `name` (lower case), or an empty view.
+// Returns the value of the first header called `name` (lower case), or an empty
+// view.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
 struct HttpRequest {
@@ -31,11 +33,13 @@
   std::string content_type = "application/json";
   HttpHeaders headers;  // Besides content-type and content-length.
   std::string body;
-  // Sends half of the body and closes, as a server that dies in the middle does. For stand-ins.
+  // Sends half of the body and closes, as a server that dies in the middle
+  // does. For stand-ins.
   bool truncate_body = false;
 };
 
-// Returns `path` with every byte escaped that RFC 3986 does not allow in a path.
+// Returns `path` with every byte escaped that RFC 3986 does not allow in a
+// path.
 std::string EncodePath(std::string_view path);
 
 }  // namespace mimosadeal
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -57,24 +57,32 @@
 
 std::string CopyToken(lws* wsi, lws_token_indexes token) {
   const int length = lws_hdr_total_length(wsi, token);
-  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes) return {};
+  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes)
+    return {};
   std::array<char, kMaxHeaderValueBytes + 1> buffer{};
-  const int copied = lws_hdr_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), token);
-  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(copied)) : std::string();
+  const int copied =
+      lws_hdr_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), token);
+  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(copied))
+                    : std::string();
 }
 
 std::string CopyCustom(lws* wsi, const std::string& name) {
   const std::string with_colon = name + ":";
   const int name_length = static_cast<int>(with_colon.size());
-  const int length = lws_hdr_custom_length(wsi, with_colon.c_str(), name_length);
-  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes) return {};
+  const int length =
+      lws_hdr_custom_length(wsi, with_colon.c_str(), name_length);
+  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes)
+    return {};
   std::array<char, kMaxHeaderValueBytes + 1> buffer{};
-  const int copied = lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), with_colon.c_str(),
-                                         name_length);
-  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(length)) : std::string();
+  const int copied =
+      lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()),
+                          with_colon.c_str(), name_length);
+  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(length))
+                    : std::string();
 }
 
-// One request on one connection, from its headers to the last byte of its response.
+// One request on one connection, from its headers to the last byte of its
+// response.
 struct Exchange {
   ExchangeId id = 0;
   lws* wsi = nullptr;
@@ -88,12 +96,13 @@
   Exchange* exchange;
 };
 
-bool AppendHeader(lws* wsi, const std::string& name, const std::string& value, unsigned char** at,
-                  unsigned char* end) {
+bool AppendHeader(lws* wsi, const std::string& name, const std::string& value,
+                  unsigned char** at, unsigned char* end) {
   const std::string with_colon = name + ":";
-  return lws_add_http_header_by_name(wsi, reinterpret_cast<const unsigned char*>(with_colon.c_str()),
-                                     reinterpret_cast<const unsigned char*>(value.data()),
-                                     static_cast<int>(value.size()), at, end) == 0;
+  return lws_add_http_header_by_name(
+             wsi, reinterpret_cast<const unsigned char*>(with_colon.c_str()),
+             reinterpret_cast<const unsigned char*>(value.data()),
+             static_cast<int>(value.size()), at, end) == 0;
 }
 
 }  // namespace
@@ -101,7 +110,9 @@
 class HttpServer::Impl {
  public:
   Impl(EventLoop& loop, HttpServerOptions options, HttpServerHandlers handlers)
-      : loop_(loop), options_(std::move(options)), handlers_(std::move(handlers)) {}
+      : loop_(loop),
+        options_(std::move(options)),
+        handlers_(std::move(handlers)) {}
 
   bool Listen();
   void Close();
@@ -109,7 +120,8 @@
   void StopKeepAlive() { keep_alive_ = false; }
   size_t open_exchanges() const { return exchanges_.size(); }
 
-  static int Callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
+                      void* in, size_t length);
 
  private:
   int OnHeaders(lws* wsi, SessionData* session);
@@ -133,7 +145,8 @@
 namespace {
 
 const std::array<lws_protocols, 2> kHttpProtocols = {{
-    {kProtocolName, HttpServer::Impl::Callback, sizeof(SessionData), 0, 0, nullptr, 0},
+    {kProtocolName, HttpServer::Impl::Callback, sizeof(SessionData), 0, 0,
+     nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
@@ -152,7 +165,8 @@
   const bool is_ipv4 = options_.address.ip.find(':') == std::string::npos;
   if (is_ipv4) info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
   vhost_ = lws_create_vhost(loop_.context(), &info);
-  return vhost_ != nullptr && lws_get_vhost_listen_port(vhost_) == options_.address.port;
+  return vhost_ != nullptr &&
+         lws_get_vhost_listen_port(vhost_) == options_.address.port;
 }
 
 void HttpServer::Impl::Close() {
@@ -160,10 +174,12 @@
   vhost_ = nullptr;
 }
 
-int HttpServer::Impl::Callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length) {
+int HttpServer::Impl::Callback(lws* wsi, lws_callback_reasons reason,
+                               void* user, void* in, size_t length) {
   auto* session = static_cast<SessionData*>(user);
   lws_vhost* vhost = wsi != nullptr ? lws_get_vhost(wsi) : nullptr;
-  auto* self = vhost != nullptr ? static_cast<Impl*>(lws_get_vhost_user(vhost)) : nullptr;
+  auto* self = vhost != nullptr ? static_cast<Impl*>(lws_get_vhost_user(vhost))
+                                : nullptr;
   if (self == nullptr) return 0;
   switch (reason) {
     case LWS_CALLBACK_HTTP:
@@ -171,7 +187,8 @@
     case LWS_CALLBACK_HTTP_BODY:
       return self->OnBody(session, static_cast<const char*>(in), length);
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-      if (session != nullptr && session->exchange != nullptr) self->Deliver(*session->exchange);
+      if (session != nullptr && session->exchange != nullptr)
+        self->Deliver(*session->exchange);
       return 0;
     case LWS_CALLBACK_HTTP_WRITEABLE:
       return self->OnWritable(wsi, session);
@@ -199,31 +216,40 @@
     return 0;
   }
   if (!FindHeader(headers, "transfer-encoding").empty()) {
-    Refuse(added, 411, "a request body needs a content-length; transfer codings are not supported");
+    Refuse(added, 411,
+           "a request body needs a content-length; transfer codings are not "
+           "supported");
     return 0;
   }
   const std::string_view length_text = FindHeader(headers, "content-length");
   if (!length_text.empty()) {
-    const auto parsed = std::from_chars(length_text.data(), length_text.data() + length_text.size(),
+    const auto parsed = std::from_chars(length_text.data(),
+                                        length_text.data() + length_text.size(),
                                         added.expected_body_bytes);
-    if (parsed.ec != std::errc() || parsed.ptr != length_text.data() + length_text.size()) {
+    if (parsed.ec != std::errc() ||
+        parsed.ptr != length_text.data() + length_text.size()) {
       Refuse(added, 400, "content-length is not a number");
       return 0;
     }
   }
   if (added.expected_body_bytes > options_.max_body_bytes) {
-    Refuse(added, 413, "the body is larger than " + std::to_string(options_.max_body_bytes) + " bytes");
+    Refuse(added, 413,
+           "the body is larger than " +
+               std::to_string(options_.max_body_bytes) + " bytes");
     return 0;
   }
   if (added.expected_body_bytes == 0) Deliver(added);
   return 0;
 }
 
-int HttpServer::Impl::OnBody(SessionData* session, const char* data, size_t length) {
+int HttpServer::Impl::OnBody(SessionData* session, const char* data,
+                             size_t length) {
   if (session == nullptr || session->exchange == nullptr) return -1;
   Exchange& exchange = *session->exchange;
-  if (exchange.response.has_value()) return 0;  // Already refused; the rest of the body is dropped.
-  if (exchange.request.body.size() + length > options_.max_body_bytes) return -1;
+  if (exchange.response.has_value())
+    return 0;  // Already refused; the rest of the body is dropped.
+  if (exchange.request.body.size() + length > options_.max_body_bytes)
+    return -1;
   exchange.request.body.append(data, length);
   return 0;
 }
@@ -234,7 +260,8 @@
   handlers_.on_request(exchange.id, std::move(exchange.request));
 }
 
-void HttpServer::Impl::Refuse(Exchange& exchange, int status, const std::string& detail) {
+void HttpServer::Impl::Refuse(Exchange& exchange, int status,
+                              const std::string& detail) {
   exchange.close_after_response = true;
   Respond(exchange.id, handlers_.make_refusal(status, detail));
 }
@@ -259,7 +286,8 @@
   exchanges_.erase(exchange.id);
   if (!written || cut_off) return -1;
   if (close) {
-    // Lets what libwebsockets still buffers go out before the connection closes.
+    // Lets what libwebsockets still buffers go out before the connection
+    // closes.
     if (lws_http_transaction_completed(wsi) != 0) return -1;
     lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_KEEPALIVE_IDLE, 1);
     return 0;
@@ -286,7 +314,8 @@
   request.query = CopyToken(wsi, WSI_TOKEN_HTTP_URI_ARGS);
   for (const HeaderToken& entry : kHeaderTokens) {
     std::string value = CopyToken(wsi, entry.token);
-    if (!value.empty()) request.headers.push_back({entry.name, std::move(value)});
+    if (!value.empty())
+      request.headers.push_back({entry.name, std::move(value)});
   }
   for (const std::string& name : options_.custom_headers) {
     std::string value = CopyCustom(wsi, name);
@@ -297,45 +326,60 @@
 
 bool HttpServer::Impl::WriteResponse(lws* wsi, const Exchange& exchange) const {
   const HttpResponse& response = *exchange.response;
-  const bool has_body = exchange.request.method != "HEAD" && !response.body.empty();
+  const bool has_body =
+      exchange.request.method != "HEAD" && !response.body.empty();
   // Header and body leave in one buffer, hence in one system call.
-  std::string buffer(LWS_PRE + kResponseHeaderBytes + response.body.size(), '\0');
+  std::string buffer(LWS_PRE + kResponseHeaderBytes + response.body.size(),
+                     '\0');
   auto* start = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
   unsigned char* at = start;
   unsigned char* end = start + kResponseHeaderBytes;
-  if (lws_add_http_header_status(wsi, static_cast<unsigned>(response.status), &at, end) != 0) return false;
-  if (lws_add_http_header_content_length(wsi, response.body.size(), &at, end) != 0) return false;
-  if (!response.content_type.empty() && !AppendHeader(wsi, "content-type", response.content_type, &at, end)) {
+  if (lws_add_http_header_status(wsi, static_cast<unsigned>(response.status),
+                                 &at, end) != 0)
+    return false;
+  if (lws_add_http_header_content_length(wsi, response.body.size(), &at, end) !=
+      0)
+    return false;
+  if (!response.content_type.empty() &&
+      !AppendHeader(wsi, "content-type", response.content_type, &at, end)) {
     return false;
   }
   for (const HttpHeader& header : response.headers) {
     if (!AppendHeader(wsi, header.name, header.value, &at, end)) return false;
   }
   const bool close = exchange.close_after_response || !keep_alive_;
-  if (close && !AppendHeader(wsi, "connection", "close", &at, end)) return false;
+  if (close && !AppendHeader(wsi, "connection", "close", &at, end))
+    return false;
   if (lws_finalize_http_header(wsi, &at, end) != 0) return false;
   if (has_body) {
-    const size_t length = response.truncate_body ? response.body.size() / 2 : response.body.size();
+    const size_t length = response.truncate_body ? response.body.size() / 2
+                                                 : response.body.size();
     std::memcpy(at, response.body.data(), length);
     at += length;
   }
   const size_t length = static_cast<size_t>(at - start);
-  return lws_write(wsi, start, length, LWS_WRITE_HTTP_HEADERS) == static_cast<int>(length);
+  return lws_write(wsi, start, length, LWS_WRITE_HTTP_HEADERS) ==
+         static_cast<int>(length);
 }
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
 HttpServer::~HttpServer() { impl_->Close(); }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Listen(EventLoop& loop, HttpServerOptions options,
-                                                       HttpServerHandlers handlers) {
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(
+    EventLoop& loop, HttpServerOptions options, HttpServerHandlers handlers) {
   const std::string address = options.address.ToString();
-  auto impl = std::make_unique<Impl>(loop, std::move(options), std::move(handlers));
-  if (!impl->Listen()) return MakeError(ErrorCode::kIo, "listening for HTTP on " + address + " failed");
+  auto impl =
+      std::make_unique<Impl>(loop, std::move(options), std::move(handlers));
+  if (!impl->Listen())
+    return MakeError(ErrorCode::kIo,
+                     "listening for HTTP on " + address + " failed");
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
 
-void HttpServer::Respond(ExchangeId id, HttpResponse response) { impl_->Respond(id, std::move(response)); }
+void HttpServer::Respond(ExchangeId id, HttpResponse response) {
+  impl_->Respond(id, std::move(response));
+}
 
 void HttpServer::StopKeepAlive() { impl_->StopKeepAlive(); }
 
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -1,4 +1,5 @@
-// An HTTP/1.1 server on libwebsockets that hands over whole requests and takes whole responses.
+// An HTTP/1.1 server on libwebsockets that hands over whole requests and takes
+// whole responses.
 #pragma once
 
 #include <cstdint>
@@ -17,12 +18,14 @@
 
 class EventLoop;
 
-// Identifies one request that waits for its response. Never reused within a process.
+// Identifies one request that waits for its response. Never reused within a
+// process.
 using ExchangeId = uint64_t;
 
 struct HttpServerOptions {
   SocketAddress address;
-  std::string name;  // For libwebsockets' own records; must be unique in the process.
+  std::string
+      name;  // For libwebsockets' own records; must be unique in the process.
   size_t max_body_bytes = 0;
   int idle_timeout_seconds = 60;
   // Bounds the time that a caller may take to send a request.
@@ -35,22 +38,25 @@
   std::function<void(ExchangeId, HttpRequest&&)> on_request;
   // The caller closed its connection before the response was given.
   std::function<void(ExchangeId)> on_abandoned;
-  // Answers a request that the server itself refuses (too large, malformed) with a problem body.
-  std::function<HttpResponse(int status, const std::string& detail)> make_refusal;
+  // Answers a request that the server itself refuses (too large, malformed)
+  // with a problem body.
+  std::function<HttpResponse(int status, const std::string& detail)>
+      make_refusal;
 };
 
 class HttpServer {
  public:
   // Errors: kIo when the address cannot be listened on.
-  static Result<std::unique_ptr<HttpServer>> Listen(EventLoop& loop, HttpServerOptions options,
-                                                    HttpServerHandlers handlers);
+  static Result<std::unique_ptr<HttpServer>> Listen(
+      EventLoop& loop, HttpServerOptions options, HttpServerHandlers handlers);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
   // Answers an exchange. Does nothing when its caller has gone.
   void Respond(ExchangeId id, HttpResponse response);
-  // From now on each response closes its connection, so that callers move to other hosts.
+  // From now on each response closes its connection, so that callers move to
+  // other hosts.
   void StopKeepAlive();
   // Requests that wait for a response or whose response is not fully written.
   size_t open_exchanges() const;
--- a/source/core/net/socket_address.cc
+++ b/source/core/net/socket_address.cc
@@ -15,19 +15,24 @@
 constexpr int kListenBacklog = 1024;
 
 Error SystemError(std::string_view action, const SocketAddress& address) {
-  return MakeError(ErrorCode::kIo,
-                   std::string(action) + " " + address.ToString() + " failed: " + std::strerror(errno));
+  return MakeError(ErrorCode::kIo, std::string(action) + " " +
+                                       address.ToString() +
+                                       " failed: " + std::strerror(errno));
 }
 
-Result<int> OpenSocket(const NativeAddress& native, int type, const SocketAddress& address) {
-  const int fd = socket(native.storage.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+Result<int> OpenSocket(const NativeAddress& native, int type,
+                       const SocketAddress& address) {
+  const int fd =
+      socket(native.storage.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return SystemError("opening a socket for", address);
   const int enabled = 1;
-  if (type == SOCK_STREAM) setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  if (type == SOCK_STREAM)
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
   return fd;
 }
 
-Error CloseWithError(int fd, std::string_view action, const SocketAddress& address) {
+Error CloseWithError(int fd, std::string_view action,
+                     const SocketAddress& address) {
   Error error = SystemError(action, address);
   close(fd);
   return error;
@@ -42,15 +47,20 @@
 
 Result<SocketAddress> ParseSocketAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
-  const Error malformed =
-      MakeError(ErrorCode::kInvalidArgument, "\"" + std::string(text) + "\" is not an address of the form ip:port");
+  const Error malformed = MakeError(
+      ErrorCode::kInvalidArgument,
+      "\"" + std::string(text) + "\" is not an address of the form ip:port");
   if (colon == std::string_view::npos) return malformed;
   std::string_view ip = text.substr(0, colon);
   const std::string_view port_text = text.substr(colon + 1);
-  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') ip = ip.substr(1, ip.size() - 2);
+  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+    ip = ip.substr(1, ip.size() - 2);
   SocketAddress address{std::string(ip), 0};
-  const auto parsed = std::from_chars(port_text.data(), port_text.data() + port_text.size(), address.port);
-  if (parsed.ec != std::errc() || parsed.ptr != port_text.data() + port_text.size()) return malformed;
+  const auto parsed = std::from_chars(
+      port_text.data(), port_text.data() + port_text.size(), address.port);
+  if (parsed.ec != std::errc() ||
+      parsed.ptr != port_text.data() + port_text.size())
+    return malformed;
   if (!ToNative(address).has_value()) return malformed;
   return address;
 }
@@ -71,7 +81,8 @@
     native.length = sizeof(sockaddr_in6);
     return native;
   }
-  return MakeError(ErrorCode::kInvalidArgument, "\"" + address.ip + "\" is not an IP number");
+  return MakeError(ErrorCode::kInvalidArgument,
+                   "\"" + address.ip + "\" is not an IP number");
 }
 
 Result<int> ListenTcp(const SocketAddress& address) {
@@ -80,8 +91,10 @@
   const int enabled = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   const auto* raw = reinterpret_cast<const sockaddr*>(&native.storage);
-  if (bind(fd, raw, native.length) != 0) return CloseWithError(fd, "binding", address);
-  if (listen(fd, kListenBacklog) != 0) return CloseWithError(fd, "listening on", address);
+  if (bind(fd, raw, native.length) != 0)
+    return CloseWithError(fd, "binding", address);
+  if (listen(fd, kListenBacklog) != 0)
+    return CloseWithError(fd, "listening on", address);
   return fd;
 }
 
@@ -89,7 +102,8 @@
   BOOST_OUTCOME_TRY(native, ToNative(address));
   BOOST_OUTCOME_TRY(fd, OpenSocket(native, SOCK_DGRAM, address));
   const auto* raw = reinterpret_cast<const sockaddr*>(&native.storage);
-  if (bind(fd, raw, native.length) != 0) return CloseWithError(fd, "binding", address);
+  if (bind(fd, raw, native.length) != 0)
+    return CloseWithError(fd, "binding", address);
   return fd;
 }
 
--- a/source/core/net/socket_address.h
+++ b/source/core/net/socket_address.h
@@ -33,11 +33,13 @@
 // Errors: kInvalidArgument when the address is not a number.
 Result<NativeAddress> ToNative(const SocketAddress& address);
 
-// Opens a non-blocking listening TCP socket. Errors: kIo with the system's reason.
+// Opens a non-blocking listening TCP socket. Errors: kIo with the system's
+// reason.
 Result<int> ListenTcp(const SocketAddress& address);
 // Opens a non-blocking UDP socket bound to `address`. Errors: kIo.
 Result<int> BindUdp(const SocketAddress& address);
-// Starts a non-blocking connection; a refusal shows later, on the socket. Errors: kIo.
+// Starts a non-blocking connection; a refusal shows later, on the socket.
+// Errors: kIo.
 Result<int> ConnectTcp(const SocketAddress& address);
 
 }  // namespace mimosadeal
--- a/source/core/ownership/control_record.cc
+++ b/source/core/ownership/control_record.cc
@@ -19,9 +19,13 @@
 
 Result<ControlRecord> DecodeControlRecord(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
-  const Error malformed = MakeError(ErrorCode::kMalformed, "the control record is not readable");
-  if (!json.is_object() || !json.contains("term") || !json["term"].is_number_unsigned()) return malformed;
-  for (const char* name : {"controller", "controller_address", "standby", "standby_address", "write_id"}) {
+  const Error malformed =
+      MakeError(ErrorCode::kMalformed, "the control record is not readable");
+  if (!json.is_object() || !json.contains("term") ||
+      !json["term"].is_number_unsigned())
+    return malformed;
+  for (const char* name : {"controller", "controller_address", "standby",
+                           "standby_address", "write_id"}) {
     if (!json.contains(name) || !json[name].is_string()) return malformed;
   }
   ControlRecord record;
@@ -38,8 +42,12 @@
   return record;
 }
 
-std::string ControlRecordName(std::string_view group) { return "groups/" + std::string(group) + "/control"; }
+std::string ControlRecordName(std::string_view group) {
+  return "groups/" + std::string(group) + "/control";
+}
 
-std::string TableObjectName(std::string_view group) { return "groups/" + std::string(group) + "/table"; }
+std::string TableObjectName(std::string_view group) {
+  return "groups/" + std::string(group) + "/table";
+}
 
 }  // namespace mimosadeal
--- a/source/core/ownership/control_record.h
+++ b/source/core/ownership/control_record.h
@@ -1,5 +1,5 @@
-// The record in the platform's store that names a group's controller. Writing it conditionally is
-// the only way to become controller.
+// The record in the platform's store that names a group's controller. Writing
+// it conditionally is the only way to become controller.
 #pragma once
 
 #include <cstdint>
--- a/source/core/ownership/controller_leases.cc
+++ b/source/core/ownership/controller_leases.cc
@@ -7,16 +7,22 @@
 namespace mimosadeal {
 namespace {
 
-MonotonicTime FromNanoseconds(int64_t nanoseconds) { return MonotonicTime(Duration(nanoseconds)); }
+MonotonicTime FromNanoseconds(int64_t nanoseconds) {
+  return MonotonicTime(Duration(nanoseconds));
+}
 
-int64_t ToNanoseconds(MonotonicTime time) { return time.time_since_epoch().count(); }
+int64_t ToNanoseconds(MonotonicTime time) {
+  return time.time_since_epoch().count();
+}
 
 size_t Majority(size_t members) { return members / 2 + 1; }
 
-MonotonicTime MajorityAuthority(const ControllerState& state, const std::vector<std::string>& members) {
+MonotonicTime MajorityAuthority(const ControllerState& state,
+                                const std::vector<std::string>& members) {
   std::map<std::string, MonotonicTime> by_host;
   for (const auto& [process, host] : state.hosts) {
-    MonotonicTime& until = by_host.try_emplace(HostIdOf(process), kNever).first->second;
+    MonotonicTime& until =
+        by_host.try_emplace(HostIdOf(process), kNever).first->second;
     until = std::max(until, host.authority_until);
   }
   std::vector<MonotonicTime> times;
@@ -29,8 +35,9 @@
   return times[Majority(times.size()) - 1];
 }
 
-// An earlier controller needs a majority of the members, all of them still running. It cannot have
-// one when the accepting members and any such majority must share a member.
+// An earlier controller needs a majority of the members, all of them still
+// running. It cannot have one when the accepting members and any such majority
+// must share a member.
 bool EnoughAccepted(const ControllerState& state, MonotonicTime now) {
   std::set<std::string> accepted;
   for (const auto& [process, host] : state.hosts) {
@@ -40,25 +47,31 @@
   size_t accepting = 0;
   for (const std::string& member : state.members) {
     if (accepted.count(member) != 0) ++accepting;
-    if (accepted.count(member) != 0 || state.gone_members.count(member) == 0) ++running;
+    if (accepted.count(member) != 0 || state.gone_members.count(member) == 0)
+      ++running;
   }
   return accepting + Majority(state.members.size()) > running;
 }
 
-void RecordPromise(ControllerState& state, ControllerHost& host, const LeaseRequest& request, MonotonicTime now) {
+void RecordPromise(ControllerState& state, ControllerHost& host,
+                   const LeaseRequest& request, MonotonicTime now) {
   if (request.controller_echo_ns == 0) return;
   const MonotonicTime echoed = FromNanoseconds(request.controller_echo_ns);
   if (echoed > now) return;  // Not a time that this controller gave out.
-  // The member counts its promise from when it received the echoed reply, which was later.
-  const MonotonicTime until = echoed + state.timing.Shortened(state.timing.promise_ttl);
+  // The member counts its promise from when it received the echoed reply, which
+  // was later.
+  const MonotonicTime until =
+      echoed + state.timing.Shortened(state.timing.promise_ttl);
   host.authority_until = std::max(host.authority_until, until);
 }
 
-bool SameReports(const std::map<std::string, UpstreamReport>& reports, const LeaseRequest& request) {
+bool SameReports(const std::map<std::string, UpstreamReport>& reports,
+                 const LeaseRequest& request) {
   if (reports.size() != request.upstreams.size()) return false;
   for (const UpstreamReport& report : request.upstreams) {
     const auto found = reports.find(report.upstream);
-    if (found == reports.end() || found->second.health != report.health || found->second.applied != report.applied) {
+    if (found == reports.end() || found->second.health != report.health ||
+        found->second.applied != report.applied) {
       return false;
     }
   }
@@ -72,19 +85,22 @@
     kept = report;
     // Datagrams may arrive out of order; what was applied stays applied.
     const auto before = host.reports.find(report.upstream);
-    if (before != host.reports.end()) kept.applied = std::max(kept.applied, before->second.applied);
+    if (before != host.reports.end())
+      kept.applied = std::max(kept.applied, before->second.applied);
   }
   host.reports = std::move(reports);
 }
 
-// The standby's acknowledgement begins and ends the time in which it may stand in.
+// The standby's acknowledgement begins and ends the time in which it may stand
+// in.
 void RecordOutage(ControllerState& state, const LeaseRequest& request) {
   if (request.host != state.standby) return;
   state.standby_acknowledged_outage = request.outage_acknowledged;
   if (!state.store_down && !request.outage_acknowledged) state.outage = false;
 }
 
-bool MayGrant(const ControllerState& state, const LeaseRequest& request, MonotonicTime now) {
+bool MayGrant(const ControllerState& state, const LeaseRequest& request,
+              MonotonicTime now) {
   // A host with an older table could still act on what was revoked meanwhile.
   if (request.table < state.first_version) return false;
   if (AuthorityUntil(state) <= now) return false;
@@ -93,7 +109,9 @@
 
 }  // namespace
 
-std::string HostIdOf(const std::string& process) { return process.substr(0, process.rfind('.')); }
+std::string HostIdOf(const std::string& process) {
+  return process.substr(0, process.rfind('.'));
+}
 
 MonotonicTime AuthorityUntil(const ControllerState& state) {
   const MonotonicTime until = MajorityAuthority(state, state.members);
@@ -106,22 +124,26 @@
   return EnoughAccepted(state, now);
 }
 
-bool IsLost(const ControllerState& state, const std::string& host, MonotonicTime now) {
+bool IsLost(const ControllerState& state, const std::string& host,
+            MonotonicTime now) {
   const auto found = state.hosts.find(host);
   return found == state.hosts.end() || found->second.lease_until <= now;
 }
 
-LeaseReply HandleLeaseRequest(ControllerState& state, const LeaseRequest& request, MonotonicTime now) {
+LeaseReply HandleLeaseRequest(ControllerState& state,
+                              const LeaseRequest& request, MonotonicTime now) {
   ControllerHost& host = state.hosts[request.host];
   if (host.first_seen == kNever) host.first_seen = now;
-  if (host.leaving != request.leaving || host.table != request.table || !SameReports(host.reports, request)) {
+  if (host.leaving != request.leaving || host.table != request.table ||
+      !SameReports(host.reports, request)) {
     state.attention = true;
   }
   host.address = request.address;
   host.table = std::max(host.table, request.table);
   host.configuration_version = request.configuration_version;
   host.leaving = request.leaving;
-  const MonotonicTime free_at = now + Duration(std::max<int64_t>(0, request.earlier_promise_left_ns));
+  const MonotonicTime free_at =
+      now + Duration(std::max<int64_t>(0, request.earlier_promise_left_ns));
   host.accepted_at = std::min(host.accepted_at, free_at);
   RecordPromise(state, host, request, now);
   RecordReports(host, request);
@@ -132,16 +154,19 @@
   reply.term = state.term;
   reply.standby = state.standby;
   const auto standby = state.hosts.find(state.standby);
-  if (standby != state.hosts.end()) reply.standby_address = standby->second.address;
+  if (standby != state.hosts.end())
+    reply.standby_address = standby->second.address;
   reply.request_sent_at_ns = request.sent_at_ns;
   reply.controller_time_ns = ToNanoseconds(now);
   reply.table = state.table.version;
   reply.outage = state.store_down;
   if (state.store_down) state.outage = true;
   if (!MayGrant(state, request, now)) return reply;
-  const Duration ttl = std::min(AuthorityUntil(state) - now, state.timing.lease_ttl);
+  const Duration ttl =
+      std::min(AuthorityUntil(state) - now, state.timing.lease_ttl);
   reply.ttl_ns = ttl.count();
-  host.lease_until = std::max(host.lease_until, now + state.timing.Lengthened(ttl));
+  host.lease_until =
+      std::max(host.lease_until, now + state.timing.Lengthened(ttl));
   return reply;
 }
 
--- a/source/core/ownership/controller_moves.cc
+++ b/source/core/ownership/controller_moves.cc
@@ -10,20 +10,25 @@
 namespace mimosadeal {
 namespace {
 
-// Shards moved for balance in one step, as a part of the service's shards in this zone.
+// Shards moved for balance in one step, as a part of the service's shards in
+// this zone.
 constexpr size_t kBalancingStepDivisor = 8;
 constexpr Duration kBalancingInterval = std::chrono::milliseconds(500);
 constexpr double kToleratedImbalance = 1.1;
-// Dispatchers are evened out when the most loaded has this many upstreams more than the least.
+// Dispatchers are evened out when the most loaded has this many upstreams more
+// than the least.
 constexpr int kDispatcherSpread = 2;
 
-// One pass over the table. Collects what the pass needs to look up more than once.
+// One pass over the table. Collects what the pass needs to look up more than
+// once.
 class TableAdvance {
  public:
-  TableAdvance(ControllerState& state, const MoveInputs& inputs, MonotonicTime now)
+  TableAdvance(ControllerState& state, const MoveInputs& inputs,
+               MonotonicTime now)
       : state_(state), inputs_(inputs), now_(now), next_(state.table) {
     next_.version.sequence += 1;
-    for (const PlatformHost& host : inputs.platform_hosts) listed_[host.id] = &host;
+    for (const PlatformHost& host : inputs.platform_hosts)
+      listed_[host.id] = &host;
     durable_ = IsDurable(state.table.version);
   }
 
@@ -32,8 +37,10 @@
     AddUpstreams();
     for (TableUpstream& upstream : next_.upstreams) AdvanceDispatcher(upstream);
     if (InTransit() == 0) EvenOutDispatchers();
-    for (const auto& [name, service] : inputs_.configuration.services) AdvanceService(service);
-    if (next_.hosts == state_.table.hosts && next_.upstreams == state_.table.upstreams &&
+    for (const auto& [name, service] : inputs_.configuration.services)
+      AdvanceService(service);
+    if (next_.hosts == state_.table.hosts &&
+        next_.upstreams == state_.table.upstreams &&
         next_.services == state_.table.services) {
       return false;
     }
@@ -42,33 +49,41 @@
   }
 
  private:
-  // A table may take effect when it outlives the controller: in the store or, while the store cannot
-  // be reached, at the standby.
+  // A table may take effect when it outlives the controller: in the store or,
+  // while the store cannot be reached, at the standby.
   bool IsDurable(const TableVersion& version) const {
     if (!state_.outage) return state_.stored >= version;
     const auto standby = state_.hosts.find(state_.standby);
-    if (standby == state_.hosts.end() || !state_.standby_acknowledged_outage) return false;
+    if (standby == state_.hosts.end() || !state_.standby_acknowledged_outage)
+      return false;
     return standby->second.table >= version;
   }
 
-  bool Lost(const std::string& host) const { return IsLost(state_, host, now_); }
+  bool Lost(const std::string& host) const {
+    return IsLost(state_, host, now_);
+  }
 
   bool Leaving(const std::string& host) const {
     const auto found = state_.hosts.find(host);
     if (found != state_.hosts.end() && found->second.leaving) return true;
     const auto listed = listed_.find(HostIdOf(host));
-    return listed != listed_.end() && listed->second->state == HostState::kLeaving;
+    return listed != listed_.end() &&
+           listed->second->state == HostState::kLeaving;
   }
 
-  bool CanDispatch(const std::string& host) const { return !host.empty() && !Lost(host) && !Leaving(host); }
+  bool CanDispatch(const std::string& host) const {
+    return !host.empty() && !Lost(host) && !Leaving(host);
+  }
 
   // True when the revoked holder has certainly stopped.
   bool IsReleased(const Revocation& revocation) const {
-    if (revocation.dispatcher.empty()) return EveryHostApplied(revocation.version);
+    if (revocation.dispatcher.empty())
+      return EveryHostApplied(revocation.version);
     if (Lost(revocation.dispatcher)) return true;
     const ControllerHost& host = state_.hosts.at(revocation.dispatcher);
     const auto report = host.reports.find(revocation.upstream);
-    return report != host.reports.end() && report->second.applied >= revocation.version;
+    return report != host.reports.end() &&
+           report->second.applied >= revocation.version;
   }
 
   // For holders of which this term knows nothing.
@@ -90,8 +105,10 @@
     }
     for (TableHost& host : next_.hosts) host.live = !Lost(host.id);
     for (TableHost& host : next_.hosts) {
-      // A lost host keeps its replica, which is where its ledger can still be fetched.
-      if (host.live && !ReplicaIsUsable(host)) host.ledger_replica = ChooseReplica(host.id);
+      // A lost host keeps its replica, which is where its ledger can still be
+      // fetched.
+      if (host.live && !ReplicaIsUsable(host))
+        host.ledger_replica = ChooseReplica(host.id);
     }
   }
 
@@ -113,19 +130,26 @@
 
   void AddUpstreams() {
     for (const PlatformHost& host : inputs_.platform_hosts) {
-      if (host.kind != HostKind::kUpstream || host.zone != state_.zone) continue;
+      if (host.kind != HostKind::kUpstream || host.zone != state_.zone)
+        continue;
       if (inputs_.configuration.services.count(host.service) == 0) continue;
-      const auto found = std::find_if(next_.upstreams.begin(), next_.upstreams.end(),
-                                      [&](const TableUpstream& upstream) { return upstream.id == host.id; });
+      const auto found =
+          std::find_if(next_.upstreams.begin(), next_.upstreams.end(),
+                       [&](const TableUpstream& upstream) {
+                         return upstream.id == host.id;
+                       });
       if (found != next_.upstreams.end()) {
         found->address = host.address;
         continue;
       }
-      next_.upstreams.push_back(TableUpstream{host.id, host.service, host.address, "", "", ""});
+      next_.upstreams.push_back(
+          TableUpstream{host.id, host.service, host.address, "", "", ""});
     }
   }
 
-  size_t InTransit() const { return state_.revoked_shards.size() + state_.revoked_upstreams.size(); }
+  size_t InTransit() const {
+    return state_.revoked_shards.size() + state_.revoked_upstreams.size();
+  }
 
   std::map<std::string, int> DispatcherCounts() const {
     std::map<std::string, int> counts;
@@ -139,20 +163,24 @@
     return counts;
   }
 
-  // Prefers the replica of the old dispatcher's ledger; else the host with the fewest upstreams.
+  // Prefers the replica of the old dispatcher's ledger; else the host with the
+  // fewest upstreams.
   std::string ChooseDispatcher(const std::string& old_dispatcher) const {
     const TableHost* old_host = FindHost(next_, old_dispatcher);
-    if (old_host != nullptr && CanDispatch(old_host->ledger_replica)) return old_host->ledger_replica;
+    if (old_host != nullptr && CanDispatch(old_host->ledger_replica))
+      return old_host->ledger_replica;
     const auto counts = DispatcherCounts();
-    const auto least = std::min_element(counts.begin(), counts.end(),
-                                        [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto least = std::min_element(
+        counts.begin(), counts.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
     return least == counts.end() ? std::string() : least->first;
   }
 
   void AdvanceDispatcher(TableUpstream& upstream) {
     if (!CanDispatch(upstream.target_dispatcher)) {
-      const std::string& old_dispatcher =
-          upstream.dispatcher.empty() ? upstream.last_dispatcher : upstream.dispatcher;
+      const std::string& old_dispatcher = upstream.dispatcher.empty()
+                                              ? upstream.last_dispatcher
+                                              : upstream.dispatcher;
       const std::string chosen = ChooseDispatcher(old_dispatcher);
       if (chosen.empty()) return;
       RevokeDispatcher(upstream, chosen);
@@ -160,27 +188,33 @@
     }
     if (!upstream.dispatcher.empty() || !durable_) return;
     const auto found = state_.revoked_upstreams.find(upstream.id);
-    if (found != state_.revoked_upstreams.end() && !IsReleased(found->second)) return;
-    if (found != state_.revoked_upstreams.end()) state_.revoked_upstreams.erase(found);
+    if (found != state_.revoked_upstreams.end() && !IsReleased(found->second))
+      return;
+    if (found != state_.revoked_upstreams.end())
+      state_.revoked_upstreams.erase(found);
     upstream.dispatcher = upstream.target_dispatcher;
   }
 
   void RevokeDispatcher(TableUpstream& upstream, const std::string& successor) {
     upstream.target_dispatcher = successor;
     if (upstream.dispatcher.empty()) return;
-    state_.revoked_upstreams[upstream.id] = Revocation{upstream.id, upstream.dispatcher, next_.version};
+    state_.revoked_upstreams[upstream.id] =
+        Revocation{upstream.id, upstream.dispatcher, next_.version};
     SetLastDispatcher(upstream, upstream.dispatcher);
     upstream.last_dispatcher = upstream.dispatcher;
     upstream.dispatcher.clear();
   }
 
   // Notes for every shard of `upstream` where its ledger is.
-  void SetLastDispatcher(const TableUpstream& upstream, const std::string& dispatcher) {
-    const auto index = static_cast<uint16_t>(&upstream - next_.upstreams.data());
+  void SetLastDispatcher(const TableUpstream& upstream,
+                         const std::string& dispatcher) {
+    const auto index =
+        static_cast<uint16_t>(&upstream - next_.upstreams.data());
     const uint16_t host = HostIndex(dispatcher);
     for (TableService& service : next_.services) {
       for (size_t shard = 0; shard < service.owners.size(); ++shard) {
-        if (service.owners[shard] == index) service.last_dispatchers[shard] = host;
+        if (service.owners[shard] == index)
+          service.last_dispatchers[shard] = host;
       }
     }
   }
@@ -196,7 +230,9 @@
     if (now_ < state_.next_balancing) return;
     const auto counts = DispatcherCounts();
     if (counts.size() < 2) return;
-    const auto by_count = [](const auto& a, const auto& b) { return a.second < b.second; };
+    const auto by_count = [](const auto& a, const auto& b) {
+      return a.second < b.second;
+    };
     const auto least = std::min_element(counts.begin(), counts.end(), by_count);
     const auto most = std::max_element(counts.begin(), counts.end(), by_count);
     if (most->second - least->second < kDispatcherSpread) return;
@@ -212,13 +248,16 @@
     const auto host = state_.hosts.find(upstream.dispatcher);
     if (host == state_.hosts.end()) return false;
     const auto report = host->second.reports.find(upstream.id);
-    return report != host->second.reports.end() && report->second.health == static_cast<uint8_t>(health);
+    return report != host->second.reports.end() &&
+           report->second.health == static_cast<uint8_t>(health);
   }
 
   bool MayOwn(const TableUpstream& upstream) const {
-    if (inputs_.configuration.drained_upstreams.count(upstream.id) != 0) return false;
+    if (inputs_.configuration.drained_upstreams.count(upstream.id) != 0)
+      return false;
     const auto listed = listed_.find(upstream.id);
-    if (listed != listed_.end() && listed->second->state == HostState::kLeaving) return false;
+    if (listed != listed_.end() && listed->second->state == HostState::kLeaving)
+      return false;
     return !Reported(upstream, UpstreamHealth::kUnreachable);
   }
 
@@ -231,18 +270,23 @@
     for (TableService& entry : next_.services) {
       if (entry.name == service.name) return entry;
     }
-    next_.services.push_back(TableService{service.name, std::vector<uint16_t>(service.shards, kNoUpstream),
-                                          std::vector<uint16_t>(service.shards, kNoUpstream),
-                                          std::vector<uint16_t>(service.shards, kNoHost)});
+    next_.services.push_back(TableService{
+        service.name, std::vector<uint16_t>(service.shards, kNoUpstream),
+        std::vector<uint16_t>(service.shards, kNoUpstream),
+        std::vector<uint16_t>(service.shards, kNoHost)});
     return next_.services.back();
   }
 
   void AdvanceService(const ServiceConfiguration& service) {
-    if (std::find(service.zones.begin(), service.zones.end(), state_.zone) == service.zones.end()) return;
+    if (std::find(service.zones.begin(), service.zones.end(), state_.zone) ==
+        service.zones.end())
+      return;
     TableService& entry = ServiceEntry(service);
-    const std::vector<uint16_t> targets = PlaceShards(MakePlacementInput(service, entry));
+    const std::vector<uint16_t> targets =
+        PlaceShards(MakePlacementInput(service, entry));
     for (uint32_t shard = 0; shard < targets.size(); ++shard) {
-      if (targets[shard] != entry.targets[shard]) RevokeShard(entry, shard, targets[shard]);
+      if (targets[shard] != entry.targets[shard])
+        RevokeShard(entry, shard, targets[shard]);
       ActivateShard(entry, shard);
     }
   }
@@ -257,7 +301,8 @@
     return is_home;
   }
 
-  PlacementInput MakePlacementInput(const ServiceConfiguration& service, const TableService& entry) {
+  PlacementInput MakePlacementInput(const ServiceConfiguration& service,
+                                    const TableService& entry) {
     PlacementInput input;
     input.targets = entry.targets;
     input.shard_loads.resize(service.shards);
@@ -274,12 +319,14 @@
     for (size_t i = 0; i < next_.upstreams.size(); ++i) {
       const TableUpstream& upstream = next_.upstreams[i];
       const bool holds = holding.count(static_cast<uint16_t>(i)) != 0;
-      const bool usable = upstream.service == service.name && MayOwn(upstream) &&
+      const bool usable = upstream.service == service.name &&
+                          MayOwn(upstream) &&
                           (holds || MayGain(upstream, service_is_new));
       input.upstream_weights.push_back(usable ? 1.0 : 0.0);
     }
     if (InTransit() == 0 && now_ >= state_.next_balancing) {
-      input.max_balancing_moves = std::max<size_t>(1, home_shards / kBalancingStepDivisor);
+      input.max_balancing_moves =
+          std::max<size_t>(1, home_shards / kBalancingStepDivisor);
       state_.next_balancing = now_ + kBalancingInterval;
     }
     input.tolerated_imbalance = kToleratedImbalance;
@@ -291,17 +338,24 @@
     const uint16_t owner = entry.owners[shard];
     if (owner == kNoUpstream) return;
     const TableUpstream& upstream = next_.upstreams[owner];
-    const std::string& dispatcher = upstream.dispatcher.empty() ? upstream.last_dispatcher : upstream.dispatcher;
-    state_.revoked_shards[{entry.name, shard}] = Revocation{upstream.id, dispatcher, next_.version};
+    const std::string& dispatcher = upstream.dispatcher.empty()
+                                        ? upstream.last_dispatcher
+                                        : upstream.dispatcher;
+    state_.revoked_shards[{entry.name, shard}] =
+        Revocation{upstream.id, dispatcher, next_.version};
     entry.last_dispatchers[shard] = HostIndex(dispatcher);
     entry.owners[shard] = kNoUpstream;
   }
 
   void ActivateShard(TableService& entry, uint32_t shard) {
-    if (entry.owners[shard] != kNoUpstream || entry.targets[shard] == kNoUpstream) return;
+    if (entry.owners[shard] != kNoUpstream ||
+        entry.targets[shard] == kNoUpstream)
+      return;
     // The target must have been named by a durable table, not by this one.
     const TableService* before = FindService(state_.table, entry.name);
-    if (!durable_ || before == nullptr || before->targets[shard] != entry.targets[shard]) return;
+    if (!durable_ || before == nullptr ||
+        before->targets[shard] != entry.targets[shard])
+      return;
     const auto found = state_.revoked_shards.find({entry.name, shard});
     if (found != state_.revoked_shards.end()) {
       if (!IsReleased(found->second)) return;
@@ -320,7 +374,8 @@
 
 }  // namespace
 
-bool AdvanceTable(ControllerState& state, const MoveInputs& inputs, MonotonicTime now) {
+bool AdvanceTable(ControllerState& state, const MoveInputs& inputs,
+                  MonotonicTime now) {
   if (!MayMove(state, now)) return false;
   return TableAdvance(state, inputs, now).Run();
 }
@@ -331,15 +386,21 @@
   state.first_version = state.table.version;
   state.revoked_upstreams.clear();
   state.revoked_shards.clear();
-  // Who was told to stop by an earlier term, and has not confirmed it, is not known here.
+  // Who was told to stop by an earlier term, and has not confirmed it, is not
+  // known here.
   for (const TableUpstream& upstream : state.table.upstreams) {
-    if (!upstream.dispatcher.empty() || upstream.last_dispatcher.empty()) continue;
-    state.revoked_upstreams[upstream.id] = Revocation{upstream.id, "", state.first_version};
+    if (!upstream.dispatcher.empty() || upstream.last_dispatcher.empty())
+      continue;
+    state.revoked_upstreams[upstream.id] =
+        Revocation{upstream.id, "", state.first_version};
   }
   for (const TableService& service : state.table.services) {
     for (uint32_t shard = 0; shard < service.owners.size(); ++shard) {
-      if (service.owners[shard] != kNoUpstream || service.last_dispatchers[shard] == kNoHost) continue;
-      state.revoked_shards[{service.name, shard}] = Revocation{"", "", state.first_version};
+      if (service.owners[shard] != kNoUpstream ||
+          service.last_dispatchers[shard] == kNoHost)
+        continue;
+      state.revoked_shards[{service.name, shard}] =
+          Revocation{"", "", state.first_version};
     }
   }
 }
--- a/source/core/ownership/controller_moves.h
+++ b/source/core/ownership/controller_moves.h
@@ -1,4 +1,5 @@
-// What a group's controller moves where: upstreams between dispatchers, shards between upstreams.
+// What a group's controller moves where: upstreams between dispatchers, shards
+// between upstreams.
 #pragma once
 
 #include <vector>
@@ -14,9 +15,11 @@
   const Configuration& configuration;
 };
 
-// Advances the table by one version if anything can change now. Returns true when it did; the caller
-// then stores the table and sends it to every host of the group.
-bool AdvanceTable(ControllerState& state, const MoveInputs& inputs, MonotonicTime now);
+// Advances the table by one version if anything can change now. Returns true
+// when it did; the caller then stores the table and sends it to every host of
+// the group.
+bool AdvanceTable(ControllerState& state, const MoveInputs& inputs,
+                  MonotonicTime now);
 
 // Starts a term from the newest table that could be found.
 void AdoptTable(ControllerState& state, OwnershipTable table);
--- a/source/core/ownership/grant_tracker.cc
+++ b/source/core/ownership/grant_tracker.cc
@@ -5,24 +5,31 @@
 
 namespace mimosadeal {
 
-GrantToSend PrepareGrant(const GrantTracker& tracker, const LeaseTiming& timing, uint64_t revision,
-                         ShardSet shards, Duration lease_left, MonotonicTime now) {
+GrantToSend PrepareGrant(const GrantTracker& tracker, const LeaseTiming& timing,
+                         uint64_t revision, ShardSet shards,
+                         Duration lease_left, MonotonicTime now) {
   GrantToSend grant;
   grant.revision = revision;
   grant.shards = std::move(shards);
-  grant.ttl = std::clamp<Duration>(lease_left, Duration::zero(), timing.grant_ttl);
+  grant.ttl =
+      std::clamp<Duration>(lease_left, Duration::zero(), timing.grant_ttl);
   grant.sent_at = now;
   grant.token = tracker.token;
   return grant;
 }
 
-void OnGrantSent(GrantTracker& tracker, const LeaseTiming& timing, const GrantToSend& grant) {
-  if (grant.token.empty()) return;  // The upstream cannot accept it; it only asks for a token.
-  MonotonicTime& lapse = tracker.lapses.try_emplace(grant.revision, kNever).first->second;
-  lapse = std::max(lapse, tracker.token_received_at + timing.Lengthened(grant.ttl));
+void OnGrantSent(GrantTracker& tracker, const LeaseTiming& timing,
+                 const GrantToSend& grant) {
+  if (grant.token.empty())
+    return;  // The upstream cannot accept it; it only asks for a token.
+  MonotonicTime& lapse =
+      tracker.lapses.try_emplace(grant.revision, kNever).first->second;
+  lapse =
+      std::max(lapse, tracker.token_received_at + timing.Lengthened(grant.ttl));
 }
 
-void OnGrantAnswered(GrantTracker& tracker, const LeaseTiming& timing, const GrantToSend& grant, bool accepted,
+void OnGrantAnswered(GrantTracker& tracker, const LeaseTiming& timing,
+                     const GrantToSend& grant, bool accepted,
                      const std::string& token, MonotonicTime now) {
   const MonotonicTime counted_from = tracker.token_asked_at;
   if (!token.empty()) {
@@ -34,17 +41,23 @@
   tracker.acknowledged = grant.revision;
   tracker.acknowledged_shards = grant.shards;
   tracker.held_until = counted_from + timing.Shortened(grant.ttl);
-  tracker.lapses.erase(tracker.lapses.begin(), tracker.lapses.lower_bound(grant.revision));
+  tracker.lapses.erase(tracker.lapses.begin(),
+                       tracker.lapses.lower_bound(grant.revision));
 }
 
-bool GrantHolds(const GrantTracker& tracker, uint32_t shard, MonotonicTime now) {
-  return now < tracker.held_until && tracker.acknowledged_shards.Contains(shard);
+bool GrantHolds(const GrantTracker& tracker, uint32_t shard,
+                MonotonicTime now) {
+  return now < tracker.held_until &&
+         tracker.acknowledged_shards.Contains(shard);
 }
 
-bool OlderGrantsEnded(const GrantTracker& tracker, uint64_t revision, MonotonicTime now) {
+bool OlderGrantsEnded(const GrantTracker& tracker, uint64_t revision,
+                      MonotonicTime now) {
   if (tracker.acknowledged >= revision) return true;
   return std::all_of(tracker.lapses.begin(), tracker.lapses.end(),
-                     [&](const auto& entry) { return entry.first >= revision || entry.second <= now; });
+                     [&](const auto& entry) {
+                       return entry.first >= revision || entry.second <= now;
+                     });
 }
 
 bool AllGrantsEnded(const GrantTracker& tracker, MonotonicTime now) {
--- a/source/core/ownership/group_member.cc
+++ b/source/core/ownership/group_member.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-GroupMember StartMember(std::string self, std::string address, const LeaseTiming& timing, MonotonicTime now) {
+GroupMember StartMember(std::string self, std::string address,
+                        const LeaseTiming& timing, MonotonicTime now) {
   GroupMember member;
   member.self = std::move(self);
   member.address = std::move(address);
@@ -30,9 +31,12 @@
   return member;
 }
 
-bool LeaseIsValid(const GroupMember& member, MonotonicTime now) { return now < member.lease_until; }
+bool LeaseIsValid(const GroupMember& member, MonotonicTime now) {
+  return now < member.lease_until;
+}
 
-bool AdoptControlRecord(GroupMember& member, const ControlRecord& record, MonotonicTime now) {
+bool AdoptControlRecord(GroupMember& member, const ControlRecord& record,
+                        MonotonicTime now) {
   if (record.term <= member.term) return false;
   member.term = record.term;
   member.controller = record.controller;
@@ -42,11 +46,13 @@
   member.term_since = now;
   member.echoes.clear();
   member.outage = false;
-  std::erase_if(member.promises, [now](const auto& entry) { return entry.second <= now; });
+  std::erase_if(member.promises,
+                [now](const auto& entry) { return entry.second <= now; });
   return true;
 }
 
-LeaseRequest MakeLeaseRequest(const GroupMember& member, const std::string& holder, MonotonicTime now) {
+LeaseRequest MakeLeaseRequest(const GroupMember& member,
+                              const std::string& holder, MonotonicTime now) {
   LeaseRequest request;
   request.host = member.self;
   request.address = member.address;
@@ -59,9 +65,11 @@
   return request;
 }
 
-LeaseReplyEffect OnLeaseReply(GroupMember& member, const LeaseReply& reply, MonotonicTime now) {
+LeaseReplyEffect OnLeaseReply(GroupMember& member, const LeaseReply& reply,
+                              MonotonicTime now) {
   LeaseReplyEffect effect;
-  const bool from_holder = reply.controller == member.controller || reply.controller == member.standby;
+  const bool from_holder = reply.controller == member.controller ||
+                           reply.controller == member.standby;
   if (reply.term != member.term || !from_holder) return effect;
   const MonotonicTime sent_at{Duration(reply.request_sent_at_ns)};
   if (sent_at > now) return effect;  // Not a request of this process.
@@ -77,19 +85,25 @@
   }
   MonotonicTime& promise = member.promises[member.term];
   promise = std::max(promise, now + member.timing.promise_ttl);
-  // A holder with a broken clock must not give this host more than the agreed time.
-  const Duration ttl = std::min(Duration(reply.ttl_ns), member.timing.lease_ttl);
-  if (reply.ttl_ns > 0) member.lease_until = std::max(member.lease_until, sent_at + ttl);
+  // A holder with a broken clock must not give this host more than the agreed
+  // time.
+  const Duration ttl =
+      std::min(Duration(reply.ttl_ns), member.timing.lease_ttl);
+  if (reply.ttl_ns > 0)
+    member.lease_until = std::max(member.lease_until, sent_at + ttl);
   return effect;
 }
 
-bool ShouldSeekTerm(const GroupMember& member, size_t position, MonotonicTime now) {
-  const Duration spread = member.timing.lease_renew * static_cast<int>(position);
+bool ShouldSeekTerm(const GroupMember& member, size_t position,
+                    MonotonicTime now) {
+  const Duration spread =
+      member.timing.lease_renew * static_cast<int>(position);
   return Silence(member, now) >= member.timing.controller_silence + spread;
 }
 
 bool ShouldAskStandby(const GroupMember& member, MonotonicTime now) {
-  return !member.standby.empty() && Silence(member, now) >= member.timing.controller_silence / 2;
+  return !member.standby.empty() &&
+         Silence(member, now) >= member.timing.controller_silence / 2;
 }
 
 }  // namespace mimosadeal
--- a/source/core/ownership/lease_timing.h
+++ b/source/core/ownership/lease_timing.h
@@ -1,4 +1,5 @@
-// The durations that leases, promises and grants use, and the guard for clock rates.
+// The durations that leases, promises and grants use, and the guard for clock
+// rates.
 #pragma once
 
 #include "common/boot_clock.h"
@@ -16,21 +17,29 @@
   Duration upstream_silence{};
   double clock_rate_guard = 0;
 
-  // A granter waits longer than its grant lasts, in case its clock is the faster one.
-  Duration Lengthened(Duration duration) const { return Scaled(duration, 1.0 + clock_rate_guard); }
-  // A holder that counts on another host's clock stops earlier, in case its own is the slower one.
-  Duration Shortened(Duration duration) const { return Scaled(duration, 1.0 - clock_rate_guard); }
+  // A granter waits longer than its grant lasts, in case its clock is the
+  // faster one.
+  Duration Lengthened(Duration duration) const {
+    return Scaled(duration, 1.0 + clock_rate_guard);
+  }
+  // A holder that counts on another host's clock stops earlier, in case its own
+  // is the slower one.
+  Duration Shortened(Duration duration) const {
+    return Scaled(duration, 1.0 - clock_rate_guard);
+  }
 
  private:
   static Duration Scaled(Duration duration, double factor) {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(duration.count()) * factor));
   }
 };
 
 inline LeaseTiming TimingOf(const Settings& settings) {
-  return LeaseTiming{settings.lease_ttl,          settings.lease_renew, settings.promise_ttl,
-                     settings.controller_silence, settings.grant_ttl,   settings.grant_renew,
-                     settings.upstream_silence,   settings.clock_rate_guard};
+  return LeaseTiming{settings.lease_ttl,        settings.lease_renew,
+                     settings.promise_ttl,      settings.controller_silence,
+                     settings.grant_ttl,        settings.grant_renew,
+                     settings.upstream_silence, settings.clock_rate_guard};
 }
 
 }  // namespace mimosadeal
--- a/source/core/ownership/ownership_table.h
+++ b/source/core/ownership/ownership_table.h
@@ -1,7 +1,9 @@
-// Who owns what in one control group: each shard's upstream and each upstream's dispatcher.
+// Who owns what in one control group: each shard's upstream and each upstream's
+// dispatcher.
 //
-// A change takes two versions of the table. The first clears `owner` (or `dispatcher`) and names the
-// `target`; the second sets it, once the old holder has certainly stopped.
+// A change takes two versions of the table. The first clears `owner` (or
+// `dispatcher`) and names the `target`; the second sets it, once the old holder
+// has certainly stopped.
 #pragma once
 
 #include <cstdint>
@@ -20,9 +22,11 @@
 
 struct TableHost {
   std::string id;
-  std::string address;         // Inner address.
-  std::string ledger_replica;  // The host that keeps a copy of this host's ledger.
-  bool live = true;            // False for a lost host, kept here for the sake of its replica.
+  std::string address;  // Inner address.
+  std::string
+      ledger_replica;  // The host that keeps a copy of this host's ledger.
+  bool live =
+      true;  // False for a lost host, kept here for the sake of its replica.
 
   bool operator==(const TableHost&) const = default;
 
@@ -36,26 +40,30 @@
   std::string id;
   std::string service;
   std::string address;
-  std::string dispatcher;         // The host that may send to it now; empty in transit.
+  std::string
+      dispatcher;  // The host that may send to it now; empty in transit.
   std::string target_dispatcher;  // The host that is to send to it.
-  std::string last_dispatcher;    // The host that sent to it before the present one.
+  std::string
+      last_dispatcher;  // The host that sent to it before the present one.
 
   bool operator==(const TableUpstream&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, address, dispatcher, target_dispatcher, last_dispatcher);
+    archive(id, service, address, dispatcher, target_dispatcher,
+            last_dispatcher);
   }
 };
 
 struct TableService {
   std::string name;
-  // Invariant: the three lists have one entry for each shard. Shards of other zones have none.
-  // Indices into the table's upstreams; owners[i] is kNoUpstream or targets[i].
+  // Invariant: the three lists have one entry for each shard. Shards of other
+  // zones have none. Indices into the table's upstreams; owners[i] is
+  // kNoUpstream or targets[i].
   std::vector<uint16_t> owners;
   std::vector<uint16_t> targets;
-  // Index into the table's hosts of the dispatcher that served the shard before the present one;
-  // the present one fetches the shard's ledger from it.
+  // Index into the table's hosts of the dispatcher that served the shard before
+  // the present one; the present one fetches the shard's ledger from it.
   std::vector<uint16_t> last_dispatchers;
 
   bool operator==(const TableService&) const = default;
@@ -83,13 +91,17 @@
 Result<OwnershipTable> DecodeTable(std::string_view text);
 
 const TableHost* FindHost(const OwnershipTable& table, std::string_view id);
-const TableService* FindService(const OwnershipTable& table, std::string_view name);
-const TableUpstream* FindUpstream(const OwnershipTable& table, std::string_view id);
+const TableService* FindService(const OwnershipTable& table,
+                                std::string_view name);
+const TableUpstream* FindUpstream(const OwnershipTable& table,
+                                  std::string_view id);
 
 // Returns the upstream that may serve `shard` now, or null.
-const TableUpstream* OwnerOf(const OwnershipTable& table, std::string_view service, uint32_t shard);
+const TableUpstream* OwnerOf(const OwnershipTable& table,
+                             std::string_view service, uint32_t shard);
 
 // Returns the shards that `upstream` may serve now.
-ShardSet OwnedShards(const OwnershipTable& table, const TableUpstream& upstream);
+ShardSet OwnedShards(const OwnershipTable& table,
+                     const TableUpstream& upstream);
 
 }  // namespace mimosadeal
--- a/source/core/ownership/placement.cc
+++ b/source/core/ownership/placement.cc
@@ -15,60 +15,78 @@
   const std::vector<double>& weights;
 
   bool Usable(size_t upstream) const { return weights[upstream] > 0; }
-  double Relative(size_t upstream) const { return load[upstream] / weights[upstream]; }
+  double Relative(size_t upstream) const {
+    return load[upstream] / weights[upstream];
+  }
 };
 
 Loads SumLoads(const PlacementInput& input) {
-  Loads loads{std::vector<double>(input.upstream_weights.size(), 0.0), input.upstream_weights};
+  Loads loads{std::vector<double>(input.upstream_weights.size(), 0.0),
+              input.upstream_weights};
   for (size_t shard = 0; shard < input.targets.size(); ++shard) {
     const uint16_t target = input.targets[shard];
-    if (target != kNoUpstream && input.shard_loads[shard] >= 0) loads.load[target] += input.shard_loads[shard];
+    if (target != kNoUpstream && input.shard_loads[shard] >= 0)
+      loads.load[target] += input.shard_loads[shard];
   }
   return loads;
 }
 
-// Returns the usable upstream with the least (or greatest) relative load, or kNoUpstream.
+// Returns the usable upstream with the least (or greatest) relative load, or
+// kNoUpstream.
 template <typename Better>
 uint16_t Extreme(const Loads& loads, Better better) {
   uint16_t best = kNoUpstream;
   for (size_t i = 0; i < loads.load.size(); ++i) {
     if (!loads.Usable(i)) continue;
-    if (best == kNoUpstream || better(loads.Relative(i), loads.Relative(best))) best = static_cast<uint16_t>(i);
+    if (best == kNoUpstream || better(loads.Relative(i), loads.Relative(best)))
+      best = static_cast<uint16_t>(i);
   }
   return best;
 }
 
-uint16_t LeastLoaded(const Loads& loads) { return Extreme(loads, std::less<>()); }
-uint16_t MostLoaded(const Loads& loads) { return Extreme(loads, std::greater<>()); }
+uint16_t LeastLoaded(const Loads& loads) {
+  return Extreme(loads, std::less<>());
+}
+uint16_t MostLoaded(const Loads& loads) {
+  return Extreme(loads, std::greater<>());
+}
 
-void PlaceOrphans(const PlacementInput& input, Loads& loads, std::vector<uint16_t>& targets) {
+void PlaceOrphans(const PlacementInput& input, Loads& loads,
+                  std::vector<uint16_t>& targets) {
   std::vector<uint32_t> orphans;
   for (uint32_t shard = 0; shard < targets.size(); ++shard) {
     if (input.shard_loads[shard] < 0) {
       targets[shard] = kNoUpstream;
       continue;
     }
-    if (targets[shard] == kNoUpstream || !loads.Usable(targets[shard])) orphans.push_back(shard);
+    if (targets[shard] == kNoUpstream || !loads.Usable(targets[shard]))
+      orphans.push_back(shard);
   }
   // Heavy shards first, so that the light ones can even out what is left.
-  std::stable_sort(orphans.begin(), orphans.end(),
-                   [&](uint32_t a, uint32_t b) { return input.shard_loads[a] > input.shard_loads[b]; });
+  std::stable_sort(orphans.begin(), orphans.end(), [&](uint32_t a, uint32_t b) {
+    return input.shard_loads[a] > input.shard_loads[b];
+  });
   for (const uint32_t shard : orphans) {
     const uint16_t upstream = LeastLoaded(loads);
     targets[shard] = upstream;
-    if (upstream != kNoUpstream) loads.load[upstream] += input.shard_loads[shard];
+    if (upstream != kNoUpstream)
+      loads.load[upstream] += input.shard_loads[shard];
   }
 }
 
-// Returns the shard of `from` whose move to `to` narrows their difference most, or targets.size().
-size_t BestMove(const PlacementInput& input, const Loads& loads, const std::vector<uint16_t>& targets, uint16_t from,
+// Returns the shard of `from` whose move to `to` narrows their difference most,
+// or targets.size().
+size_t BestMove(const PlacementInput& input, const Loads& loads,
+                const std::vector<uint16_t>& targets, uint16_t from,
                 uint16_t to) {
   size_t best = targets.size();
   double best_peak = std::max(loads.Relative(from), loads.Relative(to));
   for (size_t shard = 0; shard < targets.size(); ++shard) {
     if (targets[shard] != from || input.shard_loads[shard] <= 0) continue;
-    const double from_after = (loads.load[from] - input.shard_loads[shard]) / loads.weights[from];
-    const double to_after = (loads.load[to] + input.shard_loads[shard]) / loads.weights[to];
+    const double from_after =
+        (loads.load[from] - input.shard_loads[shard]) / loads.weights[from];
+    const double to_after =
+        (loads.load[to] + input.shard_loads[shard]) / loads.weights[to];
     const double peak = std::max(from_after, to_after);
     if (peak >= best_peak) continue;
     best_peak = peak;
@@ -77,7 +95,8 @@
   return best;
 }
 
-void Balance(const PlacementInput& input, Loads& loads, std::vector<uint16_t>& targets) {
+void Balance(const PlacementInput& input, Loads& loads,
+             std::vector<uint16_t>& targets) {
   double total_load = 0;
   double total_weight = 0;
   for (size_t i = 0; i < loads.load.size(); ++i) {
@@ -89,7 +108,8 @@
   const double mean = total_load / total_weight;
   const uint16_t first_most = MostLoaded(loads);
   const uint16_t first_least = LeastLoaded(loads);
-  const double worst = std::max(loads.Relative(first_most) / mean, 2.0 - loads.Relative(first_least) / mean);
+  const double worst = std::max(loads.Relative(first_most) / mean,
+                                2.0 - loads.Relative(first_least) / mean);
   if (worst <= input.tolerated_imbalance) return;
   for (size_t moves = 0; moves < input.max_balancing_moves; ++moves) {
     const uint16_t from = MostLoaded(loads);
--- a/source/core/ownership/shard_set.cc
+++ b/source/core/ownership/shard_set.cc
@@ -7,12 +7,15 @@
 namespace {
 
 Error Malformed(std::string_view text) {
-  return MakeError(ErrorCode::kMalformed, "\"" + std::string(text) + "\" is not a list of shard ranges");
+  return MakeError(
+      ErrorCode::kMalformed,
+      "\"" + std::string(text) + "\" is not a list of shard ranges");
 }
 
 // Reads a number at the front of `text` and removes it.
 bool TakeNumber(std::string_view& text, uint32_t& number) {
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
   if (parsed.ec != std::errc()) return false;
   text.remove_prefix(static_cast<size_t>(parsed.ptr - text.data()));
   return true;
@@ -25,7 +28,8 @@
 }
 
 size_t ShardSet::Count() const {
-  return static_cast<size_t>(std::count(members_.begin(), members_.end(), true));
+  return static_cast<size_t>(
+      std::count(members_.begin(), members_.end(), true));
 }
 
 std::string ShardSet::ToRanges() const {
@@ -46,7 +50,8 @@
   return text;
 }
 
-Result<ShardSet> ShardSet::FromRanges(std::string_view text, uint32_t shard_count) {
+Result<ShardSet> ShardSet::FromRanges(std::string_view text,
+                                      uint32_t shard_count) {
   ShardSet set(shard_count);
   std::string_view rest = text;
   while (!rest.empty()) {
--- a/source/core/ownership/shard_set.h
+++ b/source/core/ownership/shard_set.h
@@ -16,7 +16,9 @@
   explicit ShardSet(uint32_t shard_count) : members_(shard_count, false) {}
 
   void Add(uint32_t shard);
-  bool Contains(uint32_t shard) const { return shard < members_.size() && members_[shard]; }
+  bool Contains(uint32_t shard) const {
+    return shard < members_.size() && members_[shard];
+  }
   size_t Count() const;
   // The number of shards that the service has.
   size_t Size() const { return members_.size(); }
@@ -26,7 +28,8 @@
   // Returns ranges in ascending order: "0-3,7,9-10".
   std::string ToRanges() const;
   // Errors: kMalformed, also when a shard is not below `shard_count`.
-  static Result<ShardSet> FromRanges(std::string_view text, uint32_t shard_count);
+  static Result<ShardSet> FromRanges(std::string_view text,
+                                     uint32_t shard_count);
 
  private:
   std::vector<bool> members_;
--- a/source/core/platform/platform_client.h
+++ b/source/core/platform/platform_client.h
@@ -1,5 +1,6 @@
-// The platform as this project sees it: versioned objects with conditional updates and watches, and
-// the host list. This is the one place that knows the platform's HTTP interface.
+// The platform as this project sees it: versioned objects with conditional
+// updates and watches, and the host list. This is the one place that knows the
+// platform's HTTP interface.
 #pragma once
 
 #include <cstdint>
@@ -54,13 +55,16 @@
   // Errors: kNotFound, kUnavailable, kTimeout.
   void Get(const std::string& name, GetCallback callback);
 
-  // Writes `value` if the object's version is `expected`. Gives the new version.
-  // Errors: kConflict; kUnavailable, when the write was certainly not done; kUnknownOutcome, when it
-  // may have been: read the object back before concluding anything.
-  void Put(const std::string& name, uint64_t expected, std::string value, PutCallback callback);
+  // Writes `value` if the object's version is `expected`. Gives the new
+  // version. Errors: kConflict; kUnavailable, when the write was certainly not
+  // done; kUnknownOutcome, when it may have been: read the object back before
+  // concluding anything.
+  void Put(const std::string& name, uint64_t expected, std::string value,
+           PutCallback callback);
 
-  // Waits until the object's version differs from `known` and gives the object; kTimeout after the
-  // platform's own bound on a watch. Occupies one connection while it waits.
+  // Waits until the object's version differs from `known` and gives the object;
+  // kTimeout after the platform's own bound on a watch. Occupies one connection
+  // while it waits.
   void Watch(const std::string& name, uint64_t known, GetCallback callback);
 
   void ListHosts(HostsCallback callback);
--- a/source/core/platform/platform_host.h
+++ b/source/core/platform/platform_host.h
@@ -1,5 +1,5 @@
-// The platform's list of live and leaving machines. It lags: a machine may be listed after its loss
-// and missing for a while after its start.
+// The platform's list of live and leaving machines. It lags: a machine may be
+// listed after its loss and missing for a while after its start.
 #pragma once
 
 #include <cstdint>
@@ -21,7 +21,8 @@
   std::string zone;
   std::string group;    // Entry hosts only.
   std::string service;  // Upstreams only.
-  std::string address;  // Entry hosts: the inner address. Upstreams: where they take requests.
+  std::string address;  // Entry hosts: the inner address. Upstreams: where they
+                        // take requests.
 };
 
 std::string_view HostKindName(HostKind kind);
--- a/source/core/requests/ledger.cc
+++ b/source/core/requests/ledger.cc
@@ -6,7 +6,8 @@
 
 namespace mimosadeal {
 
-LedgerVerdict Ledger::Begin(const std::string& service, const std::string& id, uint32_t shard, uint64_t fingerprint,
+LedgerVerdict Ledger::Begin(const std::string& service, const std::string& id,
+                            uint32_t shard, uint64_t fingerprint,
                             MonotonicTime now) {
   const auto found = entries_.find(KeyOf(service, id));
   if (found != entries_.end()) {
@@ -24,9 +25,12 @@
   return LedgerVerdict::kNew;
 }
 
-void Ledger::Forget(const std::string& service, const std::string& id) { entries_.erase(KeyOf(service, id)); }
+void Ledger::Forget(const std::string& service, const std::string& id) {
+  entries_.erase(KeyOf(service, id));
+}
 
-void Ledger::Finish(const std::string& service, const std::string& id, RequestOutcome outcome, int32_t http_status,
+void Ledger::Finish(const std::string& service, const std::string& id,
+                    RequestOutcome outcome, int32_t http_status,
                     const std::string& content_type, const std::string& body) {
   const auto found = entries_.find(KeyOf(service, id));
   if (found == entries_.end()) return;
@@ -39,13 +43,15 @@
   if (record.body_kept) record.body = body;
 }
 
-const LedgerRecord* Ledger::Find(const std::string& service, const std::string& id) const {
+const LedgerRecord* Ledger::Find(const std::string& service,
+                                 const std::string& id) const {
   const auto found = entries_.find(KeyOf(service, id));
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
-std::vector<LedgerRecord> Ledger::Export(const std::function<bool(const LedgerRecord&)>& wanted,
-                                         MonotonicTime now) const {
+std::vector<LedgerRecord> Ledger::Export(
+    const std::function<bool(const LedgerRecord&)>& wanted,
+    MonotonicTime now) const {
   std::vector<LedgerRecord> records;
   for (const auto& [key, entry] : entries_) {
     if (!wanted(entry.record)) continue;
@@ -55,23 +61,29 @@
   return records;
 }
 
-void Ledger::Import(const std::vector<LedgerRecord>& records, MonotonicTime now) {
+void Ledger::Import(const std::vector<LedgerRecord>& records,
+                    MonotonicTime now) {
   for (LedgerRecord record : records) {
     const auto found = entries_.find(KeyOf(record.service, record.id));
     if (found != entries_.end()) continue;
     // An id that was certainly not run is as good as new.
-    if (record.finished && record.outcome == static_cast<uint8_t>(RequestOutcome::kNotRun)) continue;
+    if (record.finished &&
+        record.outcome == static_cast<uint8_t>(RequestOutcome::kNotRun))
+      continue;
     if (!record.finished) {
       record.finished = true;
       record.outcome = static_cast<uint8_t>(RequestOutcome::kUnknown);
     }
-    const MonotonicTime created = now - std::chrono::milliseconds(record.age_ms);
+    const MonotonicTime created =
+        now - std::chrono::milliseconds(record.age_ms);
     Insert(std::move(record), created);
   }
 }
 
-void Ledger::Merge(const std::vector<LedgerRecord>& records, MonotonicTime now) {
-  for (const LedgerRecord& record : records) Insert(record, now - std::chrono::milliseconds(record.age_ms));
+void Ledger::Merge(const std::vector<LedgerRecord>& records,
+                   MonotonicTime now) {
+  for (const LedgerRecord& record : records)
+    Insert(record, now - std::chrono::milliseconds(record.age_ms));
 }
 
 void Ledger::Expire(MonotonicTime now) {
@@ -86,7 +98,8 @@
 }
 
 uint64_t FingerprintOf(const DispatchRequest& request) {
-  return HashText(request.body, HashText(request.path, HashText(request.method)));
+  return HashText(request.body,
+                  HashText(request.path, HashText(request.method)));
 }
 
 }  // namespace mimosadeal
--- a/source/core/requests/ledger.h
+++ b/source/core/requests/ledger.h
@@ -1,5 +1,5 @@
-// The ledger of non-idempotent requests: which ids were dispatched, and what came of them. It is what
-// keeps a resent request from running twice.
+// The ledger of non-idempotent requests: which ids were dispatched, and what
+// came of them. It is what keeps a resent request from running twice.
 #pragma once
 
 #include <cstdint>
@@ -33,21 +33,29 @@
   explicit Ledger(LedgerLimits limits) : limits_(limits) {}
 
   // Records `id` if it is new.
-  LedgerVerdict Begin(const std::string& service, const std::string& id, uint32_t shard, uint64_t fingerprint,
-                      MonotonicTime now);
-  // Removes an entry whose request was certainly not run, so that its caller may try again.
+  LedgerVerdict Begin(const std::string& service, const std::string& id,
+                      uint32_t shard, uint64_t fingerprint, MonotonicTime now);
+  // Removes an entry whose request was certainly not run, so that its caller
+  // may try again.
   void Forget(const std::string& service, const std::string& id);
   // Records the outcome of an entry. A body over the limit is not kept.
-  void Finish(const std::string& service, const std::string& id, RequestOutcome outcome, int32_t http_status,
+  void Finish(const std::string& service, const std::string& id,
+              RequestOutcome outcome, int32_t http_status,
               const std::string& content_type, const std::string& body);
 
   // Returns the entry, or null.
-  const LedgerRecord* Find(const std::string& service, const std::string& id) const;
-  // Returns copies of the entries that `wanted` accepts, with their ages as of `now`.
-  std::vector<LedgerRecord> Export(const std::function<bool(const LedgerRecord&)>& wanted, MonotonicTime now) const;
-  // Takes over entries of another dispatcher. What it had not finished has an unknown outcome.
+  const LedgerRecord* Find(const std::string& service,
+                           const std::string& id) const;
+  // Returns copies of the entries that `wanted` accepts, with their ages as of
+  // `now`.
+  std::vector<LedgerRecord> Export(
+      const std::function<bool(const LedgerRecord&)>& wanted,
+      MonotonicTime now) const;
+  // Takes over entries of another dispatcher. What it had not finished has an
+  // unknown outcome.
   void Import(const std::vector<LedgerRecord>& records, MonotonicTime now);
-  // Takes over entries as they are, as a replica does; later records replace earlier ones.
+  // Takes over entries as they are, as a replica does; later records replace
+  // earlier ones.
   void Merge(const std::vector<LedgerRecord>& records, MonotonicTime now);
   // Drops entries past their retention.
   void Expire(MonotonicTime now);
@@ -60,14 +68,17 @@
     MonotonicTime created;
   };
 
-  static std::string KeyOf(const std::string& service, const std::string& id) { return service + '\n' + id; }
+  static std::string KeyOf(const std::string& service, const std::string& id) {
+    return service + '\n' + id;
+  }
   void Insert(LedgerRecord record, MonotonicTime created);
 
   LedgerLimits limits_;
   std::unordered_map<std::string, Entry> entries_;
 };
 
-// Returns a fingerprint by which a reused id with another request is recognised.
+// Returns a fingerprint by which a reused id with another request is
+// recognised.
 uint64_t FingerprintOf(const DispatchRequest& request);
 
 }  // namespace mimosadeal
--- a/source/core/requests/outcome_names.cc
+++ b/source/core/requests/outcome_names.cc
@@ -22,8 +22,12 @@
 
 }  // namespace
 
-std::string_view OutcomeName(RequestOutcome outcome) { return NameOf(kOutcomeNames, outcome); }
+std::string_view OutcomeName(RequestOutcome outcome) {
+  return NameOf(kOutcomeNames, outcome);
+}
 
-std::string_view DispatchStatusName(DispatchStatus status) { return NameOf(kDispatchStatusNames, status); }
+std::string_view DispatchStatusName(DispatchStatus status) {
+  return NameOf(kDispatchStatusNames, status);
+}
 
 }  // namespace mimosadeal
--- a/source/core/requests/outcome_names.h
+++ b/source/core/requests/outcome_names.h
@@ -1,4 +1,5 @@
-// Names of request outcomes and dispatch statuses, as callers and logs see them.
+// Names of request outcomes and dispatch statuses, as callers and logs see
+// them.
 #pragma once
 
 #include <string_view>
--- a/source/core/requests/problem.cc
+++ b/source/core/requests/problem.cc
@@ -23,11 +23,15 @@
   if (problem.retry_after_ms > 0) {
     body["retry_after_ms"] = problem.retry_after_ms;
     // The header counts whole seconds (RFC 9110, section 10.2.3).
-    const int32_t seconds = (problem.retry_after_ms + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
+    const int32_t seconds =
+        (problem.retry_after_ms + kMillisecondsPerSecond - 1) /
+        kMillisecondsPerSecond;
     response.headers.push_back({"retry-after", std::to_string(seconds)});
   }
-  response.headers.push_back({"mimosa-outcome", std::string(OutcomeName(problem.outcome))});
-  response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.headers.push_back(
+      {"mimosa-outcome", std::string(OutcomeName(problem.outcome))});
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
--- a/source/core/requests/request_classifier.h
+++ b/source/core/requests/request_classifier.h
@@ -1,5 +1,5 @@
-// Reads from a caller's HTTP request what the router needs: service, shard, rank, idempotence, id and
-// deadline. docs/CALLERS.md describes the interface.
+// Reads from a caller's HTTP request what the router needs: service, shard,
+// rank, idempotence, id and deadline. docs/CALLERS.md describes the interface.
 #pragma once
 
 #include <string>
@@ -41,7 +41,8 @@
   Problem problem;  // Set when not accepted.
 };
 
-Classification ClassifyRequest(const Configuration& configuration, const ClassifierLimits& limits,
+Classification ClassifyRequest(const Configuration& configuration,
+                               const ClassifierLimits& limits,
                                HttpRequest request);
 
 }  // namespace mimosadeal
--- a/source/core/server/callers_api.cc
+++ b/source/core/server/callers_api.cc
@@ -24,10 +24,12 @@
     if (header.name == "content-type") {
       response.content_type = header.value;
     } else {
-      response.headers.push_back({std::move(header.name), std::move(header.value)});
+      response.headers.push_back(
+          {std::move(header.name), std::move(header.value)});
     }
   }
-  response.headers.push_back({"mimosa-outcome", std::string(OutcomeName(RequestOutcome::kRan))});
+  response.headers.push_back(
+      {"mimosa-outcome", std::string(OutcomeName(RequestOutcome::kRan))});
   if (reply.replayed) response.headers.push_back({"mimosa-replayed", "true"});
   response.body = std::move(reply.body);
   return response;
@@ -70,26 +72,31 @@
 
 HttpResponse MakeProblemAnswer(const DispatchReply& reply) {
   const auto status = static_cast<DispatchStatus>(reply.status);
-  return MakeProblemResponse(Problem{ProblemStatus(status), ProblemTitle(status), reply.detail,
-                                     static_cast<RequestOutcome>(reply.outcome), reply.retry_after_ms});
+  return MakeProblemResponse(Problem{
+      ProblemStatus(status), ProblemTitle(status), reply.detail,
+      static_cast<RequestOutcome>(reply.outcome), reply.retry_after_ms});
 }
 
 HttpResponse MakeRefusal(int status, const std::string& detail) {
-  return MakeProblemResponse(Problem{status, "Request not taken", detail, RequestOutcome::kNotRun, 0});
+  return MakeProblemResponse(
+      Problem{status, "Request not taken", detail, RequestOutcome::kNotRun, 0});
 }
 
 }  // namespace
 
 CallersApi::CallersApi(Environment environment) : environment_(environment) {}
 
-Result<std::unique_ptr<CallersApi>> CallersApi::Listen(Environment environment) {
+Result<std::unique_ptr<CallersApi>> CallersApi::Listen(
+    Environment environment) {
   std::unique_ptr<CallersApi> api(new CallersApi(environment));
   CallersApi* self = api.get();
-  BOOST_OUTCOME_TRY(address, ParseSocketAddress(environment.settings.callers_address));
+  BOOST_OUTCOME_TRY(address,
+                    ParseSocketAddress(environment.settings.callers_address));
   HttpServerOptions options;
   options.address = std::move(address);
   options.name = "callers";
-  options.max_body_bytes = static_cast<size_t>(environment.settings.max_body_bytes);
+  options.max_body_bytes =
+      static_cast<size_t>(environment.settings.max_body_bytes);
   options.idle_timeout_seconds = kIdleTimeoutSeconds;
   options.request_timeout_seconds = kRequestTimeoutSeconds;
   options.custom_headers = CallerHeaders();
@@ -97,9 +104,13 @@
   handlers.on_request = [self](ExchangeId exchange, HttpRequest&& request) {
     self->OnRequest(exchange, std::move(request));
   };
-  handlers.on_abandoned = [self](ExchangeId exchange) { self->OnAbandoned(exchange); };
+  handlers.on_abandoned = [self](ExchangeId exchange) {
+    self->OnAbandoned(exchange);
+  };
   handlers.make_refusal = MakeRefusal;
-  BOOST_OUTCOME_TRY(made_server, HttpServer::Listen(environment.loop, std::move(options), std::move(handlers)));
+  BOOST_OUTCOME_TRY(made_server,
+                    HttpServer::Listen(environment.loop, std::move(options),
+                                       std::move(handlers)));
   api->server_ = std::move(made_server);
   return api;
 }
@@ -107,14 +118,17 @@
 void CallersApi::OnRequest(ExchangeId exchange, HttpRequest request) {
   const Settings& settings = environment_.settings;
   if (open_.size() >= static_cast<size_t>(settings.max_waiting_requests)) {
-    server_->Respond(exchange, MakeProblemResponse(Problem{503, "Too many requests wait here",
-                                                           "this host holds as many requests as it may",
-                                                           RequestOutcome::kNotRun, kOverloadRetryAfterMs}));
+    server_->Respond(
+        exchange, MakeProblemResponse(
+                      Problem{503, "Too many requests wait here",
+                              "this host holds as many requests as it may",
+                              RequestOutcome::kNotRun, kOverloadRetryAfterMs}));
     return;
   }
-  const ClassifierLimits limits{settings.default_deadline, settings.longest_deadline};
-  Classification classified =
-      ClassifyRequest(environment_.configuration.configuration(), limits, std::move(request));
+  const ClassifierLimits limits{settings.default_deadline,
+                                settings.longest_deadline};
+  Classification classified = ClassifyRequest(
+      environment_.configuration.configuration(), limits, std::move(request));
   if (!classified.accepted) {
     server_->Respond(exchange, MakeProblemResponse(classified.problem));
     return;
@@ -123,21 +137,29 @@
   dispatch.time_left_us = ToMicroseconds(classified.request.deadline);
   const MonotonicTime arrived = environment_.loop.timers().now();
   open_[exchange] = OpenRequest{};
-  auto reply = [this, exchange, service = dispatch.service, rank = dispatch.rank, tenant = dispatch.tenant,
-                arrived](DispatchReply answer) { Answer(exchange, service, rank, tenant, arrived, std::move(answer)); };
-  const uint64_t handle = environment_.router.Route(std::move(dispatch), std::move(reply));
+  auto reply = [this, exchange, service = dispatch.service,
+                rank = dispatch.rank, tenant = dispatch.tenant,
+                arrived](DispatchReply answer) {
+    Answer(exchange, service, rank, tenant, arrived, std::move(answer));
+  };
+  const uint64_t handle =
+      environment_.router.Route(std::move(dispatch), std::move(reply));
   const auto open = open_.find(exchange);
   if (open != open_.end()) open->second.handle = handle;
 }
 
-void CallersApi::Answer(ExchangeId exchange, const std::string& service, const std::string& rank,
-                        const std::string& tenant, MonotonicTime arrived, DispatchReply reply) {
+void CallersApi::Answer(ExchangeId exchange, const std::string& service,
+                        const std::string& rank, const std::string& tenant,
+                        MonotonicTime arrived, DispatchReply reply) {
   open_.erase(exchange);
   const auto status = static_cast<DispatchStatus>(reply.status);
-  environment_.metrics.ObserveRequest(service, rank, tenant, status, static_cast<RequestOutcome>(reply.outcome),
-                                      BootClock::now() - arrived);
-  const bool whole = status == DispatchStatus::kAnswered && (!reply.replayed || reply.detail.empty());
-  server_->Respond(exchange, whole ? MakeAnswer(std::move(reply)) : MakeProblemAnswer(reply));
+  environment_.metrics.ObserveRequest(
+      service, rank, tenant, status, static_cast<RequestOutcome>(reply.outcome),
+      BootClock::now() - arrived);
+  const bool whole = status == DispatchStatus::kAnswered &&
+                     (!reply.replayed || reply.detail.empty());
+  server_->Respond(exchange, whole ? MakeAnswer(std::move(reply))
+                                   : MakeProblemAnswer(reply));
 }
 
 void CallersApi::OnAbandoned(ExchangeId exchange) {
--- a/source/core/server/callers_api.h
+++ b/source/core/server/callers_api.h
@@ -1,4 +1,5 @@
-// The callers' HTTP interface: takes requests in, answers them, and forgets those whose callers go.
+// The callers' HTTP interface: takes requests in, answers them, and forgets
+// those whose callers go.
 #pragma once
 
 #include <memory>
@@ -29,7 +30,8 @@
   // Errors: kIo when the address cannot be listened on.
   static Result<std::unique_ptr<CallersApi>> Listen(Environment environment);
 
-  // From now on each answer closes its connection, so that callers move to other hosts.
+  // From now on each answer closes its connection, so that callers move to
+  // other hosts.
   void StopKeepAlive() { server_->StopKeepAlive(); }
   size_t open_requests() const { return server_->open_exchanges(); }
 
@@ -42,7 +44,8 @@
 
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnAbandoned(ExchangeId exchange);
-  void Answer(ExchangeId exchange, const std::string& service, const std::string& rank, const std::string& tenant,
+  void Answer(ExchangeId exchange, const std::string& service,
+              const std::string& rank, const std::string& tenant,
               MonotonicTime arrived, DispatchReply reply);
 
   Environment environment_;
--- a/source/core/server/configuration_keeper.h
+++ b/source/core/server/configuration_keeper.h
@@ -1,5 +1,5 @@
-// Keeps the newest configuration seen, applies operators' patches through the platform's store, and
-// never goes back to an older version.
+// Keeps the newest configuration seen, applies operators' patches through the
+// platform's store, and never goes back to an older version.
 #pragma once
 
 #include <cstdint>
@@ -18,7 +18,8 @@
  public:
   using PatchCallback = std::function<void(Result<PatchResult>)>;
 
-  ConfigurationKeeper(EventLoop& loop, PlatformClient& platform, std::function<void()> on_change);
+  ConfigurationKeeper(EventLoop& loop, PlatformClient& platform,
+                      std::function<void()> on_change);
 
   const Configuration& configuration() const { return configuration_; }
   const StoredConfiguration& stored() const { return stored_; }
@@ -26,14 +27,17 @@
 
   // Reads the store once.
   void Refresh();
-  // The controller and the standby watch the store; all others learn of versions by leases.
+  // The controller and the standby watch the store; all others learn of
+  // versions by leases.
   void SetWatching(bool watching);
   // Takes a configuration that another host holds, if it is newer.
   void OnPeerConfiguration(const std::string& encoded);
 
-  // Applies a merge patch made against `base_version`. Errors: kUnavailable, when it was certainly
-  // not applied; kUnknownOutcome, when it may have been: ask again with the same id.
-  void Patch(uint64_t base_version, const std::string& patch_id, const nlohmann::json& patch, PatchCallback callback);
+  // Applies a merge patch made against `base_version`. Errors: kUnavailable,
+  // when it was certainly not applied; kUnknownOutcome, when it may have been:
+  // ask again with the same id.
+  void Patch(uint64_t base_version, const std::string& patch_id,
+             const nlohmann::json& patch, PatchCallback callback);
 
  private:
   struct PendingPatch {
@@ -49,11 +53,13 @@
   void StartWatch();
   void OnObject(const Result<StoredObject>& object);
   void Adopt(StoredConfiguration stored);
-  // Writes the held configuration over an older one, as after the store was restored from a backup.
+  // Writes the held configuration over an older one, as after the store was
+  // restored from a backup.
   void Repair(uint64_t object_version);
   void TryPatch(PendingPatch pending);
   void OnPatchRead(PendingPatch pending, const Result<StoredObject>& object);
-  void WritePatch(PendingPatch pending, uint64_t object_version, PatchResult result);
+  void WritePatch(PendingPatch pending, uint64_t object_version,
+                  PatchResult result);
 
   EventLoop& loop_;
   PlatformClient& platform_;
--- a/source/core/server/controller_role.cc
+++ b/source/core/server/controller_role.cc
@@ -18,12 +18,14 @@
 constexpr Duration kStoreRetry = std::chrono::milliseconds(200);
 constexpr Duration kMemberCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kFullPassInterval = std::chrono::milliseconds(250);
-// A host missing from so many lists in a row has ended; one list may lack a host that has just started.
+// A host missing from so many lists in a row has ended; one list may lack a
+// host that has just started.
 constexpr int kListsWithoutGoneHost = 3;
 // A lost host is forgotten after this time; its place in the table stays.
 constexpr Duration kLostHostMemory = std::chrono::seconds(60);
 
-std::vector<std::string> LiveHostIds(const ControllerState& state, MonotonicTime now) {
+std::vector<std::string> LiveHostIds(const ControllerState& state,
+                                     MonotonicTime now) {
   std::vector<std::string> ids;
   for (const auto& [process, host] : state.hosts) {
     if (!IsLost(state, process, now)) ids.push_back(HostIdOf(process));
@@ -35,8 +37,9 @@
 
 }  // namespace
 
-ControllerRole::ControllerRole(Environment environment, Callbacks callbacks, ControlRecord record,
-                               uint64_t record_version, OwnershipTable known_table, bool was_in_charge)
+ControllerRole::ControllerRole(Environment environment, Callbacks callbacks,
+                               ControlRecord record, uint64_t record_version,
+                               OwnershipTable known_table, bool was_in_charge)
     : environment_(std::move(environment)),
       callbacks_(std::move(callbacks)),
       record_(std::move(record)),
@@ -54,19 +57,24 @@
 
 ControllerRole::~ControllerRole() { *alive_ = false; }
 
-std::unique_ptr<ControllerRole> ControllerRole::StandIn(Environment environment, Callbacks callbacks,
-                                                        const ControlRecord& record, OwnershipTable known_table) {
-  auto role = std::make_unique<ControllerRole>(std::move(environment), std::move(callbacks), record, kNoObject,
-                                               std::move(known_table), true);
+std::unique_ptr<ControllerRole> ControllerRole::StandIn(
+    Environment environment, Callbacks callbacks, const ControlRecord& record,
+    OwnershipTable known_table) {
+  auto role = std::make_unique<ControllerRole>(
+      std::move(environment), std::move(callbacks), record, kNoObject,
+      std::move(known_table), true);
   role->state_.renew_only = true;
   role->state_.first_version = role->state_.table.version;
   role->started_ = true;
   return role;
 }
 
-bool ControllerRole::may_move() const { return MayMove(state_, environment_.loop.timers().now()); }
+bool ControllerRole::may_move() const {
+  return MayMove(state_, environment_.loop.timers().now());
+}
 
-std::optional<LeaseReply> ControllerRole::OnLeaseRequest(const LeaseRequest& request) {
+std::optional<LeaseReply> ControllerRole::OnLeaseRequest(
+    const LeaseRequest& request) {
   if (!started_ || request.term != state_.term) return std::nullopt;
   LeaseReply reply = HandleLeaseRequest(state_, request, BootClock::now());
   reply.configuration_version = environment_.configuration.version();
@@ -83,22 +91,27 @@
   CheckStore();
   UpdateMembers();
   ForgetLostHosts();
-  const bool in_transit = !state_.revoked_shards.empty() || !state_.revoked_upstreams.empty();
+  const bool in_transit =
+      !state_.revoked_shards.empty() || !state_.revoked_upstreams.empty();
   if (state_.attention || in_transit || now >= next_full_pass_) {
     state_.attention = false;
     next_full_pass_ = now + kFullPassInterval;
-    const MoveInputs inputs{environment_.platform_hosts, environment_.configuration.configuration()};
+    const MoveInputs inputs{environment_.platform_hosts,
+                            environment_.configuration.configuration()};
     if (AdvanceTable(state_, inputs, now)) {
       state_.attention = true;
       Publish();
     }
   }
-  if (state_.stored < state_.table.version && !storing_table_ && now >= next_store_try_) StoreTable();
+  if (state_.stored < state_.table.version && !storing_table_ &&
+      now >= next_store_try_)
+    StoreTable();
 }
 
 void ControllerRole::OnPlatformHosts() {
   std::set<std::string> listed;
-  for (const PlatformHost& host : environment_.platform_hosts) listed.insert(host.id);
+  for (const PlatformHost& host : environment_.platform_hosts)
+    listed.insert(host.id);
   state_.gone_members.clear();
   for (const std::string& member : state_.members) {
     int& missing = missing_from_list_[member];
@@ -111,7 +124,8 @@
 void ControllerRole::ReadTable() {
   storing_table_ = true;
   const std::string name = TableObjectName(environment_.settings.group);
-  environment_.platform.Get(name, [this, alive = alive_](const Result<StoredObject>& object) {
+  environment_.platform.Get(name, [this, alive = alive_](
+                                      const Result<StoredObject>& object) {
     if (!*alive) return;
     storing_table_ = false;
     next_store_try_ = environment_.loop.timers().now() + kStoreRetry;
@@ -138,44 +152,49 @@
 void ControllerRole::StoreTable() {
   storing_table_ = true;
   const TableVersion version = state_.table.version;
-  environment_.platform.Put(TableObjectName(environment_.settings.group), table_object_version_,
-                            EncodeTable(state_.table),
-                            [this, alive = alive_, version](const Result<uint64_t>& written) {
-                              if (*alive) OnTableStored(version, written);
-                            });
+  environment_.platform.Put(
+      TableObjectName(environment_.settings.group), table_object_version_,
+      EncodeTable(state_.table),
+      [this, alive = alive_, version](const Result<uint64_t>& written) {
+        if (*alive) OnTableStored(version, written);
+      });
 }
 
-void ControllerRole::OnTableStored(const TableVersion& version, const Result<uint64_t>& written) {
+void ControllerRole::OnTableStored(const TableVersion& version,
+                                   const Result<uint64_t>& written) {
   storing_table_ = false;
   const MonotonicTime now = environment_.loop.timers().now();
   if (!written.has_value()) {
     next_store_try_ = now + kStoreRetry;
     const ErrorCode code = written.error().code;
-    if (code != ErrorCode::kConflict && code != ErrorCode::kUnknownOutcome) return;
-    // Either an own write took effect without its reply, or another controller wrote.
+    if (code != ErrorCode::kConflict && code != ErrorCode::kUnknownOutcome)
+      return;
+    // Either an own write took effect without its reply, or another controller
+    // wrote.
     storing_table_ = true;
-    environment_.platform.Get(TableObjectName(environment_.settings.group),
-                              [this, alive = alive_](const Result<StoredObject>& object) {
-                                if (!*alive) return;
-                                storing_table_ = false;
-                                if (!object.has_value()) return;
-                                next_store_try_ = kNever;
-                                table_object_version_ = object.value().version;
-                                const auto table = DecodeTable(object.value().value);
-                                if (!table.has_value()) return;
-                                if (table.value().version.term > state_.term) {
-                                  superseded_ = true;
-                                  callbacks_.on_superseded();
-                                  return;
-                                }
-                                if (table.value().version.term == state_.term) {
-                                  state_.stored = std::max(state_.stored, table.value().version);
-                                  state_.attention = true;
-                                } else {
-                                  // The earlier controller moved on meanwhile: start from there.
-                                  started_ = false;
-                                }
-                              });
+    environment_.platform.Get(
+        TableObjectName(environment_.settings.group),
+        [this, alive = alive_](const Result<StoredObject>& object) {
+          if (!*alive) return;
+          storing_table_ = false;
+          if (!object.has_value()) return;
+          next_store_try_ = kNever;
+          table_object_version_ = object.value().version;
+          const auto table = DecodeTable(object.value().value);
+          if (!table.has_value()) return;
+          if (table.value().version.term > state_.term) {
+            superseded_ = true;
+            callbacks_.on_superseded();
+            return;
+          }
+          if (table.value().version.term == state_.term) {
+            state_.stored = std::max(state_.stored, table.value().version);
+            state_.attention = true;
+          } else {
+            // The earlier controller moved on meanwhile: start from there.
+            started_ = false;
+          }
+        });
     return;
   }
   table_object_version_ = written.value();
@@ -194,7 +213,8 @@
   for (const auto& [process, host] : state_.hosts) {
     if (process == environment_.process || host.address.empty()) continue;
     if (IsLost(state_, process, environment_.loop.timers().now())) continue;
-    environment_.transport.Send(environment_.transport.ConnectionTo(host.address), message);
+    environment_.transport.Send(
+        environment_.transport.ConnectionTo(host.address), message);
   }
   callbacks_.on_table(state_.table);
 }
@@ -203,7 +223,9 @@
   const MonotonicTime now = environment_.loop.timers().now();
   const bool down = now - last_store_success_ > kStoreDownAfter;
   if (down != state_.store_down) {
-    Log(LogPart::kController).warn("The store {}.", down ? "cannot be reached" : "can be reached again");
+    Log(LogPart::kController)
+        .warn("The store {}.",
+              down ? "cannot be reached" : "can be reached again");
     state_.store_down = down;
     // Without a standby nobody can have stood in.
     if (!down && state_.standby.empty()) state_.outage = false;
@@ -215,30 +237,31 @@
 }
 
 void ControllerRole::ReadRecord() {
-  environment_.platform.Get(ControlRecordName(environment_.settings.group),
-                            [this, alive = alive_](const Result<StoredObject>& object) {
-                              if (!*alive) return;
-                              checking_store_ = false;
-                              if (!object.has_value()) return;
-                              last_store_success_ = environment_.loop.timers().now();
-                              const auto record = DecodeControlRecord(object.value().value);
-                              if (!record.has_value()) return;
-                              if (record.value().term > state_.term) {
-                                superseded_ = true;
-                                callbacks_.on_superseded();
-                                return;
-                              }
-                              if (record.value().write_id != record_.write_id) return;
-                              record_version_ = object.value().version;
-                            });
+  environment_.platform.Get(
+      ControlRecordName(environment_.settings.group),
+      [this, alive = alive_](const Result<StoredObject>& object) {
+        if (!*alive) return;
+        checking_store_ = false;
+        if (!object.has_value()) return;
+        last_store_success_ = environment_.loop.timers().now();
+        const auto record = DecodeControlRecord(object.value().value);
+        if (!record.has_value()) return;
+        if (record.value().term > state_.term) {
+          superseded_ = true;
+          callbacks_.on_superseded();
+          return;
+        }
+        if (record.value().write_id != record_.write_id) return;
+        record_version_ = object.value().version;
+      });
 }
 
 std::string ControllerRole::ChooseStandby() const {
   const MonotonicTime now = environment_.loop.timers().now();
   const auto usable = [&](const std::string& process) {
     const auto host = state_.hosts.find(process);
-    return host != state_.hosts.end() && process != environment_.process && !host->second.leaving &&
-           !IsLost(state_, process, now);
+    return host != state_.hosts.end() && process != environment_.process &&
+           !host->second.leaving && !IsLost(state_, process, now);
   };
   if (usable(state_.standby)) return state_.standby;
   for (const auto& [process, host] : state_.hosts) {
@@ -259,7 +282,8 @@
   next.members = live;
   next.standby = standby;
   const auto host = state_.hosts.find(standby);
-  next.standby_address = host == state_.hosts.end() ? std::string() : host->second.address;
+  next.standby_address =
+      host == state_.hosts.end() ? std::string() : host->second.address;
   state_.proposed_members = live;
   WriteRecord(std::move(next));
 }
@@ -268,13 +292,16 @@
   writing_record_ = true;
   record.write_id = NewUniqueId();
   std::string encoded = EncodeControlRecord(record);
-  environment_.platform.Put(ControlRecordName(environment_.settings.group), record_version_, std::move(encoded),
-                            [this, alive = alive_, record](const Result<uint64_t>& written) {
-                              if (*alive) OnRecordWritten(record, written);
-                            });
+  environment_.platform.Put(
+      ControlRecordName(environment_.settings.group), record_version_,
+      std::move(encoded),
+      [this, alive = alive_, record](const Result<uint64_t>& written) {
+        if (*alive) OnRecordWritten(record, written);
+      });
 }
 
-void ControllerRole::OnRecordWritten(const ControlRecord& record, const Result<uint64_t>& written) {
+void ControllerRole::OnRecordWritten(const ControlRecord& record,
+                                     const Result<uint64_t>& written) {
   if (written.has_value()) {
     writing_record_ = false;
     record_ = record;
@@ -292,11 +319,14 @@
   }
   // The proposed members count until the record in the store shows which holds.
   environment_.platform.Get(
-      ControlRecordName(environment_.settings.group), [this, alive = alive_, record](const Result<StoredObject>& object) {
+      ControlRecordName(environment_.settings.group),
+      [this, alive = alive_, record](const Result<StoredObject>& object) {
         if (!*alive) return;
         if (!object.has_value()) {
           environment_.loop.timers().After(kStoreRetry, [this, alive, record] {
-            if (*alive) OnRecordWritten(record, MakeError(ErrorCode::kUnknownOutcome, "still unknown"));
+            if (*alive)
+              OnRecordWritten(record, MakeError(ErrorCode::kUnknownOutcome,
+                                                "still unknown"));
           });
           return;
         }
@@ -322,21 +352,26 @@
   next.write_id = NewUniqueId();
   writing_record_ = true;
   std::string encoded = EncodeControlRecord(next);
-  environment_.platform.Put(ControlRecordName(environment_.settings.group), record_version_, std::move(encoded),
-                            [this, alive = alive_, next](const Result<uint64_t>& written) {
-                              if (!*alive) return;
-                              writing_record_ = false;
-                              if (!written.has_value()) return;
-                              Log(LogPart::kController).info("Term {} is handed to {}.", next.term, next.controller);
-                              const ControllerNotice notice{next.term, next.controller, next.controller_address, "", ""};
-                              environment_.transport.SendDatagram(next.controller_address, notice);
-                            });
+  environment_.platform.Put(
+      ControlRecordName(environment_.settings.group), record_version_,
+      std::move(encoded),
+      [this, alive = alive_, next](const Result<uint64_t>& written) {
+        if (!*alive) return;
+        writing_record_ = false;
+        if (!written.has_value()) return;
+        Log(LogPart::kController)
+            .info("Term {} is handed to {}.", next.term, next.controller);
+        const ControllerNotice notice{next.term, next.controller,
+                                      next.controller_address, "", ""};
+        environment_.transport.SendDatagram(next.controller_address, notice);
+      });
 }
 
 void ControllerRole::ForgetLostHosts() {
   const MonotonicTime now = environment_.loop.timers().now();
   std::erase_if(state_.hosts, [now](const auto& entry) {
-    const MonotonicTime seen = std::max(entry.second.lease_until, entry.second.first_seen);
+    const MonotonicTime seen =
+        std::max(entry.second.lease_until, entry.second.first_seen);
     return seen + kLostHostMemory < now;
   });
 }
--- a/source/core/server/controller_role.h
+++ b/source/core/server/controller_role.h
@@ -1,5 +1,6 @@
-// The controller of a group while this host holds the term: answers lease requests, advances the
-// ownership table, stores it, and sends it to the group's hosts.
+// The controller of a group while this host holds the term: answers lease
+// requests, advances the ownership table, stores it, and sends it to the
+// group's hosts.
 #pragma once
 
 #include <functional>
@@ -41,20 +42,26 @@
     std::function<void()> on_superseded;
   };
 
-  // `record` was written at `record_version` of its object and names this host. `known_table` is the
-  // newest table that this host has; `was_in_charge` tells that it was controller or standby before.
-  ControllerRole(Environment environment, Callbacks callbacks, ControlRecord record, uint64_t record_version,
+  // `record` was written at `record_version` of its object and names this host.
+  // `known_table` is the newest table that this host has; `was_in_charge` tells
+  // that it was controller or standby before.
+  ControllerRole(Environment environment, Callbacks callbacks,
+                 ControlRecord record, uint64_t record_version,
                  OwnershipTable known_table, bool was_in_charge);
 
-  // A standby that stands in for the controller of `record` during a store outage.
-  static std::unique_ptr<ControllerRole> StandIn(Environment environment, Callbacks callbacks,
-                                                 const ControlRecord& record, OwnershipTable known_table);
+  // A standby that stands in for the controller of `record` during a store
+  // outage.
+  static std::unique_ptr<ControllerRole> StandIn(Environment environment,
+                                                 Callbacks callbacks,
+                                                 const ControlRecord& record,
+                                                 OwnershipTable known_table);
 
   ~ControllerRole();
   ControllerRole(const ControllerRole&) = delete;
   ControllerRole& operator=(const ControllerRole&) = delete;
 
-  // Returns the reply to a request of this term, or nothing while the term's table is not stored yet.
+  // Returns the reply to a request of this term, or nothing while the term's
+  // table is not stored yet.
   std::optional<LeaseReply> OnLeaseRequest(const LeaseRequest& request);
 
   // To be called with each list of the platform that was read.
@@ -63,7 +70,8 @@
   // To be called at short intervals.
   void Tick();
 
-  // Gives the term to the standby, as before a planned stop. Does nothing without a standby.
+  // Gives the term to the standby, as before a planned stop. Does nothing
+  // without a standby.
   void HandOver();
 
   const ControllerState& state() const { return state_; }
@@ -72,12 +80,14 @@
  private:
   void ReadTable();
   void StoreTable();
-  void OnTableStored(const TableVersion& version, const Result<uint64_t>& written);
+  void OnTableStored(const TableVersion& version,
+                     const Result<uint64_t>& written);
   void Publish();
   void CheckStore();
   void UpdateMembers();
   void WriteRecord(ControlRecord record);
-  void OnRecordWritten(const ControlRecord& record, const Result<uint64_t>& written);
+  void OnRecordWritten(const ControlRecord& record,
+                       const Result<uint64_t>& written);
   void ReadRecord();
   std::string ChooseStandby() const;
   void ForgetLostHosts();
@@ -87,7 +97,8 @@
   ControlRecord record_;
   uint64_t record_version_;
   ControllerState state_;
-  // False until the first table of the term is in the store; no lease is given before.
+  // False until the first table of the term is in the store; no lease is given
+  // before.
   bool started_ = false;
   uint64_t table_object_version_ = kNoObject;
   bool storing_table_ = false;
@@ -99,7 +110,8 @@
   MonotonicTime next_member_check_ = kNever;
   MonotonicTime next_full_pass_ = kNever;
   MonotonicTime next_store_try_ = kNever;
-  // Host ids missing from the platform's list, with the number of lists that lacked them.
+  // Host ids missing from the platform's list, with the number of lists that
+  // lacked them.
   std::map<std::string, int> missing_from_list_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
