--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -15,28 +15,37 @@
 constexpr Duration kLedgerFetchTimeout = std::chrono::milliseconds(400);
 constexpr Duration kReplicaRetryInterval = std::chrono::milliseconds(50);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
-// Retry times are spread by up to this part, so that refused callers do not return together.
+// Retry times are spread by up to this part, so that refused callers do not
+// return together.
 constexpr double kRetryJitter = 0.5;
 constexpr int kConflictStatus = 409;
 
 LedgerLimits LimitsOf(const Settings& settings) {
-  return {static_cast<size_t>(settings.ledger_entries), static_cast<size_t>(settings.ledger_response_bytes),
+  return {static_cast<size_t>(settings.ledger_entries),
+          static_cast<size_t>(settings.ledger_response_bytes),
           settings.ledger_retention};
 }
 
-// An id given by the caller is remembered; one made by the ingress is never sent again.
-bool IsRecorded(const DispatchRequest& message) { return !message.idempotent && message.has_key; }
+// An id given by the caller is remembered; one made by the ingress is never
+// sent again.
+bool IsRecorded(const DispatchRequest& message) {
+  return !message.idempotent && message.has_key;
+}
 
-uint64_t FlowOf(const DispatchRequest& message) { return HashText(message.tenant, message.shard); }
+uint64_t FlowOf(const DispatchRequest& message) {
+  return HashText(message.tenant, message.shard);
+}
 
 size_t RankIndex(const SchedulerState& scheduler, const std::string& rank) {
   for (size_t i = 0; i < scheduler.ranks.size(); ++i) {
     if (scheduler.ranks[i].name == rank) return i;
   }
-  return scheduler.ranks.size() - 1;  // A rank that was removed meanwhile counts as the least urgent.
+  return scheduler.ranks.size() -
+         1;  // A rank that was removed meanwhile counts as the least urgent.
 }
 
-DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome, std::string detail) {
+DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome,
+                        std::string detail) {
   DispatchReply reply;
   reply.status = static_cast<uint8_t>(status);
   reply.outcome = static_cast<uint8_t>(outcome);
@@ -50,16 +59,19 @@
     : environment_(std::move(environment)),
       ledger_(LimitsOf(environment_.settings)),
       replication_(environment_.loop, environment_.transport, ledger_,
-                   {environment_.process, LimitsOf(environment_.settings), kReplicaRetryInterval}),
+                   {environment_.process, LimitsOf(environment_.settings),
+                    kReplicaRetryInterval}),
       intake_(environment_.loop, environment_.transport, ledger_,
-              {environment_.process, kLedgerFetchTimeout, environment_.settings.ledger_retention},
+              {environment_.process, kLedgerFetchTimeout,
+               environment_.settings.ledger_retention},
               [this] { RetryAwaitingLedger(); }) {}
 
 Dispatcher::~Dispatcher() = default;
 
 Duration Dispatcher::LeaseLeft() const {
   // Read anew: after a freeze the loop's time is older than the lease's end.
-  return std::max<Duration>(environment_.member.lease_until - BootClock::now(), Duration::zero());
+  return std::max<Duration>(environment_.member.lease_until - BootClock::now(),
+                            Duration::zero());
 }
 
 void Dispatcher::OnConfiguration(const Configuration& configuration) {
@@ -67,8 +79,10 @@
   for (auto& [id, upstream] : upstreams_) {
     const auto service = configuration_.services.find(upstream.service);
     if (service == configuration_.services.end()) continue;
-    for (const WaitingRequest& orphan : Reconfigure(upstream.scheduler, service->second)) {
-      FinishUnsent(orphan.ticket, DispatchStatus::kRefused, "the rank was removed", kLeastRetryAfter);
+    for (const WaitingRequest& orphan :
+         Reconfigure(upstream.scheduler, service->second)) {
+      FinishUnsent(orphan.ticket, DispatchStatus::kRefused,
+                   "the rank was removed", kLeastRetryAfter);
     }
     upstream.link->GrowTo(service->second.slots);
   }
@@ -83,10 +97,12 @@
     const auto service = configuration_.services.find(entry.service);
     if (service == configuration_.services.end()) continue;
     if (known == upstreams_.end() && !dispatching) continue;
-    const auto address = ParseSocketAddress(RouteAddress(environment_.settings.routes, entry.address));
+    const auto address = ParseSocketAddress(
+        RouteAddress(environment_.settings.routes, entry.address));
     if (!address.has_value()) continue;
     Upstream& upstream = upstreams_[entry.id];
-    if (upstream.link == nullptr || !(upstream.link->options().address == address.value())) {
+    if (upstream.link == nullptr ||
+        !(upstream.link->options().address == address.value())) {
       const ServiceConfiguration& settings = service->second;
       FailSent(entry.id);
       UpstreamLinkOptions options;
@@ -97,18 +113,23 @@
       options.checks_grants = settings.upstreams_check_grants;
       options.divided_by_key = settings.divided_by_key;
       options.slots = settings.slots;
-      options.max_response_bytes = static_cast<size_t>(environment_.settings.max_response_bytes);
+      options.max_response_bytes =
+          static_cast<size_t>(environment_.settings.max_response_bytes);
       options.timing = environment_.member.timing;
-      upstream.link = std::make_unique<UpstreamLink>(environment_.loop, std::move(options));
+      upstream.link =
+          std::make_unique<UpstreamLink>(environment_.loop, std::move(options));
       upstream.link->set_on_change([this] {
         if (on_change_) on_change_();
       });
       upstream.service = entry.service;
-      upstream.scheduler = MakeScheduler(settings, static_cast<size_t>(environment_.settings.max_queue_per_upstream),
-                                         environment_.loop.timers().now());
+      upstream.scheduler = MakeScheduler(
+          settings,
+          static_cast<size_t>(environment_.settings.max_queue_per_upstream),
+          environment_.loop.timers().now());
     }
     ShardSet shards = dispatching ? OwnedShards(table_, entry) : ShardSet();
-    upstream.link->SetAssignment(table_.version, std::move(shards), dispatching);
+    upstream.link->SetAssignment(table_.version, std::move(shards),
+                                 dispatching);
     upstream.link->Renew(LeaseLeft());
   }
   replication_.OnTable(table_);
@@ -118,43 +139,54 @@
 
 bool Dispatcher::Serves(const std::string& service, uint32_t shard) const {
   const TableUpstream* owner = OwnerOf(table_, service, shard);
-  return owner != nullptr && owner->dispatcher == environment_.process && LeaseLeft() > Duration::zero();
+  return owner != nullptr && owner->dispatcher == environment_.process &&
+         LeaseLeft() > Duration::zero();
 }
 
 Dispatcher::Upstream* Dispatcher::UpstreamFor(const DispatchRequest& message) {
   const MonotonicTime now = environment_.loop.timers().now();
   const TableUpstream* owner = OwnerOf(table_, message.service, message.shard);
-  if (owner == nullptr || owner->dispatcher != environment_.process) return nullptr;
+  if (owner == nullptr || owner->dispatcher != environment_.process)
+    return nullptr;
   const auto found = upstreams_.find(owner->id);
   if (found == upstreams_.end()) return nullptr;
   const auto service = configuration_.services.find(message.service);
   if (service == configuration_.services.end()) return nullptr;
   if (service->second.divided_by_key) return &found->second;
-  // Work that is not bound to a key goes to the upstream with the shortest queue here.
+  // Work that is not bound to a key goes to the upstream with the shortest
+  // queue here.
   Upstream* best = nullptr;
   for (auto& [id, upstream] : upstreams_) {
-    if (upstream.service != message.service || !upstream.link->MayRun(message.shard, now)) continue;
-    const size_t load = WaitingCount(upstream.scheduler) + upstream.link->in_flight();
-    if (best == nullptr || load < WaitingCount(best->scheduler) + best->link->in_flight()) best = &upstream;
+    if (upstream.service != message.service ||
+        !upstream.link->MayRun(message.shard, now))
+      continue;
+    const size_t load =
+        WaitingCount(upstream.scheduler) + upstream.link->in_flight();
+    if (best == nullptr ||
+        load < WaitingCount(best->scheduler) + best->link->in_flight())
+      best = &upstream;
   }
   return best == nullptr ? &found->second : best;
 }
 
-void Dispatcher::Handle(uint64_t handle, DispatchRequest request, ReplyCallback reply) {
+void Dispatcher::Handle(uint64_t handle, DispatchRequest request,
+                        ReplyCallback reply) {
   Request& added = requests_[handle];
   const MonotonicTime now = environment_.loop.timers().now();
   added.message = std::move(request);
   added.reply = std::move(reply);
   added.waiting.ticket = handle;
   added.waiting.arrived = now;
-  added.waiting.deadline = now + std::chrono::microseconds(added.message.time_left_us);
+  added.waiting.deadline =
+      now + std::chrono::microseconds(added.message.time_left_us);
   Admit(handle);
 }
 
 void Dispatcher::Admit(uint64_t handle) {
   const DispatchRequest& message = requests_.at(handle).message;
   if (!Serves(message.service, message.shard)) {
-    FinishUnsent(handle, DispatchStatus::kNoOwner, "this host does not serve the key now", Duration::zero());
+    FinishUnsent(handle, DispatchStatus::kNoOwner,
+                 "this host does not serve the key now", Duration::zero());
     return;
   }
   if (IsRecorded(message) && !CheckLedger(handle)) return;
@@ -166,17 +198,22 @@
   Request& request = requests_.at(handle);
   const DispatchRequest& message = request.message;
   const MonotonicTime now = environment_.loop.timers().now();
-  const LedgerReadiness readiness = intake_.ReadinessOf(message.service, message.shard, now);
+  const LedgerReadiness readiness =
+      intake_.ReadinessOf(message.service, message.shard, now);
   if (readiness == LedgerReadiness::kFetching) {
     request.stage = Stage::kAwaitingLedger;
     return false;
   }
-  if (readiness == LedgerReadiness::kIncomplete && ledger_.Find(message.service, message.id) == nullptr) {
-    Finish(handle, MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                             "the record of earlier requests with this key was lost with the hosts that kept it"));
+  if (readiness == LedgerReadiness::kIncomplete &&
+      ledger_.Find(message.service, message.id) == nullptr) {
+    Finish(handle,
+           MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+                     "the record of earlier requests with this key was lost "
+                     "with the hosts that kept it"));
     return false;
   }
-  switch (ledger_.Begin(message.service, message.id, message.shard, FingerprintOf(message), now)) {
+  switch (ledger_.Begin(message.service, message.id, message.shard,
+                        FingerprintOf(message), now)) {
     case LedgerVerdict::kNew:
       return true;
     case LedgerVerdict::kRunning:
@@ -187,11 +224,14 @@
       AnswerFromLedger(handle, *ledger_.Find(message.service, message.id));
       return false;
     case LedgerVerdict::kMismatch:
-      Finish(handle, MakeReply(DispatchStatus::kConflict, RequestOutcome::kNotRun,
-                               "this Idempotency-Key was used for a different request"));
+      Finish(
+          handle,
+          MakeReply(DispatchStatus::kConflict, RequestOutcome::kNotRun,
+                    "this Idempotency-Key was used for a different request"));
       return false;
     case LedgerVerdict::kFull:
-      FinishUnsent(handle, DispatchStatus::kRefused, "the record of non-idempotent requests is full",
+      FinishUnsent(handle, DispatchStatus::kRefused,
+                   "the record of non-idempotent requests is full",
                    std::chrono::seconds(1));
       return false;
   }
@@ -203,13 +243,16 @@
   DispatchReply reply = MakeReply(DispatchStatus::kAnswered, outcome, "");
   if (outcome != RequestOutcome::kRan) {
     reply.status = static_cast<uint8_t>(DispatchStatus::kUpstreamLost);
-    reply.detail = "an earlier request with this Idempotency-Key has an unknown outcome";
+    reply.detail =
+        "an earlier request with this Idempotency-Key has an unknown outcome";
   }
   reply.replayed = true;
   reply.http_status = record.http_status;
-  if (!record.content_type.empty()) reply.headers.push_back({"content-type", record.content_type});
+  if (!record.content_type.empty())
+    reply.headers.push_back({"content-type", record.content_type});
   reply.body = record.body;
-  if (!record.body_kept) reply.detail = "the earlier request ran; its response is not kept";
+  if (!record.body_kept)
+    reply.detail = "the earlier request ran; its response is not kept";
   Finish(handle, std::move(reply));
 }
 
@@ -219,22 +262,28 @@
   Upstream* upstream = UpstreamFor(request.message);
   if (upstream == nullptr) {
     ForgetUnrun(request.message);
-    FinishUnsent(handle, DispatchStatus::kNoOwner, "the key's upstream is not known here", Duration::zero());
+    FinishUnsent(handle, DispatchStatus::kNoOwner,
+                 "the key's upstream is not known here", Duration::zero());
     return;
   }
   request.upstream = upstream->link->upstream();
   request.waiting.rank = RankIndex(upstream->scheduler, request.message.rank);
   request.waiting.flow = FlowOf(request.message);
-  const AdmissionVerdict verdict = Offer(upstream->scheduler, request.waiting, now);
+  const AdmissionVerdict verdict =
+      Offer(upstream->scheduler, request.waiting, now);
   if (!verdict.admitted) {
-    if (IsRecorded(request.message)) ledger_.Forget(request.message.service, request.message.id);
-    FinishUnsent(handle, DispatchStatus::kRefused, "the request could not be served in time", verdict.retry_after);
+    if (IsRecorded(request.message))
+      ledger_.Forget(request.message.service, request.message.id);
+    FinishUnsent(handle, DispatchStatus::kRefused,
+                 "the request could not be served in time",
+                 verdict.retry_after);
     return;
   }
   request.stage = Stage::kQueued;
   const std::string upstream_id = request.upstream;
   if (IsRecorded(request.message)) {
-    const LedgerRecord* record = ledger_.Find(request.message.service, request.message.id);
+    const LedgerRecord* record =
+        ledger_.Find(request.message.service, request.message.id);
     replication_.Replicate(*record, [this, handle] { OnReplicated(handle); });
   }
   SendWaiting(upstream_id);
@@ -245,7 +294,8 @@
   if (found == requests_.end()) return;
   Request& request = found->second;
   request.replicated = true;
-  if (request.stage == Stage::kAwaitingReplica) SendNow(handle, upstreams_.at(request.upstream));
+  if (request.stage == Stage::kAwaitingReplica)
+    SendNow(handle, upstreams_.at(request.upstream));
 }
 
 void Dispatcher::SendWaiting(const std::string& upstream_id) {
@@ -271,41 +321,51 @@
   const DispatchRequest& message = request.message;
   const MonotonicTime now = BootClock::now();
   request.sent_at = now;
-  const bool allowed = LeaseLeft() > Duration::zero() && upstream.link->MayRun(message.shard, now);
+  const bool allowed = LeaseLeft() > Duration::zero() &&
+                       upstream.link->MayRun(message.shard, now);
   const bool late = now >= request.waiting.deadline;
   if (!allowed || late || !upstream.link->HasFreeConnection()) {
     ReleaseSlot(request, false);
     ForgetUnrun(message);
-    FinishUnsent(handle, late ? DispatchStatus::kDeadline : DispatchStatus::kNoOwner,
-                 late ? "the deadline passed before the request was sent" : "the key's upstream cannot be used now",
+    FinishUnsent(handle,
+                 late ? DispatchStatus::kDeadline : DispatchStatus::kNoOwner,
+                 late ? "the deadline passed before the request was sent"
+                      : "the key's upstream cannot be used now",
                  Duration::zero());
     return;
   }
-  environment_.metrics.ObserveWait(message.service, message.rank, now - request.waiting.arrived);
+  environment_.metrics.ObserveWait(message.service, message.rank,
+                                   now - request.waiting.arrived);
   request.stage = Stage::kSent;
   ClientRequest outgoing;
   outgoing.method = message.method;
   outgoing.path = message.path;
-  for (const WireHeader& header : message.headers) outgoing.headers.push_back({header.name, header.value});
-  if (message.has_key) outgoing.headers.push_back({kIdempotencyKeyHeader, message.id});
+  for (const WireHeader& header : message.headers)
+    outgoing.headers.push_back({header.name, header.value});
+  if (message.has_key)
+    outgoing.headers.push_back({kIdempotencyKeyHeader, message.id});
   outgoing.body = message.body;
   outgoing.timeout = request.waiting.deadline - now;
   const std::string request_id = message.id + "." + std::to_string(handle);
   upstream.link->Send(message.shard, request_id, std::move(outgoing),
-                      [this, handle, upstream_id = upstream.link->upstream()](UpstreamAnswer answer) {
+                      [this, handle, upstream_id = upstream.link->upstream()](
+                          UpstreamAnswer answer) {
                         OnAnswer(handle, upstream_id, std::move(answer));
                       });
 }
 
-// The upstream came back under another address: what was sent to the old one gets no answer.
+// The upstream came back under another address: what was sent to the old one
+// gets no answer.
 void Dispatcher::FailSent(const std::string& upstream_id) {
   std::vector<uint64_t> sent;
   for (const auto& [handle, request] : requests_) {
-    if (request.stage == Stage::kSent && request.upstream == upstream_id) sent.push_back(handle);
+    if (request.stage == Stage::kSent && request.upstream == upstream_id)
+      sent.push_back(handle);
   }
   for (const uint64_t handle : sent) {
-    const DispatchReply reply = MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                                          "the upstream was replaced while it ran the request");
+    const DispatchReply reply =
+        MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+                  "the upstream was replaced while it ran the request");
     RecordOutcome(requests_.at(handle).message, reply);
     Finish(handle, reply);
   }
@@ -315,10 +375,12 @@
   const auto upstream = upstreams_.find(request.upstream);
   if (upstream == upstreams_.end()) return;
   const MonotonicTime now = BootClock::now();
-  OnFinished(upstream->second.scheduler, request.waiting.rank, now - request.sent_at, completed, now);
+  OnFinished(upstream->second.scheduler, request.waiting.rank,
+             now - request.sent_at, completed, now);
 }
 
-void Dispatcher::OnAnswer(uint64_t handle, const std::string& upstream_id, UpstreamAnswer answer) {
+void Dispatcher::OnAnswer(uint64_t handle, const std::string& upstream_id,
+                          UpstreamAnswer answer) {
   const Request& request = requests_.at(handle);
   ReleaseSlot(request, answer.complete);
   DispatchReply reply;
@@ -326,28 +388,35 @@
     reply = MakeReply(DispatchStatus::kAnswered, RequestOutcome::kRan, "");
     reply.http_status = answer.response.status;
     for (const HttpHeader& header : answer.response.headers) {
-      if (header.name == "content-length" || header.name == "transfer-encoding") continue;
+      if (header.name == "content-length" || header.name == "transfer-encoding")
+        continue;
       if (header.name == kRequestIdHeader) continue;
       reply.headers.push_back({header.name, header.value});
     }
     reply.body = std::move(answer.response.body);
   } else if (answer.complete) {
     const bool not_owner = answer.response.status == kConflictStatus;
-    reply = MakeReply(not_owner ? DispatchStatus::kNoOwner : DispatchStatus::kRefused, RequestOutcome::kNotRun,
-                      "the upstream refused the request unrun");
-    reply.retry_after_ms = static_cast<int32_t>(ToMilliseconds(kLeastRetryAfter));
+    reply = MakeReply(
+        not_owner ? DispatchStatus::kNoOwner : DispatchStatus::kRefused,
+        RequestOutcome::kNotRun, "the upstream refused the request unrun");
+    reply.retry_after_ms =
+        static_cast<int32_t>(ToMilliseconds(kLeastRetryAfter));
   } else if (answer.response.failure == ClientFailure::kTimeout) {
-    reply = MakeReply(DispatchStatus::kDeadline, answer.outcome, "the deadline passed before the upstream answered");
+    reply = MakeReply(DispatchStatus::kDeadline, answer.outcome,
+                      "the deadline passed before the upstream answered");
   } else {
-    reply = MakeReply(DispatchStatus::kUpstreamLost, answer.outcome,
-                      "the upstream's connection failed: " + std::string(ClientFailureName(answer.response.failure)));
+    reply =
+        MakeReply(DispatchStatus::kUpstreamLost, answer.outcome,
+                  "the upstream's connection failed: " +
+                      std::string(ClientFailureName(answer.response.failure)));
   }
   RecordOutcome(request.message, reply);
   Finish(handle, std::move(reply));
   SendWaiting(upstream_id);
 }
 
-void Dispatcher::RecordOutcome(const DispatchRequest& message, const DispatchReply& reply) {
+void Dispatcher::RecordOutcome(const DispatchRequest& message,
+                               const DispatchReply& reply) {
   if (!IsRecorded(message)) return;
   const auto outcome = static_cast<RequestOutcome>(reply.outcome);
   if (outcome == RequestOutcome::kNotRun) {
@@ -358,7 +427,8 @@
   for (const WireHeader& header : reply.headers) {
     if (header.name == "content-type") content_type = header.value;
   }
-  ledger_.Finish(message.service, message.id, outcome, reply.http_status, content_type, reply.body);
+  ledger_.Finish(message.service, message.id, outcome, reply.http_status,
+                 content_type, reply.body);
   replication_.Replicate(*ledger_.Find(message.service, message.id), [] {});
 }
 
@@ -366,7 +436,8 @@
   if (!IsRecorded(message)) return;
   const LedgerRecord* found = ledger_.Find(message.service, message.id);
   if (found == nullptr) return;
-  // The replica is told as well, or the next dispatcher would have to call the outcome unknown.
+  // The replica is told as well, or the next dispatcher would have to call the
+  // outcome unknown.
   LedgerRecord record = *found;
   record.finished = true;
   record.outcome = static_cast<uint8_t>(RequestOutcome::kNotRun);
@@ -374,12 +445,15 @@
   replication_.Replicate(record, [] {});
 }
 
-void Dispatcher::FinishUnsent(uint64_t handle, DispatchStatus status, const std::string& detail,
-                              Duration retry_after) {
+void Dispatcher::FinishUnsent(uint64_t handle, DispatchStatus status,
+                              const std::string& detail, Duration retry_after) {
   DispatchReply reply = MakeReply(status, RequestOutcome::kNotRun, detail);
   if (retry_after > Duration::zero()) {
-    const double jitter = 1.0 + kRetryJitter * static_cast<double>(HashText("", handle) % 1000) / 1000.0;
-    const auto milliseconds = static_cast<double>(ToMilliseconds(std::max(retry_after, kLeastRetryAfter)));
+    const double jitter =
+        1.0 + kRetryJitter * static_cast<double>(HashText("", handle) % 1000) /
+                  1000.0;
+    const auto milliseconds = static_cast<double>(
+        ToMilliseconds(std::max(retry_after, kLeastRetryAfter)));
     reply.retry_after_ms = static_cast<int32_t>(milliseconds * jitter);
   }
   Finish(handle, std::move(reply));
@@ -391,15 +465,18 @@
   const Request request = std::move(found->second);
   requests_.erase(found);
   if (!request.reply_dropped) request.reply(std::move(reply));
-  if (IsRecorded(request.message) && request.stage != Stage::kJoined) AnswerJoined(request.message);
+  if (IsRecorded(request.message) && request.stage != Stage::kJoined)
+    AnswerJoined(request.message);
 }
 
 void Dispatcher::AnswerJoined(const DispatchRequest& message) {
   const auto range = joined_.equal_range({message.service, message.id});
   std::vector<uint64_t> handles;
-  for (auto it = range.first; it != range.second; ++it) handles.push_back(it->second);
+  for (auto it = range.first; it != range.second; ++it)
+    handles.push_back(it->second);
   joined_.erase(range.first, range.second);
-  // The first of them may become the one that runs, when the earlier request was not run.
+  // The first of them may become the one that runs, when the earlier request
+  // was not run.
   for (const uint64_t handle : handles) {
     if (requests_.count(handle) != 0) Admit(handle);
   }
@@ -423,9 +500,11 @@
     case Stage::kAwaitingReplica:
       return;  // Goes on: its slot is taken already.
     case Stage::kSent:
-      // Non-idempotent work goes on, so that its outcome is known when the caller asks again.
+      // Non-idempotent work goes on, so that its outcome is known when the
+      // caller asks again.
       if (!request.message.idempotent) return;
-      upstreams_.at(request.upstream).link->Abort(request.message.id + "." + std::to_string(handle));
+      upstreams_.at(request.upstream)
+          .link->Abort(request.message.id + "." + std::to_string(handle));
       return;
   }
 }
@@ -433,8 +512,11 @@
 void Dispatcher::DropRevoked() {
   std::vector<uint64_t> revoked;
   for (const auto& [handle, request] : requests_) {
-    if (request.stage != Stage::kQueued && request.stage != Stage::kAwaitingLedger) continue;
-    if (!Serves(request.message.service, request.message.shard)) revoked.push_back(handle);
+    if (request.stage != Stage::kQueued &&
+        request.stage != Stage::kAwaitingLedger)
+      continue;
+    if (!Serves(request.message.service, request.message.shard))
+      revoked.push_back(handle);
   }
   for (const uint64_t handle : revoked) {
     const auto found = requests_.find(handle);
@@ -444,7 +526,8 @@
       RemoveWaiting(upstreams_.at(request.upstream).scheduler, request.waiting);
       ForgetUnrun(request.message);
     }
-    FinishUnsent(handle, DispatchStatus::kNoOwner, "the key moved to another upstream", Duration::zero());
+    FinishUnsent(handle, DispatchStatus::kNoOwner,
+                 "the key moved to another upstream", Duration::zero());
   }
 }
 
@@ -464,10 +547,12 @@
   std::vector<uint64_t> expired;
   for (auto& [id, upstream] : upstreams_) {
     upstream.link->Renew(lease_left);
-    for (const WaitingRequest& request : TakeExpired(upstream.scheduler, now)) expired.push_back(request.ticket);
+    for (const WaitingRequest& request : TakeExpired(upstream.scheduler, now))
+      expired.push_back(request.ticket);
   }
   for (const auto& [handle, request] : requests_) {
-    const bool waits = request.stage == Stage::kAwaitingLedger || request.stage == Stage::kJoined ||
+    const bool waits = request.stage == Stage::kAwaitingLedger ||
+                       request.stage == Stage::kJoined ||
                        request.stage == Stage::kAwaitingReplica;
     if (waits && request.waiting.deadline <= now) expired.push_back(handle);
   }
@@ -476,13 +561,16 @@
     if (found == requests_.end()) continue;
     const Request& request = found->second;
     if (request.stage == Stage::kJoined) {
-      Finish(handle, MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
-                               "the deadline passed while an earlier request with this id was running"));
+      Finish(handle,
+             MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
+                       "the deadline passed while an earlier request with this "
+                       "id was running"));
       continue;
     }
     if (request.stage == Stage::kAwaitingReplica) ReleaseSlot(request, false);
     if (request.stage != Stage::kAwaitingLedger) ForgetUnrun(request.message);
-    FinishUnsent(handle, DispatchStatus::kDeadline, "the deadline passed before the request was sent",
+    FinishUnsent(handle, DispatchStatus::kDeadline,
+                 "the deadline passed before the request was sent",
                  kLeastRetryAfter);
   }
   ledger_.Expire(now);
@@ -493,9 +581,12 @@
   const MonotonicTime now = environment_.loop.timers().now();
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
     const TableUpstream* entry = FindUpstream(table_, it->first);
-    const bool given_away = entry != nullptr && !entry->dispatcher.empty() && entry->dispatcher != environment_.process;
-    // The successor has started, so the controller has seen this host's last report.
-    if (given_away && it->second.link->in_flight() == 0 && WaitingCount(it->second.scheduler) == 0) {
+    const bool given_away = entry != nullptr && !entry->dispatcher.empty() &&
+                            entry->dispatcher != environment_.process;
+    // The successor has started, so the controller has seen this host's last
+    // report.
+    if (given_away && it->second.link->in_flight() == 0 &&
+        WaitingCount(it->second.scheduler) == 0) {
       it = upstreams_.erase(it);
       continue;
     }
@@ -505,16 +596,21 @@
   return reports;
 }
 
-void Dispatcher::OnLedgerUpdate(ConnectionId connection, const LedgerUpdate& update) {
+void Dispatcher::OnLedgerUpdate(ConnectionId connection,
+                                const LedgerUpdate& update) {
   replication_.OnUpdate(connection, update);
 }
 
 void Dispatcher::OnLedgerAck(const LedgerAck& ack) { replication_.OnAck(ack); }
 
-void Dispatcher::OnLedgerFetch(ConnectionId connection, const LedgerFetch& fetch) {
+void Dispatcher::OnLedgerFetch(ConnectionId connection,
+                               const LedgerFetch& fetch) {
   std::set<ShardId> shards;
-  for (const ShardReference& shard : fetch.shards) shards.insert({shard.service, shard.shard});
-  const auto wanted = [&](const LedgerRecord& record) { return shards.count({record.service, record.shard}) != 0; };
+  for (const ShardReference& shard : fetch.shards)
+    shards.insert({shard.service, shard.shard});
+  const auto wanted = [&](const LedgerRecord& record) {
+    return shards.count({record.service, record.shard}) != 0;
+  };
   LedgerEntries entries;
   if (fetch.host == environment_.process) {
     entries.complete = true;
@@ -526,8 +622,12 @@
   environment_.transport.Send(connection, entries);
 }
 
-void Dispatcher::OnLedgerEntries(const LedgerEntries& entries) { intake_.OnEntries(entries); }
+void Dispatcher::OnLedgerEntries(const LedgerEntries& entries) {
+  intake_.OnEntries(entries);
+}
 
-void Dispatcher::OnDisconnected(ConnectionId connection) { replication_.OnDisconnected(connection); }
+void Dispatcher::OnDisconnected(ConnectionId connection) {
+  replication_.OnDisconnected(connection);
+}
 
 }  // namespace mimosadeal
--- a/source/core/server/dispatcher.h
+++ b/source/core/server/dispatcher.h
@@ -1,5 +1,6 @@
-// The dispatcher: the only sender to the upstreams that are assigned to this host. It queues by rank,
-// keeps the ledger of non-idempotent requests, and renews the upstreams' grants.
+// The dispatcher: the only sender to the upstreams that are assigned to this
+// host. It queues by rank, keeps the ledger of non-idempotent requests, and
+// renews the upstreams' grants.
 #pragma once
 
 #include <cstdint>
@@ -48,18 +49,23 @@
   // True when this host may send requests of `shard` by its table and lease.
   bool Serves(const std::string& service, uint32_t shard) const;
 
-  // Takes a request; `reply` runs exactly once, unless the request is cancelled.
-  // `handle` names the request for Cancel and must be unique among those not yet answered.
+  // Takes a request; `reply` runs exactly once, unless the request is
+  // cancelled. `handle` names the request for Cancel and must be unique among
+  // those not yet answered.
   void Handle(uint64_t handle, DispatchRequest request, ReplyCallback reply);
-  // The caller has gone: drops the request if it waits, and stops it if it runs and is idempotent.
+  // The caller has gone: drops the request if it waits, and stops it if it runs
+  // and is idempotent.
   void Cancel(uint64_t handle);
 
-  // To be called at short intervals: renews grants and drops requests whose deadline has passed.
+  // To be called at short intervals: renews grants and drops requests whose
+  // deadline has passed.
   void Tick();
 
   std::vector<UpstreamReport> Reports();
   // Runs when a report would differ from the one before.
-  void set_on_change(std::function<void()> on_change) { on_change_ = std::move(on_change); }
+  void set_on_change(std::function<void()> on_change) {
+    on_change_ = std::move(on_change);
+  }
 
   void OnLedgerUpdate(ConnectionId connection, const LedgerUpdate& update);
   void OnLedgerAck(const LedgerAck& ack);
@@ -73,10 +79,11 @@
 
  private:
   enum class Stage : uint8_t {
-    kAwaitingLedger,   // The shard's ledger is being fetched.
-    kJoined,           // Waits for the outcome of an earlier request with the same id.
+    kAwaitingLedger,  // The shard's ledger is being fetched.
+    kJoined,  // Waits for the outcome of an earlier request with the same id.
     kQueued,
-    kAwaitingReplica,  // Chosen to be sent; its ledger entry is not replicated yet.
+    kAwaitingReplica,  // Chosen to be sent; its ledger entry is not replicated
+                       // yet.
     kSent,
   };
 
@@ -105,13 +112,16 @@
   void SendWaiting(const std::string& upstream_id);
   void SendNow(uint64_t handle, Upstream& upstream);
   void OnReplicated(uint64_t handle);
-  void OnAnswer(uint64_t handle, const std::string& upstream_id, UpstreamAnswer answer);
+  void OnAnswer(uint64_t handle, const std::string& upstream_id,
+                UpstreamAnswer answer);
   void FailSent(const std::string& upstream_id);
   void ReleaseSlot(const Request& request, bool completed);
   // Ends a request that was certainly not sent.
-  void FinishUnsent(uint64_t handle, DispatchStatus status, const std::string& detail, Duration retry_after);
+  void FinishUnsent(uint64_t handle, DispatchStatus status,
+                    const std::string& detail, Duration retry_after);
   void Finish(uint64_t handle, DispatchReply reply);
-  void RecordOutcome(const DispatchRequest& message, const DispatchReply& reply);
+  void RecordOutcome(const DispatchRequest& message,
+                     const DispatchReply& reply);
   void AnswerJoined(const DispatchRequest& message);
   void DropRevoked();
   void RetryAwaitingLedger();
--- a/source/core/server/group_role.cc
+++ b/source/core/server/group_role.cc
@@ -15,9 +15,11 @@
 
 }  // namespace
 
-GroupRole::GroupRole(ControllerRole::Environment environment, Callbacks callbacks)
+GroupRole::GroupRole(ControllerRole::Environment environment,
+                     Callbacks callbacks)
     : environment_(std::move(environment)), callbacks_(std::move(callbacks)) {
-  member_ = StartMember(environment_.process, environment_.address, TimingOf(environment_.settings),
+  member_ = StartMember(environment_.process, environment_.address,
+                        TimingOf(environment_.settings),
                         environment_.loop.timers().now());
 }
 
@@ -28,7 +30,9 @@
   if (controller_ != nullptr) controller_->Tick();
   if (now >= next_request_) SendLeaseRequest();
   StandInIfNeeded();
-  if (!seeking_ && now >= next_seek_ && (member_.term == 0 || ShouldSeekTerm(member_, Position(), now))) SeekTerm();
+  if (!seeking_ && now >= next_seek_ &&
+      (member_.term == 0 || ShouldSeekTerm(member_, Position(), now)))
+    SeekTerm();
   const bool in_charge = IsController() || IsStandby();
   if (in_charge != in_charge_) {
     in_charge_ = in_charge;
@@ -44,10 +48,12 @@
     return;
   }
   SendRequestTo(member_.controller, member_.controller_address);
-  if (ShouldAskStandby(member_, now)) SendRequestTo(member_.standby, member_.standby_address);
+  if (ShouldAskStandby(member_, now))
+    SendRequestTo(member_.standby, member_.standby_address);
 }
 
-void GroupRole::SendRequestTo(const std::string& holder, const std::string& address) {
+void GroupRole::SendRequestTo(const std::string& holder,
+                              const std::string& address) {
   if (address.empty()) return;
   LeaseRequest request = MakeLeaseRequest(member_, holder, BootClock::now());
   request.table = table_.version;
@@ -57,21 +63,26 @@
   environment_.transport.SendDatagram(address, request);
 }
 
-// A host that knows of no controller, as at a start during an outage of the store, asks every other.
+// A host that knows of no controller, as at a start during an outage of the
+// store, asks every other.
 void GroupRole::AskPeers() {
-  for (const std::string& address : GroupAddresses()) SendRequestTo("", address);
+  for (const std::string& address : GroupAddresses())
+    SendRequestTo("", address);
 }
 
 std::vector<std::string> GroupRole::GroupAddresses() const {
   std::vector<std::string> addresses = environment_.settings.seed_peers;
   for (const PlatformHost& host : environment_.platform_hosts) {
-    if (host.kind == HostKind::kEntry && host.group == environment_.settings.group) addresses.push_back(host.address);
+    if (host.kind == HostKind::kEntry &&
+        host.group == environment_.settings.group)
+      addresses.push_back(host.address);
   }
   for (const TableHost& host : table_.hosts) {
     if (host.live) addresses.push_back(host.address);
   }
   std::sort(addresses.begin(), addresses.end());
-  addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+  addresses.erase(std::unique(addresses.begin(), addresses.end()),
+                  addresses.end());
   std::erase(addresses, environment_.address);
   return addresses;
 }
@@ -99,8 +110,9 @@
 void GroupRole::SeekTerm() {
   seeking_ = true;
   next_seek_ = environment_.loop.timers().now() + kSeekRetry;
-  environment_.platform.Get(ControlRecordName(environment_.settings.group),
-                            [this](const Result<StoredObject>& object) { OnRecordRead(object); });
+  environment_.platform.Get(
+      ControlRecordName(environment_.settings.group),
+      [this](const Result<StoredObject>& object) { OnRecordRead(object); });
 }
 
 void GroupRole::OnRecordRead(const Result<StoredObject>& object) {
@@ -110,7 +122,8 @@
   if (object.has_value()) {
     auto decoded = DecodeControlRecord(object.value().value);
     if (!decoded.has_value()) {
-      Log(LogPart::kController).error("The control record in the store is unreadable.");
+      Log(LogPart::kController)
+          .error("The control record in the store is unreadable.");
       return;
     }
     record = std::move(decoded.value());
@@ -130,49 +143,60 @@
     return;
   }
   const MonotonicTime now = environment_.loop.timers().now();
-  if (leaving_ || (member_.term != 0 && !ShouldSeekTerm(member_, Position(), now))) return;
+  if (leaving_ ||
+      (member_.term != 0 && !ShouldSeekTerm(member_, Position(), now)))
+    return;
   Claim(record, version);
 }
 
 void GroupRole::Claim(const ControlRecord& previous, uint64_t version) {
   seeking_ = true;
-  const bool was_in_charge =
-      version == kNoObject || previous.controller == environment_.process || previous.standby == environment_.process;
+  const bool was_in_charge = version == kNoObject ||
+                             previous.controller == environment_.process ||
+                             previous.standby == environment_.process;
   ControlRecord record = previous;
   record.term = previous.term + 1;
   record.controller = environment_.process;
   record.controller_address = environment_.address;
   record.standby.clear();
   record.standby_address.clear();
-  // Members change only once no earlier term can have authority; see docs/design/leases.md.
+  // Members change only once no earlier term can have authority; see
+  // docs/design/leases.md.
   if (record.members.empty()) record.members = {HostIdOf(environment_.process)};
   record.write_id = NewUniqueId();
   std::string encoded = EncodeControlRecord(record);
-  environment_.platform.Put(ControlRecordName(environment_.settings.group), version, std::move(encoded),
-                            [this, record, was_in_charge](const Result<uint64_t>& written) {
-                              OnClaimWritten(record, was_in_charge, written);
-                            });
+  environment_.platform.Put(
+      ControlRecordName(environment_.settings.group), version,
+      std::move(encoded),
+      [this, record, was_in_charge](const Result<uint64_t>& written) {
+        OnClaimWritten(record, was_in_charge, written);
+      });
 }
 
-void GroupRole::OnClaimWritten(const ControlRecord& record, bool was_in_charge, const Result<uint64_t>& written) {
+void GroupRole::OnClaimWritten(const ControlRecord& record, bool was_in_charge,
+                               const Result<uint64_t>& written) {
   seeking_ = false;
   if (written.has_value()) {
     BecomeController(record, written.value(), was_in_charge);
     return;
   }
-  // With its reply lost, the write shows in the record when it is read next: it names this host.
+  // With its reply lost, the write shows in the record when it is read next: it
+  // names this host.
   next_seek_ = environment_.loop.timers().now() + kSeekRetry;
 }
 
-void GroupRole::BecomeController(const ControlRecord& record, uint64_t version, bool was_in_charge) {
+void GroupRole::BecomeController(const ControlRecord& record, uint64_t version,
+                                 bool was_in_charge) {
   if (record.term <= member_.term) return;
   AdoptControlRecord(member_, record, environment_.loop.timers().now());
   ControllerRole::Callbacks callbacks;
   callbacks.on_table = [this](const OwnershipTable& table) {
     // Nobody else knows of the term yet when its first table is out.
     if (table.version.sequence == 1) {
-      const ControllerNotice notice{member_.term, member_.controller, member_.controller_address, "", ""};
-      for (const std::string& address : GroupAddresses()) environment_.transport.SendDatagram(address, notice);
+      const ControllerNotice notice{member_.term, member_.controller,
+                                    member_.controller_address, "", ""};
+      for (const std::string& address : GroupAddresses())
+        environment_.transport.SendDatagram(address, notice);
     }
     TakeTable(table);
   };
@@ -184,8 +208,9 @@
     });
   };
   StepDown();
-  controller_ = std::make_unique<ControllerRole>(environment_, std::move(callbacks), record, version, table_,
-                                                 was_in_charge);
+  controller_ =
+      std::make_unique<ControllerRole>(environment_, std::move(callbacks),
+                                       record, version, table_, was_in_charge);
   controller_->Tick();
 }
 
@@ -196,8 +221,10 @@
 }
 
 void GroupRole::Adopt(const ControlRecord& record) {
-  if (!AdoptControlRecord(member_, record, environment_.loop.timers().now())) return;
-  Log(LogPart::kController).info("Term {} belongs to {}.", record.term, record.controller);
+  if (!AdoptControlRecord(member_, record, environment_.loop.timers().now()))
+    return;
+  Log(LogPart::kController)
+      .info("Term {} belongs to {}.", record.term, record.controller);
   StepDown();
 }
 
@@ -205,8 +232,11 @@
   const MonotonicTime now = environment_.loop.timers().now();
   const bool silent = ShouldSeekTerm(member_, 0, now);
   if (controller_ == nullptr && IsStandby() && member_.outage && silent) {
-    Log(LogPart::kController).warn("Standing in for the silent controller of term {}.", member_.term);
-    controller_ = ControllerRole::StandIn(environment_, {}, KnownRecord(), table_);
+    Log(LogPart::kController)
+        .warn("Standing in for the silent controller of term {}.",
+              member_.term);
+    controller_ =
+        ControllerRole::StandIn(environment_, {}, KnownRecord(), table_);
   }
 }
 
@@ -228,22 +258,28 @@
     return;
   }
   if (request.term == member_.term || member_.term == 0) return;
-  const ControllerNotice notice{member_.term, member_.controller, member_.controller_address, member_.standby,
+  const ControllerNotice notice{member_.term, member_.controller,
+                                member_.controller_address, member_.standby,
                                 member_.standby_address};
   environment_.transport.SendDatagram(request.address, notice);
 }
 
 void GroupRole::OnLeaseReply(const LeaseReply& reply) {
-  const LeaseReplyEffect effect = mimosadeal::OnLeaseReply(member_, reply, BootClock::now());
+  const LeaseReplyEffect effect =
+      mimosadeal::OnLeaseReply(member_, reply, BootClock::now());
   if (!effect.accepted) return;
-  const std::string& address =
-      reply.controller == member_.controller ? member_.controller_address : member_.standby_address;
+  const std::string& address = reply.controller == member_.controller
+                                   ? member_.controller_address
+                                   : member_.standby_address;
   if (reply.table > table_.version && !IsController()) {
-    environment_.transport.Send(environment_.transport.ConnectionTo(address), TableRequest{table_.version});
-  }
-  if (reply.configuration_version > environment_.configuration.version() && !IsController()) {
     environment_.transport.Send(environment_.transport.ConnectionTo(address),
-                                ConfigurationRequest{environment_.configuration.version()});
+                                TableRequest{table_.version});
+  }
+  if (reply.configuration_version > environment_.configuration.version() &&
+      !IsController()) {
+    environment_.transport.Send(
+        environment_.transport.ConnectionTo(address),
+        ConfigurationRequest{environment_.configuration.version()});
   }
   if (effect.ask_again) SendRequestTo(reply.controller, address);
 }
@@ -264,8 +300,10 @@
   SendLeaseRequest();
 }
 
-void GroupRole::OnTableRequest(ConnectionId connection, const TableRequest& request) {
-  const OwnershipTable& newest = controller_ != nullptr ? controller_->state().table : table_;
+void GroupRole::OnTableRequest(ConnectionId connection,
+                               const TableRequest& request) {
+  const OwnershipTable& newest =
+      controller_ != nullptr ? controller_->state().table : table_;
   if (newest.version <= request.have) return;
   environment_.transport.Send(connection, TableReply{EncodeTable(newest)});
 }
@@ -283,10 +321,12 @@
   SendLeaseRequest();
 }
 
-void GroupRole::OnConfigurationRequest(ConnectionId connection, const ConfigurationRequest& request) {
+void GroupRole::OnConfigurationRequest(ConnectionId connection,
+                                       const ConfigurationRequest& request) {
   const StoredConfiguration& stored = environment_.configuration.stored();
   if (stored.version <= request.have_version) return;
-  environment_.transport.Send(connection, ConfigurationReply{EncodeStoredConfiguration(stored)});
+  environment_.transport.Send(
+      connection, ConfigurationReply{EncodeStoredConfiguration(stored)});
 }
 
 void GroupRole::OnConfigurationReply(const ConfigurationReply& reply) {
@@ -304,7 +344,9 @@
 
 bool GroupRole::HasLeft() const {
   for (const TableUpstream& upstream : table_.upstreams) {
-    if (upstream.dispatcher == environment_.process || upstream.target_dispatcher == environment_.process) return false;
+    if (upstream.dispatcher == environment_.process ||
+        upstream.target_dispatcher == environment_.process)
+      return false;
   }
   return true;
 }
--- a/source/core/server/group_role.h
+++ b/source/core/server/group_role.h
@@ -1,5 +1,6 @@
-// This host's part in its control group: keeps its lease, follows or becomes the controller, and
-// stands in for it as standby during an outage of the store.
+// This host's part in its control group: keeps its lease, follows or becomes
+// the controller, and stands in for it as standby during an outage of the
+// store.
 #pragma once
 
 #include <functional>
@@ -43,10 +44,12 @@
   void OnControllerNotice(const ControllerNotice& notice);
   void OnTableRequest(ConnectionId connection, const TableRequest& request);
   void OnTableReply(const TableReply& reply);
-  void OnConfigurationRequest(ConnectionId connection, const ConfigurationRequest& request);
+  void OnConfigurationRequest(ConnectionId connection,
+                              const ConfigurationRequest& request);
   void OnConfigurationReply(const ConfigurationReply& reply);
 
-  // Before a planned stop: asks the controller to take everything away from this host.
+  // Before a planned stop: asks the controller to take everything away from
+  // this host.
   void Leave();
   // True once nothing is assigned to this host.
   bool HasLeft() const;
@@ -57,15 +60,19 @@
   void SeekTerm();
   void OnRecordRead(const Result<StoredObject>& object);
   void Claim(const ControlRecord& previous, uint64_t version);
-  void OnClaimWritten(const ControlRecord& record, bool was_in_charge, const Result<uint64_t>& written);
-  void BecomeController(const ControlRecord& record, uint64_t version, bool was_in_charge);
+  void OnClaimWritten(const ControlRecord& record, bool was_in_charge,
+                      const Result<uint64_t>& written);
+  void BecomeController(const ControlRecord& record, uint64_t version,
+                        bool was_in_charge);
   void Adopt(const ControlRecord& record);
   void StepDown();
   void StandInIfNeeded();
   void TakeTable(const OwnershipTable& table);
   void SendRequestTo(const std::string& holder, const std::string& address);
   void AskPeers();
-  bool IsController() const { return member_.controller == environment_.process; }
+  bool IsController() const {
+    return member_.controller == environment_.process;
+  }
   bool IsStandby() const { return member_.standby == environment_.process; }
   size_t Position() const;
   ControlRecord KnownRecord() const;
--- a/source/core/server/ledger_intake.cc
+++ b/source/core/server/ledger_intake.cc
@@ -7,9 +7,14 @@
 
 namespace mimosadeal {
 
-LedgerIntake::LedgerIntake(EventLoop& loop, InnerTransport& transport, Ledger& ledger, LedgerIntakeOptions options,
+LedgerIntake::LedgerIntake(EventLoop& loop, InnerTransport& transport,
+                           Ledger& ledger, LedgerIntakeOptions options,
                            std::function<void()> on_ready)
-    : loop_(loop), transport_(transport), ledger_(ledger), options_(std::move(options)), on_ready_(std::move(on_ready)) {}
+    : loop_(loop),
+      transport_(transport),
+      ledger_(ledger),
+      options_(std::move(options)),
+      on_ready_(std::move(on_ready)) {}
 
 void LedgerIntake::OnTable(const OwnershipTable& table) {
   std::map<ShardId, LedgerReadiness> shards;
@@ -17,7 +22,9 @@
   for (const TableService& service : table.services) {
     for (uint32_t shard = 0; shard < service.owners.size(); ++shard) {
       const uint16_t owner = service.owners[shard];
-      if (owner == kNoUpstream || table.upstreams[owner].dispatcher != options_.process) continue;
+      if (owner == kNoUpstream ||
+          table.upstreams[owner].dispatcher != options_.process)
+        continue;
       const ShardId id{service.name, shard};
       const auto known = shards_.find(id);
       if (known != shards_.end()) {
@@ -25,8 +32,10 @@
         continue;
       }
       const uint16_t former = service.last_dispatchers[shard];
-      const bool nothing_to_fetch = former == kNoHost || table.hosts[former].id == options_.process;
-      shards[id] = nothing_to_fetch ? LedgerReadiness::kReady : LedgerReadiness::kFetching;
+      const bool nothing_to_fetch =
+          former == kNoHost || table.hosts[former].id == options_.process;
+      shards[id] = nothing_to_fetch ? LedgerReadiness::kReady
+                                    : LedgerReadiness::kFetching;
       if (!nothing_to_fetch) wanted[table.hosts[former].id].push_back(id);
     }
   }
@@ -34,12 +43,15 @@
   for (auto& [former, ids] : wanted) StartFetch(table, former, std::move(ids));
 }
 
-void LedgerIntake::StartFetch(const OwnershipTable& table, const std::string& former, std::vector<ShardId> shards) {
+void LedgerIntake::StartFetch(const OwnershipTable& table,
+                              const std::string& former,
+                              std::vector<ShardId> shards) {
   const uint64_t id = next_fetch_++;
   LedgerFetch message;
   message.fetch = id;
   message.host = former;
-  for (const ShardId& shard : shards) message.shards.push_back({shard.first, shard.second});
+  for (const ShardId& shard : shards)
+    message.shards.push_back({shard.first, shard.second});
   Fetch& fetch = fetches_[id];
   fetch.shards = std::move(shards);
 
@@ -47,15 +59,18 @@
   std::vector<std::string> addresses;
   if (former_host->live) addresses.push_back(former_host->address);
   const TableHost* replica = FindHost(table, former_host->ledger_replica);
-  if (replica != nullptr && replica->live) addresses.push_back(replica->address);
+  if (replica != nullptr && replica->live)
+    addresses.push_back(replica->address);
   for (const std::string& address : addresses) {
-    if (transport_.Send(transport_.ConnectionTo(address), message)) ++fetch.answers_awaited;
+    if (transport_.Send(transport_.ConnectionTo(address), message))
+      ++fetch.answers_awaited;
   }
   if (fetch.answers_awaited == 0) {
     FinishFetch(id, false);
     return;
   }
-  loop_.timers().After(options_.fetch_timeout, [this, id] { FinishFetch(id, false); });
+  loop_.timers().After(options_.fetch_timeout,
+                       [this, id] { FinishFetch(id, false); });
 }
 
 void LedgerIntake::OnEntries(const LedgerEntries& entries) {
@@ -64,7 +79,8 @@
   // Even a partial copy tells of requests that did run.
   ledger_.Import(entries.records, loop_.timers().now());
   --found->second.answers_awaited;
-  if (entries.complete || found->second.answers_awaited == 0) FinishFetch(entries.fetch, entries.complete);
+  if (entries.complete || found->second.answers_awaited == 0)
+    FinishFetch(entries.fetch, entries.complete);
 }
 
 void LedgerIntake::FinishFetch(uint64_t fetch_id, bool complete) {
@@ -74,19 +90,25 @@
   for (const ShardId& id : found->second.shards) {
     const auto shard = shards_.find(id);
     if (shard == shards_.end()) continue;
-    shard->second = complete ? LedgerReadiness::kReady : LedgerReadiness::kIncomplete;
+    shard->second =
+        complete ? LedgerReadiness::kReady : LedgerReadiness::kIncomplete;
     if (!complete) incomplete_until_[id] = now + options_.retention;
   }
   if (!complete) {
     Log(LogPart::kDispatcher)
-        .warn("The ledger of {} shards is lost: repetitions on them are answered \"unknown\" for {} s.",
-              found->second.shards.size(), ToMilliseconds(options_.retention) / 1000);
+        .warn(
+            "The ledger of {} shards is lost: repetitions on them are answered "
+            "\"unknown\" for {} s.",
+            found->second.shards.size(),
+            ToMilliseconds(options_.retention) / 1000);
   }
   fetches_.erase(found);
   on_ready_();
 }
 
-LedgerReadiness LedgerIntake::ReadinessOf(const std::string& service, uint32_t shard, MonotonicTime now) const {
+LedgerReadiness LedgerIntake::ReadinessOf(const std::string& service,
+                                          uint32_t shard,
+                                          MonotonicTime now) const {
   const auto found = shards_.find({service, shard});
   if (found == shards_.end()) return LedgerReadiness::kFetching;
   if (found->second != LedgerReadiness::kIncomplete) return found->second;
--- a/source/core/server/ledger_intake.h
+++ b/source/core/server/ledger_intake.h
@@ -1,5 +1,5 @@
-// Fetches the ledger of shards that this dispatcher takes over, before it runs non-idempotent work on
-// them.
+// Fetches the ledger of shards that this dispatcher takes over, before it runs
+// non-idempotent work on them.
 #pragma once
 
 #include <cstdint>
@@ -20,7 +20,8 @@
 enum class LedgerReadiness : uint8_t {
   kReady,
   kFetching,
-  // Neither the former dispatcher nor its replica has the entries: what it ran is not known.
+  // Neither the former dispatcher nor its replica has the entries: what it ran
+  // is not known.
   kIncomplete,
 };
 
@@ -33,14 +34,16 @@
 class LedgerIntake {
  public:
   // `on_ready` runs when shards have ceased to be kFetching.
-  LedgerIntake(EventLoop& loop, InnerTransport& transport, Ledger& ledger, LedgerIntakeOptions options,
-               std::function<void()> on_ready);
+  LedgerIntake(EventLoop& loop, InnerTransport& transport, Ledger& ledger,
+               LedgerIntakeOptions options, std::function<void()> on_ready);
 
-  // Starts to fetch for every shard that this dispatcher serves from now on and did not before.
+  // Starts to fetch for every shard that this dispatcher serves from now on and
+  // did not before.
   void OnTable(const OwnershipTable& table);
   void OnEntries(const LedgerEntries& entries);
 
-  LedgerReadiness ReadinessOf(const std::string& service, uint32_t shard, MonotonicTime now) const;
+  LedgerReadiness ReadinessOf(const std::string& service, uint32_t shard,
+                              MonotonicTime now) const;
 
  private:
   struct Fetch {
@@ -48,7 +51,8 @@
     int answers_awaited = 0;
   };
 
-  void StartFetch(const OwnershipTable& table, const std::string& former, std::vector<ShardId> shards);
+  void StartFetch(const OwnershipTable& table, const std::string& former,
+                  std::vector<ShardId> shards);
   void FinishFetch(uint64_t fetch_id, bool complete);
 
   EventLoop& loop_;
@@ -58,7 +62,8 @@
   std::function<void()> on_ready_;
   uint64_t next_fetch_ = 1;
   std::map<uint64_t, Fetch> fetches_;
-  // Invariant: holds the shards that this dispatcher serves by the latest table.
+  // Invariant: holds the shards that this dispatcher serves by the latest
+  // table.
   std::map<ShardId, LedgerReadiness> shards_;
   // Shards whose earlier outcomes are lost, and until when that matters.
   std::map<ShardId, MonotonicTime> incomplete_until_;
--- a/source/core/server/ledger_replication.cc
+++ b/source/core/server/ledger_replication.cc
@@ -15,13 +15,18 @@
 
 }  // namespace
 
-LedgerReplication::LedgerReplication(EventLoop& loop, InnerTransport& transport, const Ledger& ledger,
+LedgerReplication::LedgerReplication(EventLoop& loop, InnerTransport& transport,
+                                     const Ledger& ledger,
                                      LedgerReplicationOptions options)
-    : loop_(loop), transport_(transport), ledger_(ledger), options_(std::move(options)) {}
+    : loop_(loop),
+      transport_(transport),
+      ledger_(ledger),
+      options_(std::move(options)) {}
 
 void LedgerReplication::OnTable(const OwnershipTable& table) {
   const TableHost* self = FindHost(table, options_.process);
-  const std::string replica = self == nullptr ? std::string() : self->ledger_replica;
+  const std::string replica =
+      self == nullptr ? std::string() : self->ledger_replica;
   if (replica == replica_) return;
   replica_ = replica;
   const TableHost* host = FindHost(table, replica);
@@ -41,14 +46,17 @@
   stream_ = SystemSeed();
   sequence_ = 0;
   connection_ = transport_.ConnectionTo(replica_address_);
-  // What waits for an acknowledgement is part of the whole ledger and is acknowledged with its end.
-  std::vector<LedgerRecord> all = ledger_.Export([](const LedgerRecord&) { return true; }, loop_.timers().now());
+  // What waits for an acknowledgement is part of the whole ledger and is
+  // acknowledged with its end.
+  std::vector<LedgerRecord> all = ledger_.Export(
+      [](const LedgerRecord&) { return true; }, loop_.timers().now());
   size_t sent = 0;
   bool delivered = true;
   do {
     const size_t count = std::min(kRecordsPerUpdate, all.size() - sent);
-    std::vector<LedgerRecord> part(all.begin() + static_cast<std::ptrdiff_t>(sent),
-                                   all.begin() + static_cast<std::ptrdiff_t>(sent + count));
+    std::vector<LedgerRecord> part(
+        all.begin() + static_cast<std::ptrdiff_t>(sent),
+        all.begin() + static_cast<std::ptrdiff_t>(sent + count));
     sent += count;
     delivered = SendUpdate(std::move(part), sent == all.size());
   } while (delivered && sent < all.size());
@@ -59,7 +67,8 @@
   });
 }
 
-bool LedgerReplication::SendUpdate(std::vector<LedgerRecord> records, bool complete) {
+bool LedgerReplication::SendUpdate(std::vector<LedgerRecord> records,
+                                   bool complete) {
   LedgerUpdate update;
   update.host = options_.process;
   update.stream = stream_;
@@ -69,7 +78,8 @@
   return transport_.Send(connection_, update);
 }
 
-void LedgerReplication::Replicate(const LedgerRecord& record, std::function<void()> acknowledged) {
+void LedgerReplication::Replicate(const LedgerRecord& record,
+                                  std::function<void()> acknowledged) {
   if (replica_.empty()) {
     acknowledged();
     return;
@@ -81,10 +91,16 @@
 void LedgerReplication::OnAck(const LedgerAck& ack) {
   if (ack.stream != stream_) return;
   size_t count = 0;
-  while (count < unacknowledged_.size() && unacknowledged_[count].sequence <= ack.sequence) ++count;
-  std::vector<Unacknowledged> done(std::make_move_iterator(unacknowledged_.begin()),
-                                   std::make_move_iterator(unacknowledged_.begin() + static_cast<std::ptrdiff_t>(count)));
-  unacknowledged_.erase(unacknowledged_.begin(), unacknowledged_.begin() + static_cast<std::ptrdiff_t>(count));
+  while (count < unacknowledged_.size() &&
+         unacknowledged_[count].sequence <= ack.sequence)
+    ++count;
+  std::vector<Unacknowledged> done(
+      std::make_move_iterator(unacknowledged_.begin()),
+      std::make_move_iterator(unacknowledged_.begin() +
+                              static_cast<std::ptrdiff_t>(count)));
+  unacknowledged_.erase(
+      unacknowledged_.begin(),
+      unacknowledged_.begin() + static_cast<std::ptrdiff_t>(count));
   for (const Unacknowledged& entry : done) entry.acknowledged();
 }
 
@@ -96,9 +112,12 @@
   });
 }
 
-void LedgerReplication::OnUpdate(ConnectionId connection, const LedgerUpdate& update) {
+void LedgerReplication::OnUpdate(ConnectionId connection,
+                                 const LedgerUpdate& update) {
   auto found = copies_.find(update.host);
-  const bool starts = update.sequence == 1 && (found == copies_.end() || found->second.stream != update.stream);
+  const bool starts =
+      update.sequence == 1 &&
+      (found == copies_.end() || found->second.stream != update.stream);
   if (starts) {
     copies_.erase(update.host);
     found = copies_.emplace(update.host, Copy(options_.limits)).first;
@@ -117,8 +136,9 @@
   transport_.Send(connection, LedgerAck{update.stream, update.sequence});
 }
 
-LedgerEntries LedgerReplication::CopyFor(const std::string& host,
-                                         const std::function<bool(const LedgerRecord&)>& wanted) {
+LedgerEntries LedgerReplication::CopyFor(
+    const std::string& host,
+    const std::function<bool(const LedgerRecord&)>& wanted) {
   LedgerEntries entries;
   const auto found = copies_.find(host);
   if (found == copies_.end()) return entries;
--- a/source/core/server/ledger_replication.h
+++ b/source/core/server/ledger_replication.h
@@ -1,5 +1,5 @@
-// Keeps a copy of this dispatcher's ledger at its replica, and copies of other dispatchers' ledgers
-// here.
+// Keeps a copy of this dispatcher's ledger at its replica, and copies of other
+// dispatchers' ledgers here.
 #pragma once
 
 #include <cstdint>
@@ -24,21 +24,26 @@
 
 class LedgerReplication {
  public:
-  LedgerReplication(EventLoop& loop, InnerTransport& transport, const Ledger& ledger,
-                    LedgerReplicationOptions options);
+  LedgerReplication(EventLoop& loop, InnerTransport& transport,
+                    const Ledger& ledger, LedgerReplicationOptions options);
 
-  // Follows the table's choice of replica. A new replica is first sent the whole ledger.
+  // Follows the table's choice of replica. A new replica is first sent the
+  // whole ledger.
   void OnTable(const OwnershipTable& table);
 
-  // Sends one entry to the replica; `acknowledged` runs when it has it, at once when there is none.
-  void Replicate(const LedgerRecord& record, std::function<void()> acknowledged);
+  // Sends one entry to the replica; `acknowledged` runs when it has it, at once
+  // when there is none.
+  void Replicate(const LedgerRecord& record,
+                 std::function<void()> acknowledged);
 
   void OnUpdate(ConnectionId connection, const LedgerUpdate& update);
   void OnAck(const LedgerAck& ack);
   void OnDisconnected(ConnectionId connection);
 
-  // Returns the entries that came from `host`, and whether they are all of its entries.
-  LedgerEntries CopyFor(const std::string& host, const std::function<bool(const LedgerRecord&)>& wanted);
+  // Returns the entries that came from `host`, and whether they are all of its
+  // entries.
+  LedgerEntries CopyFor(const std::string& host,
+                        const std::function<bool(const LedgerRecord&)>& wanted);
 
  private:
   // A copy of another dispatcher's ledger.
--- a/source/core/server/metrics.h
+++ b/source/core/server/metrics.h
@@ -1,4 +1,5 @@
-// The product's metrics: prometheus-cpp families, and the text that /metrics serves.
+// The product's metrics: prometheus-cpp families, and the text that /metrics
+// serves.
 #pragma once
 
 #include <map>
@@ -46,10 +47,12 @@
   Metrics& operator=(const Metrics&) = delete;
 
   // One request of a caller, as ingress answered it.
-  void ObserveRequest(const std::string& service, const std::string& rank, const std::string& tenant,
-                      DispatchStatus status, RequestOutcome outcome, Duration latency);
+  void ObserveRequest(const std::string& service, const std::string& rank,
+                      const std::string& tenant, DispatchStatus status,
+                      RequestOutcome outcome, Duration latency);
   // Time that a request waited in a dispatcher's queue.
-  void ObserveWait(const std::string& service, const std::string& rank, Duration wait);
+  void ObserveWait(const std::string& service, const std::string& rank,
+                   Duration wait);
   void Set(GaugeName name, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -57,7 +60,8 @@
 
  private:
   using Key = std::pair<std::string, std::string>;
-  using CountKey = std::tuple<std::string, std::string, DispatchStatus, RequestOutcome>;
+  using CountKey =
+      std::tuple<std::string, std::string, DispatchStatus, RequestOutcome>;
 
   std::string TenantLabel(const std::string& tenant);
 
@@ -67,7 +71,8 @@
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Family<prometheus::Histogram>& tenant_seconds_;
   prometheus::Family<prometheus::Histogram>& wait_seconds_;
-  // Found once for each label set, since prometheus-cpp looks labels up by a hash of a map.
+  // Found once for each label set, since prometheus-cpp looks labels up by a
+  // hash of a map.
   std::map<CountKey, prometheus::Counter*> count_cache_;
   std::map<Key, prometheus::Histogram*> request_cache_;
   std::map<Key, prometheus::Histogram*> tenant_cache_;
--- a/source/core/server/operators_api.h
+++ b/source/core/server/operators_api.h
@@ -1,4 +1,5 @@
-// The administration interface over HTTP: configuration, status, owners, metrics and health.
+// The administration interface over HTTP: configuration, status, owners,
+// metrics and health.
 #pragma once
 
 #include <memory>
--- a/source/core/server/router.cc
+++ b/source/core/server/router.cc
@@ -20,7 +20,8 @@
 constexpr Duration kAvoidance = std::chrono::milliseconds(1000);
 constexpr Duration kNoOwnerRetryAfter = std::chrono::milliseconds(500);
 
-DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome, std::string detail) {
+DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome,
+                        std::string detail) {
   DispatchReply reply;
   reply.status = static_cast<uint8_t>(status);
   reply.outcome = static_cast<uint8_t>(outcome);
@@ -29,24 +30,33 @@
 }
 
 DispatchReply NoOwnerReply(std::string detail) {
-  DispatchReply reply = MakeReply(DispatchStatus::kNoOwner, RequestOutcome::kNotRun, std::move(detail));
-  reply.retry_after_ms = static_cast<int32_t>(ToMilliseconds(kNoOwnerRetryAfter));
+  DispatchReply reply = MakeReply(DispatchStatus::kNoOwner,
+                                  RequestOutcome::kNotRun, std::move(detail));
+  reply.retry_after_ms =
+      static_cast<int32_t>(ToMilliseconds(kNoOwnerRetryAfter));
   return reply;
 }
 
-// A second dispatch runs nothing twice: the work may be repeated, or the ledger knows its id.
-bool MayDispatchAgain(const DispatchRequest& message) { return message.idempotent || message.has_key; }
+// A second dispatch runs nothing twice: the work may be repeated, or the ledger
+// knows its id.
+bool MayDispatchAgain(const DispatchRequest& message) {
+  return message.idempotent || message.has_key;
+}
 
 }  // namespace
 
-Router::Router(Environment environment) : environment_(std::move(environment)) {}
+Router::Router(Environment environment)
+    : environment_(std::move(environment)) {}
 
-void Router::OnConfiguration(const Configuration& configuration) { configuration_ = configuration; }
+void Router::OnConfiguration(const Configuration& configuration) {
+  configuration_ = configuration;
+}
 
 void Router::OnPlatformHosts(const std::vector<PlatformHost>& hosts) {
   entry_hosts_.clear();
   for (const PlatformHost& host : hosts) {
-    if (host.kind != HostKind::kEntry || host.state != HostState::kLive) continue;
+    if (host.kind != HostKind::kEntry || host.state != HostState::kLive)
+      continue;
     entry_hosts_[host.zone].push_back(host.address);
   }
 }
@@ -73,7 +83,8 @@
   added.owner_wait_until = now + environment_.settings.owner_wait;
   added.message = std::move(request);
   added.reply = std::move(reply);
-  retry_tokens_ = std::min(retry_tokens_ + environment_.settings.retry_budget, kRetryTokensAtMost);
+  retry_tokens_ = std::min(retry_tokens_ + environment_.settings.retry_budget,
+                           kRetryTokensAtMost);
   TrySend(handle);
   return handle;
 }
@@ -85,14 +96,16 @@
   const DispatchRequest& message = request.message;
   request.awaiting_owner = false;
   const auto service = configuration_.services.find(message.service);
-  if (service == configuration_.services.end() || message.shard >= service->second.shards) {
+  if (service == configuration_.services.end() ||
+      message.shard >= service->second.shards) {
     Finish(handle, NoOwnerReply("the service is not known here"));
     return;
   }
   const std::string& zone = HomeZone(service->second, message.shard);
   if (zone != environment_.settings.zone) {
     if (message.hops >= kMaxHops) {
-      Finish(handle, NoOwnerReply("the key belongs to another availability zone"));
+      Finish(handle,
+             NoOwnerReply("the key belongs to another availability zone"));
       return;
     }
     const std::string address = AddressInZone(zone);
@@ -101,22 +114,28 @@
       return;
     }
   } else {
-    const TableUpstream* owner = OwnerOf(table_, message.service, message.shard);
+    const TableUpstream* owner =
+        OwnerOf(table_, message.service, message.shard);
     if (owner != nullptr && owner->dispatcher == environment_.process) {
       request.local = true;
       request.host = environment_.process;
       ++request.attempts;
       DispatchRequest copy = message;
-      copy.time_left_us = ToMicroseconds(request.deadline - environment_.loop.timers().now());
-      environment_.dispatcher.Handle(handle, std::move(copy), [this, handle](DispatchReply reply) {
-        // Answered in the next round: the request may still be inside Route.
-        environment_.loop.Post([this, handle, reply = std::move(reply)]() mutable {
-          OnDispatchReply(handle, std::move(reply));
-        });
-      });
+      copy.time_left_us =
+          ToMicroseconds(request.deadline - environment_.loop.timers().now());
+      environment_.dispatcher.Handle(
+          handle, std::move(copy), [this, handle](DispatchReply reply) {
+            // Answered in the next round: the request may still be inside
+            // Route.
+            environment_.loop.Post(
+                [this, handle, reply = std::move(reply)]() mutable {
+                  OnDispatchReply(handle, std::move(reply));
+                });
+          });
       return;
     }
-    const TableHost* host = owner == nullptr ? nullptr : FindHost(table_, owner->dispatcher);
+    const TableHost* host =
+        owner == nullptr ? nullptr : FindHost(table_, owner->dispatcher);
     if (host != nullptr && host->live && message.hops < kMaxHops) {
       SendToHost(handle, host->id, host->address);
       return;
@@ -131,14 +150,16 @@
   const MonotonicTime now = environment_.loop.timers().now();
   const std::vector<std::string>& addresses = found->second;
   for (size_t i = 0; i < addresses.size(); ++i) {
-    const std::string& address = addresses[next_entry_host_++ % addresses.size()];
+    const std::string& address =
+        addresses[next_entry_host_++ % addresses.size()];
     const auto avoided = avoided_.find(address);
     if (avoided == avoided_.end() || avoided->second <= now) return address;
   }
   return {};
 }
 
-void Router::SendToHost(uint64_t handle, const std::string& host, const std::string& address) {
+void Router::SendToHost(uint64_t handle, const std::string& host,
+                        const std::string& address) {
   Request& request = requests_.at(handle);
   ++request.attempts;
   request.local = false;
@@ -147,7 +168,8 @@
   DispatchRequest message = request.message;
   message.ticket = handle;
   message.hops += 1;
-  message.time_left_us = ToMicroseconds(request.deadline - environment_.loop.timers().now());
+  message.time_left_us =
+      ToMicroseconds(request.deadline - environment_.loop.timers().now());
   if (environment_.transport.Send(request.connection, message)) return;
   // Nothing was sent: the connection is gone or its backlog full.
   avoided_[address] = environment_.loop.timers().now() + kAvoidance;
@@ -157,7 +179,8 @@
 
 void Router::OnReply(ConnectionId connection, DispatchReply reply) {
   const auto found = requests_.find(reply.ticket);
-  if (found == requests_.end() || found->second.connection != connection) return;
+  if (found == requests_.end() || found->second.connection != connection)
+    return;
   found->second.connection = kNoConnection;
   OnDispatchReply(found->first, std::move(reply));
 }
@@ -169,7 +192,8 @@
   const auto status = static_cast<DispatchStatus>(reply.status);
   const auto outcome = static_cast<RequestOutcome>(reply.outcome);
   request.host.clear();
-  if (status == DispatchStatus::kNoOwner && outcome == RequestOutcome::kNotRun) {
+  if (status == DispatchStatus::kNoOwner &&
+      outcome == RequestOutcome::kNotRun) {
     // Not run and never given up: it waits for the owner, within its bounds.
     request.awaiting_owner = true;
     return;
@@ -179,7 +203,8 @@
     request.awaiting_owner = true;
     return;
   }
-  // Idempotent work whose upstream died while running it is not repeated: it may be the cause.
+  // Idempotent work whose upstream died while running it is not repeated: it
+  // may be the cause.
   Finish(handle, std::move(reply));
 }
 
@@ -194,7 +219,8 @@
   for (const auto& [key, handle] : peer_tickets_) {
     if (key.first == connection) abandoned.push_back(key);
   }
-  for (const auto& key : abandoned) OnPeerCancel(connection, DispatchCancel{key.second});
+  for (const auto& key : abandoned)
+    OnPeerCancel(connection, DispatchCancel{key.second});
 }
 
 void Router::OnHostLost(uint64_t handle) {
@@ -203,11 +229,12 @@
   Request& request = found->second;
   request.connection = kNoConnection;
   request.host.clear();
-  const bool again =
-      MayDispatchAgain(request.message) && request.attempts < kMaxAttempts && TakeRetryFromBudget();
+  const bool again = MayDispatchAgain(request.message) &&
+                     request.attempts < kMaxAttempts && TakeRetryFromBudget();
   if (!again) {
-    Finish(handle, MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                             "the host that dispatched the request was lost"));
+    Finish(handle,
+           MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+                     "the host that dispatched the request was lost"));
     return;
   }
   request.awaiting_owner = true;
@@ -224,9 +251,11 @@
   std::vector<uint64_t> waiting;
   std::vector<uint64_t> expired;
   for (const auto& [handle, request] : requests_) {
-    const bool given_up = request.awaiting_owner && now >= request.owner_wait_until;
+    const bool given_up =
+        request.awaiting_owner && now >= request.owner_wait_until;
     const bool sent = !request.awaiting_owner;
-    if (now >= request.deadline + (sent ? kReplyGrace : Duration::zero()) || given_up) {
+    if (now >= request.deadline + (sent ? kReplyGrace : Duration::zero()) ||
+        given_up) {
       expired.push_back(handle);
     } else if (request.awaiting_owner) {
       waiting.push_back(handle);
@@ -243,8 +272,9 @@
     }
     if (request.local) continue;  // The dispatcher minds its deadlines.
     environment_.transport.Send(request.connection, DispatchCancel{handle});
-    Finish(handle, MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
-                             "the deadline passed before the dispatcher answered"));
+    Finish(handle,
+           MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
+                     "the deadline passed before the dispatcher answered"));
   }
 }
 
@@ -253,7 +283,8 @@
   if (found == requests_.end()) return;
   const Request& request = found->second;
   if (request.local) environment_.dispatcher.Cancel(handle);
-  if (request.connection != kNoConnection) environment_.transport.Send(request.connection, DispatchCancel{handle});
+  if (request.connection != kNoConnection)
+    environment_.transport.Send(request.connection, DispatchCancel{handle});
   requests_.erase(found);
 }
 
@@ -270,16 +301,18 @@
   const std::pair<ConnectionId, uint64_t> key{connection, ticket};
   // The reply may come before Route returns, when there is nothing to wait for.
   auto answered = std::make_shared<bool>(false);
-  const uint64_t handle = Route(std::move(request), [this, key, answered](DispatchReply reply) {
-    *answered = true;
-    peer_tickets_.erase(key);
-    reply.ticket = key.second;
-    environment_.transport.Send(key.first, reply);
-  });
+  const uint64_t handle =
+      Route(std::move(request), [this, key, answered](DispatchReply reply) {
+        *answered = true;
+        peer_tickets_.erase(key);
+        reply.ticket = key.second;
+        environment_.transport.Send(key.first, reply);
+      });
   if (!*answered) peer_tickets_[key] = handle;
 }
 
-void Router::OnPeerCancel(ConnectionId connection, const DispatchCancel& cancel) {
+void Router::OnPeerCancel(ConnectionId connection,
+                          const DispatchCancel& cancel) {
   const auto found = peer_tickets_.find({connection, cancel.ticket});
   if (found == peer_tickets_.end()) return;
   const uint64_t handle = found->second;
--- a/source/core/server/router.h
+++ b/source/core/server/router.h
@@ -1,5 +1,5 @@
-// Finds the dispatcher of a request's key, sends the request there, and tries again where that is
-// certain to run nothing twice.
+// Finds the dispatcher of a request's key, sends the request there, and tries
+// again where that is certain to run nothing twice.
 #pragma once
 
 #include <cstdint>
@@ -39,7 +39,8 @@
   void OnConfiguration(const Configuration& configuration);
   void OnPlatformHosts(const std::vector<PlatformHost>& hosts);
 
-  // Routes a request; `reply` runs exactly once unless it is cancelled. Returns its handle.
+  // Routes a request; `reply` runs exactly once unless it is cancelled. Returns
+  // its handle.
   uint64_t Route(DispatchRequest request, ReplyCallback reply);
   void Cancel(uint64_t handle);
 
@@ -62,13 +63,15 @@
     MonotonicTime owner_wait_until;
     int attempts = 0;
     bool awaiting_owner = false;
-    ConnectionId connection = kNoConnection;  // Where it was sent; none for this host's dispatcher.
+    ConnectionId connection =
+        kNoConnection;  // Where it was sent; none for this host's dispatcher.
     bool local = false;
     std::string host;  // The process that it was sent to, when known.
   };
 
   void TrySend(uint64_t handle);
-  void SendToHost(uint64_t handle, const std::string& host, const std::string& address);
+  void SendToHost(uint64_t handle, const std::string& host,
+                  const std::string& address);
   void OnDispatchReply(uint64_t handle, DispatchReply reply);
   // The host that a request was sent to is lost.
   void OnHostLost(uint64_t handle);
--- a/source/core/server/status_report.cc
+++ b/source/core/server/status_report.cc
@@ -15,7 +15,9 @@
 
 using Json = nlohmann::json;
 
-Json VersionJson(const TableVersion& version) { return {{"term", version.term}, {"sequence", version.sequence}}; }
+Json VersionJson(const TableVersion& version) {
+  return {{"term", version.term}, {"sequence", version.sequence}};
+}
 
 std::string_view HealthName(uint8_t health) {
   switch (static_cast<UpstreamHealth>(health)) {
@@ -50,7 +52,8 @@
   for (const auto& [process, host] : state.hosts) {
     Json reports = Json::array();
     for (const auto& [id, report] : host.reports) {
-      reports.push_back({{"upstream", id}, {"health", HealthName(report.health)}});
+      reports.push_back(
+          {{"upstream", id}, {"health", HealthName(report.health)}});
     }
     hosts.push_back({{"process", process},
                      {"lost", IsLost(state, process, BootClock::now())},
@@ -63,7 +66,8 @@
           {"renew_only", state.renew_only},
           {"store_down", state.store_down},
           {"members", state.members},
-          {"in_transit", state.revoked_shards.size() + state.revoked_upstreams.size()},
+          {"in_transit",
+           state.revoked_shards.size() + state.revoked_upstreams.size()},
           {"stored_table", VersionJson(state.stored)},
           {"hosts", hosts}};
 }
@@ -73,7 +77,8 @@
 Json MakeStatus(const StatusSources& sources) {
   const GroupMember& member = sources.group.member();
   const OwnershipTable& table = sources.group.table();
-  const Duration lease_left = std::max<Duration>(member.lease_until - BootClock::now(), Duration::zero());
+  const Duration lease_left = std::max<Duration>(
+      member.lease_until - BootClock::now(), Duration::zero());
   return {{"version", kVersion},
           {"host", sources.settings.host_id},
           {"process", sources.process},
@@ -93,28 +98,36 @@
           {"control", ControllerJson(sources.group.controller())}};
 }
 
-Json ExplainOwner(const StatusSources& sources, const std::string& service_name, const std::string& key) {
+Json ExplainOwner(const StatusSources& sources, const std::string& service_name,
+                  const std::string& key) {
   const auto& services = sources.configuration.configuration().services;
   const auto service = services.find(service_name);
   if (service == services.end()) return nullptr;
   const uint32_t shard = ShardOfKey(service->second, key);
   const std::string& zone = HomeZone(service->second, shard);
-  Json owner = {{"service", service_name}, {"key", key}, {"shard", shard}, {"zone", zone}};
+  Json owner = {{"service", service_name},
+                {"key", key},
+                {"shard", shard},
+                {"zone", zone}};
   if (zone != sources.settings.zone) {
-    owner["explanation"] = "the key belongs to zone " + zone + "; ask a host there for its owner";
+    owner["explanation"] =
+        "the key belongs to zone " + zone + "; ask a host there for its owner";
     return owner;
   }
   const OwnershipTable& table = sources.group.table();
   owner["table"] = VersionJson(table.version);
   const TableUpstream* upstream = OwnerOf(table, service_name, shard);
   if (upstream == nullptr) {
-    owner["explanation"] = "the key has no owner at present; it is moving or no server is available";
+    owner["explanation"] =
+        "the key has no owner at present; it is moving or no server is "
+        "available";
     return owner;
   }
   owner["upstream"] = upstream->id;
   owner["address"] = upstream->address;
   owner["dispatcher"] = upstream->dispatcher;
-  owner["explanation"] = "requests of this key go through " + upstream->dispatcher + " to " + upstream->id;
+  owner["explanation"] = "requests of this key go through " +
+                         upstream->dispatcher + " to " + upstream->id;
   return owner;
 }
 
@@ -129,24 +142,33 @@
     shards += OwnedShards(table, upstream).Count();
   }
   const PlatformCallCounts& calls = sources.platform.counts();
-  metrics.Set(GaugeName::kLeaseValid, LeaseIsValid(member, BootClock::now()) ? 1 : 0);
-  metrics.Set(GaugeName::kIsController, member.controller == sources.process ? 1 : 0);
+  metrics.Set(GaugeName::kLeaseValid,
+              LeaseIsValid(member, BootClock::now()) ? 1 : 0);
+  metrics.Set(GaugeName::kIsController,
+              member.controller == sources.process ? 1 : 0);
   metrics.Set(GaugeName::kTerm, static_cast<double>(member.term));
-  metrics.Set(GaugeName::kTableSequence, static_cast<double>(table.version.sequence));
-  metrics.Set(GaugeName::kConfigurationVersion, static_cast<double>(sources.configuration.version()));
+  metrics.Set(GaugeName::kTableSequence,
+              static_cast<double>(table.version.sequence));
+  metrics.Set(GaugeName::kConfigurationVersion,
+              static_cast<double>(sources.configuration.version()));
   metrics.Set(GaugeName::kUpstreamsDispatched, static_cast<double>(upstreams));
   metrics.Set(GaugeName::kShardsDispatched, static_cast<double>(shards));
-  metrics.Set(GaugeName::kOpenRequests, static_cast<double>(sources.dispatcher.open_requests()));
-  metrics.Set(GaugeName::kLedgerEntries, static_cast<double>(sources.dispatcher.ledger_size()));
-  metrics.Set(GaugeName::kControlBytesSent, static_cast<double>(sources.transport.control_bytes_sent()));
+  metrics.Set(GaugeName::kOpenRequests,
+              static_cast<double>(sources.dispatcher.open_requests()));
+  metrics.Set(GaugeName::kLedgerEntries,
+              static_cast<double>(sources.dispatcher.ledger_size()));
+  metrics.Set(GaugeName::kControlBytesSent,
+              static_cast<double>(sources.transport.control_bytes_sent()));
   metrics.Set(GaugeName::kPlatformReads, static_cast<double>(calls.reads));
   metrics.Set(GaugeName::kPlatformWrites, static_cast<double>(calls.writes));
   metrics.Set(GaugeName::kPlatformWatches, static_cast<double>(calls.watches));
-  metrics.Set(GaugeName::kPlatformFailures, static_cast<double>(calls.failures));
+  metrics.Set(GaugeName::kPlatformFailures,
+              static_cast<double>(calls.failures));
 }
 
 bool IsReady(const StatusSources& sources) {
-  return !sources.leaving && sources.configuration.version() > 0 && sources.group.table().version.term > 0;
+  return !sources.leaving && sources.configuration.version() > 0 &&
+         sources.group.table().version.term > 0;
 }
 
 }  // namespace mimosadeal
--- a/source/core/server/status_report.h
+++ b/source/core/server/status_report.h
@@ -30,11 +30,13 @@
 nlohmann::json MakeStatus(const StatusSources& sources);
 
 // Explains where requests of `key` go.
-nlohmann::json ExplainOwner(const StatusSources& sources, const std::string& service, const std::string& key);
+nlohmann::json ExplainOwner(const StatusSources& sources,
+                            const std::string& service, const std::string& key);
 
 void UpdateGauges(const StatusSources& sources, Metrics& metrics);
 
-// True when this host can serve callers: it has a configuration and a table, and it is not leaving.
+// True when this host can serve callers: it has a configuration and a table,
+// and it is not leaving.
 bool IsReady(const StatusSources& sources);
 
 }  // namespace mimosadeal
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -11,74 +11,104 @@
 constexpr double kMebibyte = 1024.0 * 1024.0;
 
 const std::array kSettings = {
-    SettingSpec{"host.id", &Settings::host_id, "", 0, 0, "Name of this host, unique in the deployment."},
-    SettingSpec{"host.zone", &Settings::zone, "", 0, 0, "Availability zone of this host."},
-    SettingSpec{"host.group", &Settings::group, "", 0, 0, "Control group of this host, within its zone."},
-
-    SettingSpec{"listen.callers", &Settings::callers_address, "", 0, 0, "Address (ip:port) for callers' HTTP."},
-    SettingSpec{"listen.operators", &Settings::operators_address, "", 0, 0,
-                "Address (ip:port) for the administration API, metrics and health."},
+    SettingSpec{"host.id", &Settings::host_id, "", 0, 0,
+                "Name of this host, unique in the deployment."},
+    SettingSpec{"host.zone", &Settings::zone, "", 0, 0,
+                "Availability zone of this host."},
+    SettingSpec{"host.group", &Settings::group, "", 0, 0,
+                "Control group of this host, within its zone."},
+
+    SettingSpec{"listen.callers", &Settings::callers_address, "", 0, 0,
+                "Address (ip:port) for callers' HTTP."},
+    SettingSpec{
+        "listen.operators", &Settings::operators_address, "", 0, 0,
+        "Address (ip:port) for the administration API, metrics and health."},
     SettingSpec{"listen.inner", &Settings::inner_address, "", 0, 0,
                 "Address (ip:port), TCP and UDP, for other entry hosts."},
 
-    SettingSpec{"platform.address", &Settings::platform_address, "", 0, 0, "Address (ip:port) of the platform."},
-    SettingSpec{"platform.timeout_ms", &Settings::platform_timeout, "1000", 10, kMinuteMs,
-                "Longest wait for an answer of the platform."},
-    SettingSpec{"platform.poll_ms", &Settings::platform_poll, "1000", 50, kMinuteMs,
+    SettingSpec{"platform.address", &Settings::platform_address, "", 0, 0,
+                "Address (ip:port) of the platform."},
+    SettingSpec{"platform.timeout_ms", &Settings::platform_timeout, "1000", 10,
+                kMinuteMs, "Longest wait for an answer of the platform."},
+    SettingSpec{"platform.poll_ms", &Settings::platform_poll, "1000", 50,
+                kMinuteMs,
                 "Time between readings of the platform's host list."},
-    SettingSpec{"platform.connections", &Settings::platform_connections, "4", 3, 32,
-                "Connections to the platform, waiting watches included."},
-
-    SettingSpec{"leases.ttl_ms", &Settings::lease_ttl, "450", 50, kMinuteMs, "Time to live of a dispatcher's lease."},
-    SettingSpec{"leases.renew_ms", &Settings::lease_renew, "100", 10, kMinuteMs, "Time between lease renewals."},
-    SettingSpec{"leases.promise_ttl_ms", &Settings::promise_ttl, "600", 50, kMinuteMs,
-                "Time for which a renewal binds its sender to the controller's term."},
-    SettingSpec{"leases.controller_silence_ms", &Settings::controller_silence, "350", 50, kMinuteMs,
-                "Silence of the controller after which another host seeks the next term."},
-    SettingSpec{"leases.grant_ttl_ms", &Settings::grant_ttl, "450", 50, kMinuteMs,
-                "Time to live of an upstream's grant."},
-    SettingSpec{"leases.grant_renew_ms", &Settings::grant_renew, "100", 10, kMinuteMs, "Time between grant renewals."},
-    SettingSpec{"leases.upstream_silence_ms", &Settings::upstream_silence, "350", 50, kMinuteMs,
+    SettingSpec{"platform.connections", &Settings::platform_connections, "4", 3,
+                32, "Connections to the platform, waiting watches included."},
+
+    SettingSpec{"leases.ttl_ms", &Settings::lease_ttl, "450", 50, kMinuteMs,
+                "Time to live of a dispatcher's lease."},
+    SettingSpec{"leases.renew_ms", &Settings::lease_renew, "100", 10, kMinuteMs,
+                "Time between lease renewals."},
+    SettingSpec{
+        "leases.promise_ttl_ms", &Settings::promise_ttl, "600", 50, kMinuteMs,
+        "Time for which a renewal binds its sender to the controller's term."},
+    SettingSpec{"leases.controller_silence_ms", &Settings::controller_silence,
+                "350", 50, kMinuteMs,
+                "Silence of the controller after which another host seeks the "
+                "next term."},
+    SettingSpec{"leases.grant_ttl_ms", &Settings::grant_ttl, "450", 50,
+                kMinuteMs, "Time to live of an upstream's grant."},
+    SettingSpec{"leases.grant_renew_ms", &Settings::grant_renew, "100", 10,
+                kMinuteMs, "Time between grant renewals."},
+    SettingSpec{"leases.upstream_silence_ms", &Settings::upstream_silence,
+                "350", 50, kMinuteMs,
                 "Silence of an upstream after which its shards move."},
-    SettingSpec{"leases.clock_rate_guard", &Settings::clock_rate_guard, "0.02", 0, 0.5,
-                "Largest relative difference assumed between two hosts' clock rates."},
+    SettingSpec{
+        "leases.clock_rate_guard", &Settings::clock_rate_guard, "0.02", 0, 0.5,
+        "Largest relative difference assumed between two hosts' clock rates."},
 
-    SettingSpec{"limits.max_body_bytes", &Settings::max_body_bytes, "262144", 1024, 64 * kMebibyte,
+    SettingSpec{"limits.max_body_bytes", &Settings::max_body_bytes, "262144",
+                1024, 64 * kMebibyte,
                 "Largest request body taken from a caller."},
-    SettingSpec{"limits.max_response_bytes", &Settings::max_response_bytes, "1048576", 1024, 64 * kMebibyte,
+    SettingSpec{"limits.max_response_bytes", &Settings::max_response_bytes,
+                "1048576", 1024, 64 * kMebibyte,
                 "Largest response body taken from an upstream."},
-    SettingSpec{"limits.max_descriptors", &Settings::max_descriptors, "4096", 64, 1048576,
-                "Open sockets, all kinds together."},
-    SettingSpec{"limits.max_header_blocks", &Settings::max_header_blocks, "2048", 16, 1048576,
-                "HTTP header blocks held at once."},
-    SettingSpec{"limits.max_waiting_requests", &Settings::max_waiting_requests, "20000", 16, 1048576,
+    SettingSpec{"limits.max_descriptors", &Settings::max_descriptors, "4096",
+                64, 1048576, "Open sockets, all kinds together."},
+    SettingSpec{"limits.max_header_blocks", &Settings::max_header_blocks,
+                "2048", 16, 1048576, "HTTP header blocks held at once."},
+    SettingSpec{"limits.max_waiting_requests", &Settings::max_waiting_requests,
+                "20000", 16, 1048576,
                 "Requests that this host holds as ingress at once."},
-    SettingSpec{"limits.max_queue_per_upstream", &Settings::max_queue_per_upstream, "2000", 1, 1048576,
+    SettingSpec{"limits.max_queue_per_upstream",
+                &Settings::max_queue_per_upstream, "2000", 1, 1048576,
                 "Requests queued for one upstream."},
-    SettingSpec{"limits.max_peer_backlog_bytes", &Settings::max_peer_backlog_bytes, "67108864", 65536,
-                1024 * kMebibyte, "Bytes waiting to be sent to one other entry host."},
-
-    SettingSpec{"requests.default_deadline_ms", &Settings::default_deadline, "5000", 1, kHourMs,
-                "Deadline of a request that states none."},
-    SettingSpec{"requests.longest_deadline_ms", &Settings::longest_deadline, "60000", 1, kHourMs,
+    SettingSpec{"limits.max_peer_backlog_bytes",
+                &Settings::max_peer_backlog_bytes, "67108864", 65536,
+                1024 * kMebibyte,
+                "Bytes waiting to be sent to one other entry host."},
+
+    SettingSpec{"requests.default_deadline_ms", &Settings::default_deadline,
+                "5000", 1, kHourMs, "Deadline of a request that states none."},
+    SettingSpec{"requests.longest_deadline_ms", &Settings::longest_deadline,
+                "60000", 1, kHourMs,
                 "Longest deadline that a caller may state."},
-    SettingSpec{"requests.owner_wait_ms", &Settings::owner_wait, "1500", 0, kMinuteMs,
+    SettingSpec{"requests.owner_wait_ms", &Settings::owner_wait, "1500", 0,
+                kMinuteMs,
                 "Longest wait for a key that has no available owner."},
-    SettingSpec{"requests.ledger_retention_ms", &Settings::ledger_retention, "600000", 1000, 24 * kHourMs,
-                "Time for which the outcome of a non-idempotent request is remembered."},
-    SettingSpec{"requests.ledger_entries", &Settings::ledger_entries, "200000", 16, 100e6,
-                "Non-idempotent requests remembered at once."},
-    SettingSpec{"requests.ledger_response_bytes", &Settings::ledger_response_bytes, "4096", 0, kMebibyte,
+    SettingSpec{"requests.ledger_retention_ms", &Settings::ledger_retention,
+                "600000", 1000, 24 * kHourMs,
+                "Time for which the outcome of a non-idempotent request is "
+                "remembered."},
+    SettingSpec{"requests.ledger_entries", &Settings::ledger_entries, "200000",
+                16, 100e6, "Non-idempotent requests remembered at once."},
+    SettingSpec{"requests.ledger_response_bytes",
+                &Settings::ledger_response_bytes, "4096", 0, kMebibyte,
                 "Largest response body remembered for a resent request."},
     SettingSpec{"requests.retry_budget", &Settings::retry_budget, "0.1", 0, 1,
                 "Retries of idempotent requests, as a share of first tries."},
-    SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0, 10000,
+    SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0,
+                10000,
                 "Tenants with metrics of their own; later ones share one set."},
-    SettingSpec{"requests.drain_timeout_ms", &Settings::drain_timeout, "30000", 100, kHourMs,
+    SettingSpec{"requests.drain_timeout_ms", &Settings::drain_timeout, "30000",
+                100, kHourMs,
                 "Longest wait for requests in flight at a planned stop."},
 
-    SettingSpec{"log.level", &Settings::log_level, "info", 0, 0, "trace, debug, info, warning, error or off."},
-    SettingSpec{"log.format", &Settings::log_format, "text", 0, 0, "text or json."},
+    SettingSpec{"log.level", &Settings::log_level, "info", 0, 0,
+                "trace, debug, info, warning, error or off."},
+    SettingSpec{"log.format", &Settings::log_format, "text", 0, 0,
+                "text or json."},
 };
 
 std::string FormatNumber(double value) {
@@ -99,9 +129,12 @@
 }
 
 std::string DescribeAllowed(const SettingSpec& spec) {
-  if (std::holds_alternative<std::string Settings::*>(spec.target)) return "a text";
-  const std::string range = " from " + FormatNumber(spec.least) + " to " + FormatNumber(spec.greatest);
-  if (std::holds_alternative<double Settings::*>(spec.target)) return "a number" + range;
+  if (std::holds_alternative<std::string Settings::*>(spec.target))
+    return "a text";
+  const std::string range = " from " + FormatNumber(spec.least) + " to " +
+                            FormatNumber(spec.greatest);
+  if (std::holds_alternative<double Settings::*>(spec.target))
+    return "a number" + range;
   return "a whole number" + range;
 }
 
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -1,5 +1,6 @@
-// The settings of one entry host, read once at start. What operators change while the system runs
-// is not here but in the configuration document (package configuration).
+// The settings of one entry host, read once at start. What operators change
+// while the system runs is not here but in the configuration document (package
+// configuration).
 #pragma once
 
 #include <cstdint>
@@ -59,11 +60,14 @@
 
   // Other entry hosts to ask at start when the platform does not answer.
   std::vector<std::string> seed_peers;
-  // Replaces an address that the platform lists by another one, for networks with translation.
+  // Replaces an address that the platform lists by another one, for networks
+  // with translation.
   std::map<std::string, std::string> routes;
 };
 
-// Returns the address to use for one that the platform lists, by Settings::routes.
-std::string RouteAddress(const std::map<std::string, std::string>& routes, const std::string& address);
+// Returns the address to use for one that the platform lists, by
+// Settings::routes.
+std::string RouteAddress(const std::map<std::string, std::string>& routes,
+                         const std::string& address);
 
 }  // namespace mimosadeal
--- a/source/core/settings/settings_loader.cc
+++ b/source/core/settings/settings_loader.cc
@@ -18,22 +18,26 @@
 namespace mimosadeal {
 namespace {
 
-constexpr std::array<std::string_view, 6> kLogLevels = {"trace", "debug", "info", "warning", "error", "off"};
+constexpr std::array<std::string_view, 6> kLogLevels = {
+    "trace", "debug", "info", "warning", "error", "off"};
 constexpr std::array<std::string_view, 2> kLogFormats = {"text", "json"};
 
 template <size_t kCount>
-bool Contains(const std::array<std::string_view, kCount>& names, std::string_view name) {
+bool Contains(const std::array<std::string_view, kCount>& names,
+              std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
 // Collects values and faults while the layers are applied.
 class Loader {
  public:
-  Loader(std::string path, LoadedSettings& loaded) : path_(std::move(path)), loaded_(loaded) {}
+  Loader(std::string path, LoadedSettings& loaded)
+      : path_(std::move(path)), loaded_(loaded) {}
 
   void ApplyDefaults() {
     for (const SettingSpec& spec : AllSettings()) {
-      if (!spec.default_text.empty()) SetFromText(spec, spec.default_text, "default", 0);
+      if (!spec.default_text.empty())
+        SetFromText(spec, spec.default_text, "default", 0);
     }
   }
 
@@ -41,7 +45,8 @@
     toml::parse_result parsed = toml::parse(text, path_);
     if (!parsed) {
       const toml::parse_error& error = parsed.error();
-      AddFault(path_, error.source().begin.line, "", std::string(error.description()));
+      AddFault(path_, error.source().begin.line, "",
+               std::string(error.description()));
       return;
     }
     for (const auto& [key, node] : parsed.table()) {
@@ -74,14 +79,16 @@
   void CheckWhole() {
     for (const SettingSpec& spec : AllSettings()) {
       if (spec.default_text.empty() && given_.count(spec.name) == 0) {
-        AddFault(path_, 0, std::string(spec.name), "is missing; " + std::string(spec.help));
+        AddFault(path_, 0, std::string(spec.name),
+                 "is missing; " + std::string(spec.help));
       }
     }
     CheckAddress("listen.callers", loaded_.settings.callers_address);
     CheckAddress("listen.operators", loaded_.settings.operators_address);
     CheckAddress("listen.inner", loaded_.settings.inner_address);
     CheckAddress("platform.address", loaded_.settings.platform_address);
-    for (const std::string& peer : loaded_.settings.seed_peers) CheckAddress("peers.seeds", peer);
+    for (const std::string& peer : loaded_.settings.seed_peers)
+      CheckAddress("peers.seeds", peer);
     for (const auto& [from, to] : loaded_.settings.routes) {
       CheckAddress("routes", from);
       CheckAddress("routes", to);
@@ -107,65 +114,80 @@
     }
   }
 
-  void ApplyTextTable(const std::string& name, const toml::node& node, std::map<std::string, std::string>& target) {
+  void ApplyTextTable(const std::string& name, const toml::node& node,
+                      std::map<std::string, std::string>& target) {
     const toml::table* table = node.as_table();
     if (table == nullptr) {
-      AddFault(path_, node.source().begin.line, name, "must be a table of texts");
+      AddFault(path_, node.source().begin.line, name,
+               "must be a table of texts");
       return;
     }
     for (const auto& [key, value] : *table) {
       const auto text = value.value<std::string>();
       if (!value.is_string() || !text.has_value()) {
-        AddFault(path_, value.source().begin.line, name + "." + std::string(key.str()), "must be a text");
+        AddFault(path_, value.source().begin.line,
+                 name + "." + std::string(key.str()), "must be a text");
         continue;
       }
       target[std::string(key.str())] = *text;
     }
   }
 
-  void ApplyTextList(const std::string& name, const toml::node& node, std::vector<std::string>& target) {
+  void ApplyTextList(const std::string& name, const toml::node& node,
+                     std::vector<std::string>& target) {
     const toml::array* array = node.as_array();
     if (array == nullptr) {
-      AddFault(path_, node.source().begin.line, name, "must be a list of texts");
+      AddFault(path_, node.source().begin.line, name,
+               "must be a list of texts");
       return;
     }
     for (const toml::node& element : *array) {
       if (!element.is_string()) {
-        AddFault(path_, element.source().begin.line, name, "must be a list of texts");
+        AddFault(path_, element.source().begin.line, name,
+                 "must be a list of texts");
         continue;
       }
       target.push_back(element.value<std::string>().value_or(""));
     }
   }
 
-  void SetFromNode(const SettingSpec& spec, const toml::node& node, unsigned line) {
+  void SetFromNode(const SettingSpec& spec, const toml::node& node,
+                   unsigned line) {
     if (std::holds_alternative<std::string Settings::*>(spec.target)) {
       if (!node.is_string()) {
-        AddFault(path_, line, std::string(spec.name), "must be " + DescribeAllowed(spec));
+        AddFault(path_, line, std::string(spec.name),
+                 "must be " + DescribeAllowed(spec));
         return;
       }
       SetText(spec, node.value<std::string>().value_or(""));
       return;
     }
-    const bool whole_only = !std::holds_alternative<double Settings::*>(spec.target);
+    const bool whole_only =
+        !std::holds_alternative<double Settings::*>(spec.target);
     if (!node.is_integer() && (whole_only || !node.is_floating_point())) {
-      AddFault(path_, line, std::string(spec.name), "must be " + DescribeAllowed(spec));
+      AddFault(path_, line, std::string(spec.name),
+               "must be " + DescribeAllowed(spec));
       return;
     }
     SetNumber(spec, node.value<double>().value_or(std::nan("")), path_, line);
   }
 
-  void SetFromText(const SettingSpec& spec, std::string_view text, const std::string& source, unsigned line) {
+  void SetFromText(const SettingSpec& spec, std::string_view text,
+                   const std::string& source, unsigned line) {
     if (std::holds_alternative<std::string Settings::*>(spec.target)) {
       SetText(spec, std::string(text));
       return;
     }
     double number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool whole_only = !std::holds_alternative<double Settings::*>(spec.target);
-    const bool valid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole_only =
+        !std::holds_alternative<double Settings::*>(spec.target);
+    const bool valid =
+        parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
     if (!valid || (whole_only && std::floor(number) != number)) {
-      AddFault(source, line, std::string(spec.name), "must be " + DescribeAllowed(spec));
+      AddFault(source, line, std::string(spec.name),
+               "must be " + DescribeAllowed(spec));
       return;
     }
     SetNumber(spec, number, source, line);
@@ -173,22 +195,27 @@
 
   void SetText(const SettingSpec& spec, std::string text) {
     given_.insert(spec.name);
-    loaded_.settings.*std::get<std::string Settings::*>(spec.target) = std::move(text);
+    loaded_.settings.*std::get<std::string Settings::*>(spec.target) =
+        std::move(text);
   }
 
-  void SetNumber(const SettingSpec& spec, double number, const std::string& source, unsigned line) {
+  void SetNumber(const SettingSpec& spec, double number,
+                 const std::string& source, unsigned line) {
     if (!(number >= spec.least && number <= spec.greatest)) {
-      AddFault(source, line, std::string(spec.name), "must be " + DescribeAllowed(spec));
+      AddFault(source, line, std::string(spec.name),
+               "must be " + DescribeAllowed(spec));
       return;
     }
     given_.insert(spec.name);
     Settings& settings = loaded_.settings;
     if (const auto* whole = std::get_if<int64_t Settings::*>(&spec.target)) {
-      settings.**whole = static_cast<int64_t>(number);
-    } else if (const auto* real = std::get_if<double Settings::*>(&spec.target)) {
-      settings.**real = number;
+      settings.** whole = static_cast<int64_t>(number);
+    } else if (const auto* real =
+                   std::get_if<double Settings::*>(&spec.target)) {
+      settings.** real = number;
     } else {
-      settings.*std::get<Duration Settings::*>(spec.target) = std::chrono::milliseconds(static_cast<int64_t>(number));
+      settings.*std::get<Duration Settings::*>(spec.target) =
+          std::chrono::milliseconds(static_cast<int64_t>(number));
     }
   }
 
@@ -201,32 +228,41 @@
   void CheckLog() {
     const Settings& settings = loaded_.settings;
     if (!Contains(kLogLevels, settings.log_level)) {
-      AddFault(path_, 0, "log.level", "must be trace, debug, info, warning, error or off");
+      AddFault(path_, 0, "log.level",
+               "must be trace, debug, info, warning, error or off");
     }
-    if (!Contains(kLogFormats, settings.log_format)) AddFault(path_, 0, "log.format", "must be text or json");
+    if (!Contains(kLogFormats, settings.log_format))
+      AddFault(path_, 0, "log.format", "must be text or json");
     for (const auto& [part, level] : settings.log_parts) {
       if (!Contains(kLogLevels, level)) {
-        AddFault(path_, 0, "log.parts." + part, "must be trace, debug, info, warning, error or off");
+        AddFault(path_, 0, "log.parts." + part,
+                 "must be trace, debug, info, warning, error or off");
       }
     }
   }
 
-  // A promise must outlast the lease that relies on it; see docs/design/leases.md.
+  // A promise must outlast the lease that relies on it; see
+  // docs/design/leases.md.
   void CheckLeases() {
     const Settings& settings = loaded_.settings;
     if (settings.lease_ttl >= settings.promise_ttl) {
-      AddFault(path_, 0, "leases.ttl_ms", "must be less than leases.promise_ttl_ms");
+      AddFault(path_, 0, "leases.ttl_ms",
+               "must be less than leases.promise_ttl_ms");
     }
     if (settings.lease_renew * 3 > settings.lease_ttl) {
-      AddFault(path_, 0, "leases.renew_ms", "must be at most a third of leases.ttl_ms");
+      AddFault(path_, 0, "leases.renew_ms",
+               "must be at most a third of leases.ttl_ms");
     }
     if (settings.grant_renew * 3 > settings.grant_ttl) {
-      AddFault(path_, 0, "leases.grant_renew_ms", "must be at most a third of leases.grant_ttl_ms");
+      AddFault(path_, 0, "leases.grant_renew_ms",
+               "must be at most a third of leases.grant_ttl_ms");
     }
   }
 
-  void AddFault(const std::string& source, unsigned line, std::string name, std::string message) {
-    loaded_.faults.push_back(SettingFault{source, line, std::move(name), std::move(message)});
+  void AddFault(const std::string& source, unsigned line, std::string name,
+                std::string message) {
+    loaded_.faults.push_back(
+        SettingFault{source, line, std::move(name), std::move(message)});
   }
 
   std::string path_;
@@ -243,7 +279,8 @@
   return text + ": " + message;
 }
 
-std::string RouteAddress(const std::map<std::string, std::string>& routes, const std::string& address) {
+std::string RouteAddress(const std::map<std::string, std::string>& routes,
+                         const std::string& address) {
   const auto found = routes.find(address);
   return found == routes.end() ? address : found->second;
 }
@@ -259,7 +296,8 @@
   return loaded;
 }
 
-LoadedSettings LoadSettings(const std::string& path, const std::vector<std::string>& overrides) {
+LoadedSettings LoadSettings(const std::string& path,
+                            const std::vector<std::string>& overrides) {
   std::ifstream file(path);
   if (!file) {
     LoadedSettings loaded;
--- a/source/core/upstream/upstream_link.h
+++ b/source/core/upstream/upstream_link.h
@@ -1,5 +1,5 @@
-// A dispatcher's link to one upstream: its connections, one for each slot, and a further one for
-// grants and probes.
+// A dispatcher's link to one upstream: its connections, one for each slot, and
+// a further one for grants and probes.
 #pragma once
 
 #include <deque>
@@ -49,21 +49,27 @@
   UpstreamLink(const UpstreamLink&) = delete;
   UpstreamLink& operator=(const UpstreamLink&) = delete;
 
-  // Takes over what the newest table assigns to this upstream; nothing when `dispatching` is false.
-  void SetAssignment(const TableVersion& version, ShardSet shards, bool dispatching);
+  // Takes over what the newest table assigns to this upstream; nothing when
+  // `dispatching` is false.
+  void SetAssignment(const TableVersion& version, ShardSet shards,
+                     bool dispatching);
 
-  // Sends a grant, or a probe, unless one is on its way. `lease_left` is zero without a lease.
+  // Sends a grant, or a probe, unless one is on its way. `lease_left` is zero
+  // without a lease.
   void Renew(Duration lease_left);
 
-  // True when a request of `shard` may be sent at `now`. The caller checks its own lease besides.
+  // True when a request of `shard` may be sent at `now`. The caller checks its
+  // own lease besides.
   bool MayRun(uint32_t shard, MonotonicTime now) const;
 
   bool HasFreeConnection() const;
   // Opens further connections, up to one for each of `slots`.
   void GrowTo(int slots);
   // Sends one request. A connection must be free.
-  void Send(uint32_t shard, const std::string& request_id, ClientRequest request, AnswerCallback callback);
-  // Closes the connection under a request in flight, which the upstream takes as a cancellation.
+  void Send(uint32_t shard, const std::string& request_id,
+            ClientRequest request, AnswerCallback callback);
+  // Closes the connection under a request in flight, which the upstream takes
+  // as a cancellation.
   void Abort(const std::string& request_id);
 
   UpstreamReport Report(MonotonicTime now);
@@ -73,7 +79,9 @@
   const UpstreamLinkOptions& options() const { return options_; }
 
   // Runs when a report would differ from the one before.
-  void set_on_change(std::function<void()> on_change) { on_change_ = std::move(on_change); }
+  void set_on_change(std::function<void()> on_change) {
+    on_change_ = std::move(on_change);
+  }
 
  private:
   struct Slot {
@@ -84,8 +92,10 @@
 
   void SendGrant(Duration lease_left);
   void SendProbe();
-  void OnControlAnswer(const GrantToSend& grant, const ClientResponse& response);
-  void OnAnswer(Slot& slot, const std::string& request_id, ClientResponse response, const AnswerCallback& callback);
+  void OnControlAnswer(const GrantToSend& grant,
+                       const ClientResponse& response);
+  void OnAnswer(Slot& slot, const std::string& request_id,
+                ClientResponse response, const AnswerCallback& callback);
   void UpdateApplied(MonotonicTime now);
   ShardSet GrantContent() const;
 
@@ -97,15 +107,16 @@
   TableVersion version_;
   ShardSet assigned_;
   bool dispatching_ = false;
-  // What the latest revision of the grant holds: the assigned shards, and those that were revoked
-  // while work on them runs, which must be let finish.
+  // What the latest revision of the grant holds: the assigned shards, and those
+  // that were revoked while work on them runs, which must be let finish.
   ShardSet content_;
   uint64_t revision_ = 0;
   TableVersion applied_;
   MonotonicTime last_answer_ = kNever;
   MonotonicTime first_probe_ = kNever;
   int refused_connections_ = 0;
-  // A change came while a grant was on its way: the next is sent as soon as it is answered.
+  // A change came while a grant was on its way: the next is sent as soon as it
+  // is answered.
   bool renew_at_once_ = false;
   Duration lease_left_{};
   UpstreamHealth reported_health_ = UpstreamHealth::kUnknown;
--- a/source/core/upstream/upstream_protocol.cc
+++ b/source/core/upstream/upstream_protocol.cc
@@ -26,22 +26,28 @@
 
 Result<GrantBody> DecodeGrant(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
-  const Error malformed = MakeError(ErrorCode::kMalformed, "the grant is not readable");
+  const Error malformed =
+      MakeError(ErrorCode::kMalformed, "the grant is not readable");
   if (!json.is_object()) return malformed;
   for (const char* name : {"holder", "service", "shards", "token"}) {
     if (!json.contains(name) || !json[name].is_string()) return malformed;
   }
-  for (const char* name : {"term", "sequence", "revision", "shard_count", "ttl_us"}) {
-    if (!json.contains(name) || !json[name].is_number_unsigned()) return malformed;
+  for (const char* name :
+       {"term", "sequence", "revision", "shard_count", "ttl_us"}) {
+    if (!json.contains(name) || !json[name].is_number_unsigned())
+      return malformed;
   }
   GrantBody grant;
   grant.holder = json["holder"].get<std::string>();
   grant.service = json["service"].get<std::string>();
-  grant.version = {json["term"].get<uint64_t>(), json["sequence"].get<uint64_t>()};
+  grant.version = {json["term"].get<uint64_t>(),
+                   json["sequence"].get<uint64_t>()};
   grant.revision = json["revision"].get<uint64_t>();
   grant.shard_count = json["shard_count"].get<uint32_t>();
   if (grant.shard_count > kMaxShards) return malformed;
-  BOOST_OUTCOME_TRY(made_shards, ShardSet::FromRanges(json["shards"].get<std::string>(), grant.shard_count));
+  BOOST_OUTCOME_TRY(made_shards,
+                    ShardSet::FromRanges(json["shards"].get<std::string>(),
+                                         grant.shard_count));
   grant.shards = std::move(made_shards);
   grant.ttl = std::chrono::microseconds(json["ttl_us"].get<int64_t>());
   grant.token = json["token"].get<std::string>();
@@ -54,11 +60,14 @@
 
 Result<GrantAnswer> DecodeGrantAnswer(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
-  if (!json.is_object() || !json.contains("accepted") || !json["accepted"].is_boolean() || !json.contains("token") ||
+  if (!json.is_object() || !json.contains("accepted") ||
+      !json["accepted"].is_boolean() || !json.contains("token") ||
       !json["token"].is_string()) {
-    return MakeError(ErrorCode::kMalformed, "the answer to a grant is not readable");
+    return MakeError(ErrorCode::kMalformed,
+                     "the answer to a grant is not readable");
   }
-  return GrantAnswer{json["accepted"].get<bool>(), json["token"].get<std::string>()};
+  return GrantAnswer{json["accepted"].get<bool>(),
+                     json["token"].get<std::string>()};
 }
 
 }  // namespace mimosadeal
--- a/source/core/upstream/upstream_protocol.h
+++ b/source/core/upstream/upstream_protocol.h
@@ -1,5 +1,6 @@
-// The interface of upstreams as this project expects it: names of headers, and the grant's body.
-// docs/UPSTREAMS.md describes it for those who write upstreams.
+// The interface of upstreams as this project expects it: names of headers, and
+// the grant's body. docs/UPSTREAMS.md describes it for those who write
+// upstreams.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
@@ -22,7 +23,8 @@
 inline constexpr char kIdempotencyKeyHeader[] = "idempotency-key";
 
 struct GrantBody {
-  std::string holder;  // The dispatcher's process, which each request names as well.
+  std::string
+      holder;  // The dispatcher's process, which each request names as well.
   std::string service;
   // Grants are ordered by the table's version, then by revision.
   TableVersion version;
--- a/source/mimosadeal/main.cc
+++ b/source/mimosadeal/main.cc
@@ -1,7 +1,8 @@
-// The daemon's command line: parses flags, loads the settings, and runs the node.
+// The daemon's command line: parses flags, loads the settings, and runs the
+// node.
 //
-// Exit codes: 0 after a planned stop or a successful --check; 1 when an address cannot be listened
-// on; 2 for faults in the settings or the command line.
+// Exit codes: 0 after a planned stop or a successful --check; 1 when an address
+// cannot be listened on; 2 for faults in the settings or the command line.
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -17,9 +18,11 @@
 #include "server/node.h"
 #include "settings/settings_loader.h"
 
-ABSL_FLAG(std::string, settings, "", "The TOML file with this host's settings.");
+ABSL_FLAG(std::string, settings, "",
+          "The TOML file with this host's settings.");
 ABSL_FLAG(std::vector<std::string>, set, {},
-          "Comma-separated settings that go before the file, each as section.name=value.");
+          "Comma-separated settings that go before the file, each as "
+          "section.name=value.");
 ABSL_FLAG(bool, check, false, "Only check the settings, and exit.");
 
 namespace {
@@ -29,17 +32,23 @@
 
 constexpr char kUsage[] =
     "mimosadeal runs one entry host of the router.\n\n"
-    "  mimosadeal --settings FILE            run until SIGTERM, which starts a planned stop\n"
+    "  mimosadeal --settings FILE            run until SIGTERM, which starts a "
+    "planned stop\n"
     "  mimosadeal --settings FILE --check    check the settings and exit\n\n"
-    "Exit codes: 0 planned stop or settings in order; 1 an address cannot be listened on;\n"
+    "Exit codes: 0 planned stop or settings in order; 1 an address cannot be "
+    "listened on;\n"
     "2 faults in the settings or the command line.";
 
 void ApplyLogSettings(const mimosadeal::Settings& settings) {
-  const auto format = settings.log_format == "json" ? mimosadeal::LogFormat::kJson : mimosadeal::LogFormat::kText;
-  mimosadeal::ConfigureLogging(format, spdlog::level::from_str(settings.log_level));
+  const auto format = settings.log_format == "json"
+                          ? mimosadeal::LogFormat::kJson
+                          : mimosadeal::LogFormat::kText;
+  mimosadeal::ConfigureLogging(format,
+                               spdlog::level::from_str(settings.log_level));
   for (const auto& [part, level] : settings.log_parts) {
     if (!mimosadeal::SetLogLevel(part, spdlog::level::from_str(level))) {
-      mimosadeal::Log(mimosadeal::LogPart::kServer).warn("There is no part called {} to set a log level for.", part);
+      mimosadeal::Log(mimosadeal::LogPart::kServer)
+          .warn("There is no part called {} to set a log level for.", part);
     }
   }
 }
@@ -48,19 +57,27 @@
 
 int main(int argc, char** argv) {
   absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("mimosadeal ") + mimosadeal::kVersion + "\n"; };
-  usage.contains_help_flags = [](absl::string_view file) { return file.find("mimosadeal/main.cc") != file.npos; };
+  usage.version_string = [] {
+    return std::string("mimosadeal ") + mimosadeal::kVersion + "\n";
+  };
+  usage.contains_help_flags = [](absl::string_view file) {
+    return file.find("mimosadeal/main.cc") != file.npos;
+  };
   absl::SetFlagsUsageConfig(usage);
   absl::SetProgramUsageMessage(kUsage);
   const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
   const std::string path = absl::GetFlag(FLAGS_settings);
   if (rest.size() > 1 || path.empty()) {
-    std::fprintf(stderr, "%s\n", path.empty() ? "--settings is required; see --help" : "unexpected argument; see --help");
+    std::fprintf(stderr, "%s\n",
+                 path.empty() ? "--settings is required; see --help"
+                              : "unexpected argument; see --help");
     return kExitBadSettings;
   }
-  mimosadeal::LoadedSettings loaded = mimosadeal::LoadSettings(path, absl::GetFlag(FLAGS_set));
+  mimosadeal::LoadedSettings loaded =
+      mimosadeal::LoadSettings(path, absl::GetFlag(FLAGS_set));
   if (!loaded.faults.empty()) {
-    for (const auto& fault : loaded.faults) std::fprintf(stderr, "%s\n", fault.ToString().c_str());
+    for (const auto& fault : loaded.faults)
+      std::fprintf(stderr, "%s\n", fault.ToString().c_str());
     return kExitBadSettings;
   }
   if (absl::GetFlag(FLAGS_check)) {
@@ -70,7 +87,8 @@
   ApplyLogSettings(loaded.settings);
   auto node = mimosadeal::Node::Start(std::move(loaded.settings));
   if (!node.has_value()) {
-    std::fprintf(stderr, "%s\n", mimosadeal::DescribeError(node.error()).c_str());
+    std::fprintf(stderr, "%s\n",
+                 mimosadeal::DescribeError(node.error()).c_str());
     return kExitCannotListen;
   }
   node.value()->Run();
