--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -81,6 +81,21 @@
                     : std::string();
 }
 
+// libwebsockets splits the query at its ampersands and keeps the parts.
+std::string CopyQuery(lws* wsi) {
+  std::string query;
+  std::array<char, kMaxHeaderValueBytes + 1> buffer{};
+  for (int part = 0;; ++part) {
+    const int copied = lws_hdr_copy_fragment(wsi, buffer.data(),
+                                             static_cast<int>(buffer.size()),
+                                             WSI_TOKEN_HTTP_URI_ARGS, part);
+    if (copied < 0) break;
+    if (part > 0) query += '&';
+    query.append(buffer.data(), static_cast<size_t>(copied));
+  }
+  return query;
+}
+
 // One request on one connection, from its headers to the last byte of its
 // response.
 struct Exchange {
@@ -311,7 +326,7 @@
     request.path = CopyToken(wsi, entry.token);
     break;
   }
-  request.query = CopyToken(wsi, WSI_TOKEN_HTTP_URI_ARGS);
+  request.query = CopyQuery(wsi);
   for (const HeaderToken& entry : kHeaderTokens) {
     std::string value = CopyToken(wsi, entry.token);
     if (!value.empty())
--- a/source/core/ownership/controller_leases.cc
+++ b/source/core/ownership/controller_leases.cc
@@ -78,17 +78,23 @@
   return true;
 }
 
-void RecordReports(ControllerHost& host, const LeaseRequest& request) {
-  std::map<std::string, UpstreamReport> reports;
-  for (const UpstreamReport& report : request.upstreams) {
-    UpstreamReport& kept = reports[report.upstream];
-    kept = report;
-    // Datagrams may arrive out of order; what was applied stays applied.
-    const auto before = host.reports.find(report.upstream);
-    if (before != host.reports.end())
-      kept.applied = std::max(kept.applied, before->second.applied);
+// Takes over what the host reports, unless a later request arrived before this
+// one.
+void RecordReports(ControllerState& state, ControllerHost& host,
+                   const LeaseRequest& request) {
+  if (request.sent_at_ns < host.reported_at_ns) return;
+  if (host.leaving != request.leaving || host.table != request.table ||
+      !SameReports(host.reports, request)) {
+    state.attention = true;
   }
-  host.reports = std::move(reports);
+  host.reported_at_ns = request.sent_at_ns;
+  host.address = request.address;
+  host.table = request.table;
+  host.configuration_version = request.configuration_version;
+  host.leaving = request.leaving;
+  host.reports.clear();
+  for (const UpstreamReport& report : request.upstreams)
+    host.reports[report.upstream] = report;
 }
 
 // The standby's acknowledgement begins and ends the time in which it may stand
@@ -134,19 +140,11 @@
                               const LeaseRequest& request, MonotonicTime now) {
   ControllerHost& host = state.hosts[request.host];
   if (host.first_seen == kNever) host.first_seen = now;
-  if (host.leaving != request.leaving || host.table != request.table ||
-      !SameReports(host.reports, request)) {
-    state.attention = true;
-  }
-  host.address = request.address;
-  host.table = std::max(host.table, request.table);
-  host.configuration_version = request.configuration_version;
-  host.leaving = request.leaving;
   const MonotonicTime free_at =
       now + Duration(std::max<int64_t>(0, request.earlier_promise_left_ns));
   host.accepted_at = std::min(host.accepted_at, free_at);
   RecordPromise(state, host, request, now);
-  RecordReports(host, request);
+  RecordReports(state, host, request);
   RecordOutage(state, request);
 
   LeaseReply reply;
--- a/source/core/ownership/controller_moves.cc
+++ b/source/core/ownership/controller_moves.cc
@@ -82,8 +82,10 @@
     if (Lost(revocation.dispatcher)) return true;
     const ControllerHost& host = state_.hosts.at(revocation.dispatcher);
     const auto report = host.reports.find(revocation.upstream);
-    return report != host.reports.end() &&
-           report->second.applied >= revocation.version;
+    // A host that has the table and does not report the upstream has nothing to
+    // do with it.
+    if (report == host.reports.end()) return host.table >= revocation.version;
+    return report->second.applied >= revocation.version;
   }
 
   // For holders of which this term knows nothing.
@@ -237,7 +239,11 @@
     const auto most = std::max_element(counts.begin(), counts.end(), by_count);
     if (most->second - least->second < kDispatcherSpread) return;
     for (TableUpstream& upstream : next_.upstreams) {
-      if (upstream.dispatcher != most->first) continue;
+      // One that became dispatcher in this pass does not know of it yet.
+      const TableUpstream* published = FindUpstream(state_.table, upstream.id);
+      if (upstream.dispatcher != most->first ||
+          published->dispatcher != upstream.dispatcher)
+        continue;
       RevokeDispatcher(upstream, least->first);
       state_.next_balancing = now_ + kBalancingInterval;
       return;
--- a/source/core/ownership/controller_state.h
+++ b/source/core/ownership/controller_state.h
@@ -32,6 +32,9 @@
   MonotonicTime accepted_at = kForever;
   // When this host was first heard of in this term.
   MonotonicTime first_seen = kNever;
+  // From the latest request by the host's own clock: datagrams may arrive out
+  // of order.
+  int64_t reported_at_ns = 0;
   TableVersion table;
   uint64_t configuration_version = 0;
   bool leaving = false;
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -127,7 +127,8 @@
           static_cast<size_t>(environment_.settings.max_queue_per_upstream),
           environment_.loop.timers().now());
     }
-    ShardSet shards = dispatching ? OwnedShards(table_, entry) : ShardSet();
+    ShardSet shards = dispatching ? OwnedShards(table_, entry)
+                                  : ShardSet(service->second.shards);
     upstream.link->SetAssignment(table_.version, std::move(shards),
                                  dispatching);
     upstream.link->Renew(LeaseLeft());
@@ -509,11 +510,13 @@
   }
 }
 
+// Requests that were not sent go back to their ingress, before this host's
+// ledger is handed on: a request that is still recorded then counts as one that
+// may have run.
 void Dispatcher::DropRevoked() {
   std::vector<uint64_t> revoked;
   for (const auto& [handle, request] : requests_) {
-    if (request.stage != Stage::kQueued &&
-        request.stage != Stage::kAwaitingLedger)
+    if (request.stage == Stage::kSent || request.stage == Stage::kJoined)
       continue;
     if (!Serves(request.message.service, request.message.shard))
       revoked.push_back(handle);
@@ -522,10 +525,10 @@
     const auto found = requests_.find(handle);
     if (found == requests_.end()) continue;
     const Request& request = found->second;
-    if (request.stage == Stage::kQueued) {
+    if (request.stage == Stage::kQueued)
       RemoveWaiting(upstreams_.at(request.upstream).scheduler, request.waiting);
-      ForgetUnrun(request.message);
-    }
+    if (request.stage == Stage::kAwaitingReplica) ReleaseSlot(request, false);
+    if (request.stage != Stage::kAwaitingLedger) ForgetUnrun(request.message);
     FinishUnsent(handle, DispatchStatus::kNoOwner,
                  "the key moved to another upstream", Duration::zero());
   }
--- a/source/core/server/router.cc
+++ b/source/core/server/router.cc
@@ -12,7 +12,8 @@
 
 // Ingress, a host of the key's zone, the key's dispatcher.
 constexpr uint8_t kMaxHops = 2;
-constexpr int kMaxAttempts = 3;
+// Pause before a host is tried again whose connection broke.
+constexpr Duration kLostHostPause = std::chrono::milliseconds(100);
 // Retries that may be made at once before the budget counts.
 constexpr double kRetryTokensAtMost = 20;
 // Time given to the dispatcher's own answer at the deadline, which knows more.
@@ -46,7 +47,7 @@
 }  // namespace
 
 Router::Router(Environment environment)
-    : environment_(std::move(environment)) {}
+    : environment_(std::move(environment)), retry_tokens_(kRetryTokensAtMost) {}
 
 void Router::OnConfiguration(const Configuration& configuration) {
   configuration_ = configuration;
@@ -119,7 +120,6 @@
     if (owner != nullptr && owner->dispatcher == environment_.process) {
       request.local = true;
       request.host = environment_.process;
-      ++request.attempts;
       DispatchRequest copy = message;
       copy.time_left_us =
           ToMicroseconds(request.deadline - environment_.loop.timers().now());
@@ -136,7 +136,11 @@
     }
     const TableHost* host =
         owner == nullptr ? nullptr : FindHost(table_, owner->dispatcher);
-    if (host != nullptr && host->live && message.hops < kMaxHops) {
+    const bool may_send =
+        host != nullptr && host->live && message.hops < kMaxHops;
+    const bool pauses = host != nullptr && host->id == request.lost_host &&
+                        environment_.loop.timers().now() < request.not_before;
+    if (may_send && !pauses) {
       SendToHost(handle, host->id, host->address);
       return;
     }
@@ -161,7 +165,6 @@
 void Router::SendToHost(uint64_t handle, const std::string& host,
                         const std::string& address) {
   Request& request = requests_.at(handle);
-  ++request.attempts;
   request.local = false;
   request.host = host;
   request.connection = environment_.transport.ConnectionTo(address);
@@ -227,10 +230,16 @@
   const auto found = requests_.find(handle);
   if (found == requests_.end()) return;
   Request& request = found->second;
+  const MonotonicTime now = environment_.loop.timers().now();
   request.connection = kNoConnection;
+  request.lost_host = std::move(request.host);
   request.host.clear();
+  request.not_before = now + kLostHostPause;
+  request.owner_wait_until = now + environment_.settings.owner_wait;
+  request.may_have_run = true;
   const bool again = MayDispatchAgain(request.message) &&
-                     request.attempts < kMaxAttempts && TakeRetryFromBudget();
+                     (request.lost_once || TakeRetryFromBudget());
+  request.lost_once = true;
   if (!again) {
     Finish(handle,
            MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
@@ -291,6 +300,12 @@
 void Router::Finish(uint64_t handle, DispatchReply reply) {
   const auto found = requests_.find(handle);
   if (found == requests_.end()) return;
+  // A host that was lost may have run it, whatever the next one says of its own
+  // part.
+  const bool not_run =
+      static_cast<RequestOutcome>(reply.outcome) == RequestOutcome::kNotRun;
+  if (found->second.may_have_run && not_run)
+    reply.outcome = static_cast<uint8_t>(RequestOutcome::kUnknown);
   const ReplyCallback callback = std::move(found->second.reply);
   requests_.erase(found);
   callback(std::move(reply));
--- a/source/core/server/router.h
+++ b/source/core/server/router.h
@@ -61,7 +61,15 @@
     ReplyCallback reply;
     MonotonicTime deadline;
     MonotonicTime owner_wait_until;
-    int attempts = 0;
+    // A host was lost after the request was sent to it. The first time takes a
+    // retry from the budget; after that the request only waits for its next
+    // dispatcher.
+    bool lost_once = false;
+    bool may_have_run = false;
+    // The host that was lost under the request, and until when it is not tried
+    // again: the table may not show the loss yet.
+    std::string lost_host;
+    MonotonicTime not_before = kNever;
     bool awaiting_owner = false;
     ConnectionId connection =
         kNoConnection;  // Where it was sent; none for this host's dispatcher.
@@ -90,7 +98,7 @@
   uint64_t next_handle_ = 1;
   std::unordered_map<uint64_t, Request> requests_;
   std::map<std::pair<ConnectionId, uint64_t>, uint64_t> peer_tickets_;
-  double retry_tokens_ = 0;
+  double retry_tokens_;
 };
 
 }  // namespace mimosadeal
--- a/source/integration_tests/test_fixture.cc
+++ b/source/integration_tests/test_fixture.cc
@@ -23,6 +23,8 @@
     "leases.grant_ttl_ms=900",
     "leases.grant_renew_ms=150",
     "leases.upstream_silence_ms=700",
+    "requests.owner_wait_ms=5000",
+    "requests.default_deadline_ms=8000",
     "log.level=debug"};
 
 uint16_t NextNetwork() {
