Send the same request again in the test of a dispatcher's death

Cause: the test sent its id again with another query, which is a different request, and was rightly answered 422. It now repeats the request as its caller would; the check is unchanged.

--- a/source/integration_tests/requests_test.cc
+++ b/source/integration_tests/requests_test.cc
@@ -126,7 +126,8 @@
   fixture.deployment().Host(dispatcher).process.Kill();
   fixture.client().RunUntil([&] { return fixture.client().in_flight() == 0; },
                             seconds(10));
-  const ClientResponse again = fixture.Hold(*others[1], "7", "dies");
+  const ClientResponse again =
+      fixture.Hold(*others[1], "7", "dies", "?work_us=1500000");
   // Whether the upstream finished the work depends on when it noticed; the
   // caller may be told so.
   CHECK_TRUE(OutcomeOf(again) == "unknown" || OutcomeOf(again) == "ran");
