--- a/source/mimosadeal/main.cc
+++ b/source/mimosadeal/main.cc
@@ -16,6 +16,7 @@
 #include "common/log.h"
 #include "common/version.h"
 #include "server/node.h"
+#include "settings/setting_table.h"
 #include "settings/settings_loader.h"
 
 ABSL_FLAG(std::string, settings, "",
@@ -23,6 +24,8 @@
 ABSL_FLAG(std::vector<std::string>, set, {},
           "Comma-separated settings that go before the file, each as "
           "section.name=value.");
+ABSL_FLAG(bool, print_settings, false,
+          "Only print the table of all settings, and exit.");
 ABSL_FLAG(bool, check, false, "Only check the settings, and exit.");
 
 namespace {
@@ -34,11 +37,25 @@
     "mimosadeal runs one entry host of the router.\n\n"
     "  mimosadeal --settings FILE            run until SIGTERM, which starts a "
     "planned stop\n"
-    "  mimosadeal --settings FILE --check    check the settings and exit\n\n"
+    "  mimosadeal --settings FILE --check    check the settings and exit\n"
+    "  mimosadeal --print_settings           print the table of all settings "
+    "and exit\n\n"
     "Exit codes: 0 planned stop or settings in order; 1 an address cannot be "
     "listened on;\n"
     "2 faults in the settings or the command line.";
 
+void PrintSettings() {
+  std::printf("| setting | default | allowed | meaning |\n|---|---|---|---|\n");
+  for (const mimosadeal::SettingSpec& spec : mimosadeal::AllSettings()) {
+    const std::string fallback =
+        spec.default_text.empty() ? "required" : std::string(spec.default_text);
+    std::printf("| `%.*s` | %s | %s | %.*s |\n",
+                static_cast<int>(spec.name.size()), spec.name.data(),
+                fallback.c_str(), mimosadeal::DescribeAllowed(spec).c_str(),
+                static_cast<int>(spec.help.size()), spec.help.data());
+  }
+}
+
 void ApplyLogSettings(const mimosadeal::Settings& settings) {
   const auto format = settings.log_format == "json"
                           ? mimosadeal::LogFormat::kJson
@@ -66,6 +83,10 @@
   absl::SetFlagsUsageConfig(usage);
   absl::SetProgramUsageMessage(kUsage);
   const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_print_settings)) {
+    PrintSettings();
+    return 0;
+  }
   const std::string path = absl::GetFlag(FLAGS_settings);
   if (rest.size() > 1 || path.empty()) {
     std::fprintf(stderr, "%s\n",
