Run timers after the descriptors in each round

Cause: mimosactl took 30 s to report a refused connection. The callback that ended its wait was a timer of the round, and the loop then waited once more for descriptors before looking. Ruled out: a late notice of the refusal (libwebsockets reports it within a millisecond, by the system calls).

--- a/source/core/net/event_loop.cc
+++ b/source/core/net/event_loop.cc
@@ -66,10 +66,11 @@
 }
 
 void EventLoop::RunOnce() {
-  timers_.RunDue();
   const bool wait = ArmTimer() && !round_requested_;
   round_requested_ = false;
   lws_service(context_, wait ? 0 : kDoNotWait);
+  // Last, so that whoever runs single rounds sees what the timers did before the next wait.
+  timers_.RunDue();
 }
 
 void EventLoop::Stop() {
