Count later requests of other flows into the predicted wait

Cause: in a flood, a request behind others of its own flow is overtaken by later requests of flows that have fewer, so it was admitted on a wait that it could not have.

--- a/source/core/admission/rank_scheduler.cc
+++ b/source/core/admission/rank_scheduler.cc
@@ -131,16 +131,14 @@
   return std::max({left, state.ranks[rank].share, kLeastFraction});
 }
 
-// Requests that would be taken before one more request of `flow`, given that
-// flows take turns.
+// Requests that may be taken before one more request of `flow`: flows take
+// turns, and those that have fewer requests now may get more before its turn
+// comes.
 size_t RequestsAhead(const RankQueue& queue, uint64_t flow) {
   const auto found = queue.flows.find(flow);
   const size_t own = found == queue.flows.end() ? 0 : found->second.size();
-  size_t ahead = own;
-  for (const auto& [other, requests] : queue.flows) {
-    if (other != flow) ahead += std::min(requests.size(), own + 1);
-  }
-  return ahead;
+  const size_t others = queue.flows.size() - (own > 0 ? 1 : 0);
+  return own + others * (own + 1);
 }
 
 }  // namespace
