--- a/source/core/admission/rank_scheduler.cc
+++ b/source/core/admission/rank_scheduler.cc
@@ -9,8 +9,9 @@
 
 // Time constant of the slot usage that shares are measured on.
 constexpr Duration kUsageWindow = std::chrono::milliseconds(1000);
-// Weight of the newest service time in the mean.
-constexpr double kServiceWeight = 0.1;
+// Weight of the newest service time in the mean, once so many were seen that
+// the plain mean would give it less.
+constexpr double kServiceWeight = 0.02;
 // A rank below its share goes before more urgent ones once its head has waited
 // this part of its target; until then urgent work goes first.
 constexpr double kShareUrgency = 0.5;
@@ -239,12 +240,11 @@
   --state.running;
   --queue.running;
   if (!completed) return;
-  if (queue.mean_service == Duration::zero()) {
-    queue.mean_service = service_time;
-    return;
-  }
-  const double mean = ToSeconds(queue.mean_service) * (1 - kServiceWeight) +
-                      ToSeconds(service_time) * kServiceWeight;
+  ++queue.completed;
+  const double weight =
+      std::max(kServiceWeight, 1.0 / static_cast<double>(queue.completed));
+  const double mean = ToSeconds(queue.mean_service) * (1 - weight) +
+                      ToSeconds(service_time) * weight;
   queue.mean_service =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(mean));
 }
--- a/source/core/admission/scheduler_state.h
+++ b/source/core/admission/scheduler_state.h
@@ -44,6 +44,7 @@
   size_t size = 0;
 
   Duration mean_service{};
+  uint64_t completed = 0;  // Requests that the mean is taken over.
   // Slot time used, decaying with kUsageWindow. In seconds.
   double used_slot_seconds = 0;
   int running = 0;
