Refuse late requests when others of their rank can still be served in time

Cause: what was admitted on a prediction that did not hold was served late, and made those behind it late as well.

--- a/source/core/admission/rank_scheduler.cc
+++ b/source/core/admission/rank_scheduler.cc
@@ -15,6 +15,9 @@
 // A rank below its share goes before more urgent ones once its head has waited
 // this part of its target; until then urgent work goes first.
 constexpr double kShareUrgency = 0.5;
+// How many flows, for each slot, are looked at for requests that can still meet
+// their target.
+constexpr size_t kOvertakenLookahead = 8;
 // The least part of the slots that predictions count on for a rank.
 constexpr double kLeastFraction = 0.01;
 
@@ -142,6 +145,30 @@
   return own + others * (own + 1);
 }
 
+bool CanMeetTarget(const SchedulerState& state, size_t rank,
+                   const WaitingRequest& request, MonotonicTime now) {
+  return now + state.queues[rank].mean_service <=
+         request.arrived + state.ranks[rank].target;
+}
+
+// True when the rank's next request cannot meet its target any more, while
+// enough others can to keep the slots busy. After a pause in which everything
+// became late, nothing counts as overtaken.
+bool IsOvertaken(const SchedulerState& state, size_t rank, MonotonicTime now) {
+  const RankQueue& queue = state.queues[rank];
+  const auto slots = static_cast<size_t>(state.slots);
+  if (queue.size <= slots || CanMeetTarget(state, rank, Head(queue), now))
+    return false;
+  size_t in_time = 0;
+  const size_t looked_at =
+      std::min(queue.turns.size(), kOvertakenLookahead * slots);
+  for (size_t i = 1; i < looked_at && in_time < slots; ++i) {
+    const WaitingRequest& other = queue.flows.at(queue.turns[i]).front();
+    if (CanMeetTarget(state, rank, other, now)) ++in_time;
+  }
+  return in_time >= slots;
+}
+
 }  // namespace
 
 SchedulerState MakeScheduler(const ServiceConfiguration& service,
@@ -222,6 +249,17 @@
   return {true, Duration::zero()};
 }
 
+std::vector<WaitingRequest> TakeOvertaken(SchedulerState& state,
+                                          MonotonicTime now) {
+  std::vector<WaitingRequest> overtaken;
+  if (state.policy != SchedulingPolicy::kShares) return overtaken;
+  for (size_t rank = 0; rank < state.queues.size(); ++rank) {
+    while (IsOvertaken(state, rank, now))
+      overtaken.push_back(PopHead(state.queues[rank]));
+  }
+  return overtaken;
+}
+
 std::optional<WaitingRequest> TakeNext(SchedulerState& state,
                                        MonotonicTime now) {
   if (state.running >= state.slots) return std::nullopt;
--- a/source/core/admission/rank_scheduler.h
+++ b/source/core/admission/rank_scheduler.h
@@ -28,6 +28,12 @@
 AdmissionVerdict Offer(SchedulerState& state, const WaitingRequest& request,
                        MonotonicTime now);
 
+// Removes and returns requests that cannot meet their rank's target any more
+// while enough others of the rank can. To be called before TakeNext; they get
+// their final answer at once.
+std::vector<WaitingRequest> TakeOvertaken(SchedulerState& state,
+                                          MonotonicTime now);
+
 // Returns the request to send next and counts its slot as taken; nothing when
 // no slot is free or no request waits.
 std::optional<WaitingRequest> TakeNext(SchedulerState& state,
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -308,6 +308,7 @@
     // Looked up anew: ending a request may change the table of requests.
     Upstream& upstream = upstreams_.at(upstream_id);
     if (!upstream.link->HasFreeConnection()) return;
+    RefuseOvertaken(upstream);
     const auto next = TakeNext(upstream.scheduler, now);
     if (!next.has_value()) return;
     Request& request = requests_.at(next->ticket);
@@ -320,6 +321,16 @@
   }
 }
 
+void Dispatcher::RefuseOvertaken(Upstream& upstream) {
+  for (const WaitingRequest& waiting :
+       TakeOvertaken(upstream.scheduler, environment_.loop.timers().now())) {
+    ForgetUnrun(requests_.at(waiting.ticket).message);
+    FinishUnsent(waiting.ticket, DispatchStatus::kRefused,
+                 "the request could not be served in time any more",
+                 kLeastRetryAfter);
+  }
+}
+
 void Dispatcher::SendNow(uint64_t handle, Upstream& upstream) {
   Request& request = requests_.at(handle);
   const DispatchRequest& message = request.message;
--- a/source/core/server/dispatcher.h
+++ b/source/core/server/dispatcher.h
@@ -115,6 +115,7 @@
   void Enqueue(uint64_t handle);
   Upstream* UpstreamFor(const DispatchRequest& message);
   void SendWaiting(const std::string& upstream_id);
+  void RefuseOvertaken(Upstream& upstream);
   void SendNow(uint64_t handle, Upstream& upstream);
   void OnReplicated(uint64_t handle);
   void OnAnswer(uint64_t handle, const std::string& upstream_id,
--- a/source/unit_tests/admission/rank_scheduler_test.cc
+++ b/source/unit_tests/admission/rank_scheduler_test.cc
@@ -115,6 +115,18 @@
   LONGS_EQUAL(1, of_second);
 }
 
+TEST(RankScheduler, LateRequestsAreOvertakenOnlyByOthersThatAreInTime) {
+  for (uint64_t flow = 1; flow <= 4; ++flow)
+    Offer(state, MakeRequest(kUrgent, flow), now);
+  now += milliseconds(95);
+  // All are late: they are served, however late.
+  LONGS_EQUAL(0, TakeOvertaken(state, now).size());
+  for (uint64_t flow = 5; flow <= 7; ++flow)
+    Offer(state, MakeRequest(kUrgent, flow), now);
+  LONGS_EQUAL(4, TakeOvertaken(state, now).size());
+  LONGS_EQUAL(3, WaitingCount(state));
+}
+
 TEST(RankScheduler, ExpiredAndRemovedRequestsLeaveTheQueue) {
   const WaitingRequest first = MakeRequest(kLeast, 1, milliseconds(50));
   const WaitingRequest second = MakeRequest(kLeast, 1);
