--- a/source/core/admission/rank_scheduler.cc
+++ b/source/core/admission/rank_scheduler.cc
@@ -14,10 +14,13 @@
 constexpr double kServiceWeight = 0.02;
 // A rank below its share goes before more urgent ones once its head has waited
 // this part of its target; until then urgent work goes first.
-constexpr double kShareUrgency = 0.5;
+constexpr double kShareUrgency = 0.25;
 // How many flows, for each slot, are looked at for requests that can still meet
 // their target.
 constexpr size_t kOvertakenLookahead = 8;
+// Part of the time to its target that a request's predicted wait may fill. The
+// rest is for what the prediction cannot know.
+constexpr double kPredictedPart = 0.75;
 // The least part of the slots that predictions count on for a rank.
 constexpr double kLeastFraction = 0.01;
 
@@ -241,7 +244,9 @@
   const Duration wait = PredictWait(state, request.rank, request.flow);
   const Duration allowed = std::min(request.deadline - request.arrived,
                                     state.ranks[request.rank].target);
-  const Duration needed = wait + queue.mean_service;
+  const Duration needed =
+      std::chrono::duration_cast<Duration>(wait / kPredictedPart) +
+      queue.mean_service;
   if (needed > allowed || WaitingCount(state) >= state.max_queue) {
     return {false, std::max(needed - allowed, queue.mean_service)};
   }
