Re-route misrouted requests at once, and give up what runs at a silent upstream

It now goes back at once to the host that sent it, which knows the way. - A request in flight at a frozen upstream waited for its deadline, although its key had a new owner. It is now given up as soon as the upstream counts as unreachable; idempotent ones are tried once more.

--- a/source/core/inner/request_messages.h
+++ b/source/core/inner/request_messages.h
@@ -65,12 +65,13 @@
 };
 
 enum class DispatchStatus : uint8_t {
-  kAnswered,      // The upstream's whole answer.
-  kRefused,       // Admission refused it; not run.
-  kNoOwner,       // This host is not the shard's dispatcher now; not run.
-  kUpstreamLost,  // The connection to the upstream failed; see the outcome.
-  kDeadline,      // The deadline passed; see the outcome.
-  kConflict,      // The id was used before for a different request.
+  kAnswered,        // The upstream's whole answer.
+  kRefused,         // Admission refused it; not run.
+  kNoOwner,         // This host is not the shard's dispatcher now; not run.
+  kUpstreamLost,    // The connection to the upstream failed; see the outcome.
+  kUpstreamSilent,  // The upstream ceased to answer anything; see the outcome.
+  kDeadline,        // The deadline passed; see the outcome.
+  kConflict,        // The id was used before for a different request.
 };
 
 struct DispatchReply {
--- a/source/core/net/event_loop.cc
+++ b/source/core/net/event_loop.cc
@@ -69,7 +69,8 @@
   const bool wait = ArmTimer() && !round_requested_;
   round_requested_ = false;
   lws_service(context_, wait ? 0 : kDoNotWait);
-  // Last, so that whoever runs single rounds sees what the timers did before the next wait.
+  // Last, so that whoever runs single rounds sees what the timers did before
+  // the next wait.
   timers_.RunDue();
 }
 
--- a/source/core/requests/outcome_names.cc
+++ b/source/core/requests/outcome_names.cc
@@ -11,11 +11,12 @@
     {RequestOutcome::kUnknown, "unknown"},
 }};
 
-constexpr EnumNames<DispatchStatus, 6> kDispatchStatusNames = {{
+constexpr EnumNames<DispatchStatus, 7> kDispatchStatusNames = {{
     {DispatchStatus::kAnswered, "answered"},
     {DispatchStatus::kRefused, "refused"},
     {DispatchStatus::kNoOwner, "no-owner"},
     {DispatchStatus::kUpstreamLost, "upstream-lost"},
+    {DispatchStatus::kUpstreamSilent, "upstream-silent"},
     {DispatchStatus::kDeadline, "deadline"},
     {DispatchStatus::kConflict, "conflict"},
 }};
--- a/source/core/server/callers_api.cc
+++ b/source/core/server/callers_api.cc
@@ -43,6 +43,7 @@
     case DispatchStatus::kNoOwner:
       return 503;
     case DispatchStatus::kUpstreamLost:
+    case DispatchStatus::kUpstreamSilent:
       return 502;
     case DispatchStatus::kDeadline:
       return 504;
@@ -61,6 +62,7 @@
     case DispatchStatus::kNoOwner:
       return "No server owns the key at present";
     case DispatchStatus::kUpstreamLost:
+    case DispatchStatus::kUpstreamSilent:
       return "The server was lost";
     case DispatchStatus::kDeadline:
       return "The deadline passed";
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -416,6 +416,9 @@
         RequestOutcome::kNotRun, "the upstream refused the request unrun");
     reply.retry_after_ms =
         static_cast<int32_t>(ToMilliseconds(kLeastRetryAfter));
+  } else if (answer.silent) {
+    reply = MakeReply(DispatchStatus::kUpstreamSilent, answer.outcome,
+                      "the upstream does not answer");
   } else if (answer.response.failure == ClientFailure::kTimeout) {
     reply = MakeReply(DispatchStatus::kDeadline, answer.outcome,
                       "the deadline passed before the upstream answered");
--- a/source/core/server/router.cc
+++ b/source/core/server/router.cc
@@ -140,6 +140,11 @@
         host != nullptr && host->live && message.hops < kMaxHops;
     const bool pauses = host != nullptr && host->id == request.lost_host &&
                         environment_.loop.timers().now() < request.not_before;
+    if (host != nullptr && message.hops >= kMaxHops) {
+      // The host that sent it here can reach the dispatcher itself.
+      Finish(handle, NoOwnerReply("the key's dispatcher is another host"));
+      return;
+    }
     if (may_send && !pauses) {
       SendToHost(handle, host->id, host->address);
       return;
@@ -206,6 +211,17 @@
     request.awaiting_owner = true;
     return;
   }
+  if (status == DispatchStatus::kUpstreamSilent && request.message.idempotent &&
+      !request.lost_once && TakeRetryFromBudget()) {
+    // Once: a request that makes one upstream hang must not go through all of
+    // them.
+    request.lost_once = true;
+    request.may_have_run = true;
+    request.awaiting_owner = true;
+    request.owner_wait_until =
+        environment_.loop.timers().now() + environment_.settings.owner_wait;
+    return;
+  }
   // Idempotent work whose upstream died while running it is not repeated: it
   // may be the cause.
   Finish(handle, std::move(reply));
--- a/source/core/upstream/upstream_link.cc
+++ b/source/core/upstream/upstream_link.cc
@@ -61,6 +61,7 @@
     reported_health_ = health_now;
     if (on_change_) on_change_();
   }
+  if (health_now == UpstreamHealth::kUnreachable) AbandonSilent();
   // After the loss of the assignment, grants go on until what was running has
   // finished.
   if ((!dispatching_ && applied_ >= version_) || control_->busy()) return;
@@ -73,6 +74,12 @@
   }
 }
 
+void UpstreamLink::AbandonSilent() {
+  for (Slot& slot : slots_) {
+    if (!slot.request_id.empty()) slot.connection->Abort();
+  }
+}
+
 void UpstreamLink::SendGrant(Duration lease_left) {
   // The clock is read anew: the loop's time may be older than the lease's end
   // by now.
@@ -194,6 +201,8 @@
         loop_, ConnectionOptions(options_));
   }
   answer.connection_broke = response.failure == ClientFailure::kClosed;
+  answer.silent = response.failure == ClientFailure::kAborted &&
+                  health(loop_.timers().now()) == UpstreamHealth::kUnreachable;
   answer.response = std::move(response);
   UpdateApplied(loop_.timers().now());
   if (renew_at_once_) Renew(lease_left_);
--- a/source/core/upstream/upstream_link.h
+++ b/source/core/upstream/upstream_link.h
@@ -37,6 +37,9 @@
   bool complete = false;
   // The connection broke under the request, as when the upstream dies.
   bool connection_broke = false;
+  // This host gave the request up because the upstream had ceased to answer
+  // anything.
+  bool silent = false;
   ClientResponse response;
 };
 
@@ -90,6 +93,9 @@
     uint32_t shard = 0;
   };
 
+  // Gives up what runs at an upstream that does not answer, rather than wait
+  // for its deadline.
+  void AbandonSilent();
   void SendGrant(Duration lease_left);
   void SendProbe();
   void OnControlAnswer(const GrantToSend& grant,
