Name the platform's listed hosts as a new group's first members

Cause: AnAnswerIsStillKnownAfterItsDispatcherDied failed once in a full run: the killed dispatcher was the first controller, and the record still named it as the only member, so nobody could ever hold authority and terms followed one another without end. Ruled out: a loss of the record, promises that did not end (the logs show terms 2 to 14 begun one after another by the standby). A new group now starts with the members that the platform lists. A test kills the first controller right after the start.

--- a/source/core/server/group_role.cc
+++ b/source/core/server/group_role.cc
@@ -98,6 +98,20 @@
   return position;
 }
 
+// The hosts that the platform lists for this group, and this one: the first
+// members of a new group. With this host alone, its loss before the first
+// change of members would leave nobody to take over.
+std::vector<std::string> GroupRole::ListedGroupHosts() const {
+  std::vector<std::string> ids = {HostIdOf(environment_.process)};
+  for (const PlatformHost& host : environment_.platform_hosts) {
+    const bool own_group = host.kind == HostKind::kEntry &&
+                           host.group == environment_.settings.group;
+    if (own_group && host.id != ids.front()) ids.push_back(host.id);
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
 ControlRecord GroupRole::KnownRecord() const {
   ControlRecord record;
   record.term = member_.term;
@@ -152,7 +166,8 @@
 // so the controller is asked once more before its term is taken from it.
 bool GroupRole::MayClaim() {
   const MonotonicTime now = environment_.loop.timers().now();
-  if (member_.term == 0) return true;
+  // A new group needs the platform's list for its first members.
+  if (member_.term == 0) return !environment_.platform_hosts.empty();
   if (!ShouldSeekTerm(member_, Position(), now)) return false;
   const MonotonicTime silent_since =
       std::max(member_.last_extension, member_.term_since);
@@ -177,7 +192,7 @@
   record.standby_address.clear();
   // Members change only once no earlier term can have authority; see
   // docs/design/leases.md.
-  if (record.members.empty()) record.members = {HostIdOf(environment_.process)};
+  if (record.members.empty()) record.members = ListedGroupHosts();
   record.write_id = NewUniqueId();
   std::string encoded = EncodeControlRecord(record);
   environment_.platform.Put(
--- a/source/core/server/group_role.h
+++ b/source/core/server/group_role.h
@@ -76,6 +76,7 @@
   }
   bool IsStandby() const { return member_.standby == environment_.process; }
   size_t Position() const;
+  std::vector<std::string> ListedGroupHosts() const;
   ControlRecord KnownRecord() const;
   std::vector<std::string> GroupAddresses() const;
 
--- a/source/integration_tests/ownership_test.cc
+++ b/source/integration_tests/ownership_test.cc
@@ -282,5 +282,28 @@
       [&](TestFixture& fixture) { set(fixture, nlohmann::json::object()); });
 }
 
+// Before it could change the members that its record names.
+TEST(Ownership, HoldsWhenTheFirstControllerIsKilledRightAfterTheStart) {
+  TestFixture fixture(Layout());
+  fixture.Start();
+  TestDeployment& deployment = fixture.deployment();
+  const std::string controller = deployment.ControllerOf(fixture.client(), "a");
+  deployment.Host(controller).process.Kill();
+  const bool served = fixture.client().RunUntil(
+      [&] {
+        for (const EntryHost& host : deployment.hosts()) {
+          if (!host.process.running()) continue;
+          for (int key = 0; key < 20; ++key) {
+            if (fixture.Lookup(host, std::to_string(key)).status != 200)
+              return false;
+          }
+        }
+        return true;
+      },
+      seconds(15));
+  CHECK_TRUE(served);
+  fixture.CheckRecords();
+}
+
 }  // namespace
 }  // namespace mimosadeal
