--- a/source/core/requests/ledger.cc
+++ b/source/core/requests/ledger.cc
@@ -87,14 +87,21 @@
 }
 
 void Ledger::Expire(MonotonicTime now) {
-  std::erase_if(entries_, [&](const auto& item) {
-    return now - item.second.created > limits_.retention;
-  });
+  while (!order_.empty()) {
+    const auto found = entries_.find(order_.front());
+    if (found != entries_.end()) {
+      if (now - found->second.created <= limits_.retention) return;
+      entries_.erase(found);
+    }
+    order_.pop_front();
+  }
 }
 
 void Ledger::Insert(LedgerRecord record, MonotonicTime created) {
   std::string key = KeyOf(record.service, record.id);
-  entries_.insert_or_assign(std::move(key), Entry{std::move(record), created});
+  const auto inserted =
+      entries_.insert_or_assign(key, Entry{std::move(record), created}).second;
+  if (inserted) order_.push_back(std::move(key));
 }
 
 uint64_t FingerprintOf(const DispatchRequest& request) {
--- a/source/core/requests/ledger.h
+++ b/source/core/requests/ledger.h
@@ -75,6 +75,9 @@
 
   LedgerLimits limits_;
   std::unordered_map<std::string, Entry> entries_;
+  // The keys of entries in the order in which they came, so that expiry looks
+  // at the oldest only. May hold keys of entries that are gone, or replaced.
+  std::deque<std::string> order_;
 };
 
 // Returns a fingerprint by which a reused id with another request is
--- a/source/integration_tests/test_fixture.cc
+++ b/source/integration_tests/test_fixture.cc
@@ -24,6 +24,7 @@
     "leases.grant_renew_ms=150",
     "leases.upstream_silence_ms=700",
     "requests.owner_wait_ms=5000",
+    "platform.poll_ms=300",
     "requests.default_deadline_ms=8000",
     "log.level=debug"};
 
--- a/source/standins/test_deployment.cc
+++ b/source/standins/test_deployment.cc
@@ -136,7 +136,7 @@
   file << "[listen]\ncallers = \"" << host.callers << "\"\noperators = \""
        << host.operators << "\"\ninner = \"" << host.inner << "\"\n";
   file << "[platform]\naddress = \"" << PlatformAddressFor(host.id)
-       << "\"\npoll_ms = 300\n";
+       << "\"\n";
   file << "[peers]\nseeds = [";
   for (const EntryHost& other : hosts_) {
     if (other.zone == host.zone && other.id != host.id)
