--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -38,7 +38,7 @@
 
     SettingSpec{"leases.ttl_ms", &Settings::lease_ttl, "450", 50, kMinuteMs,
                 "Time to live of a dispatcher's lease."},
-    SettingSpec{"leases.renew_ms", &Settings::lease_renew, "100", 10, kMinuteMs,
+    SettingSpec{"leases.renew_ms", &Settings::lease_renew, "150", 10, kMinuteMs,
                 "Time between lease renewals."},
     SettingSpec{
         "leases.promise_ttl_ms", &Settings::promise_ttl, "600", 50, kMinuteMs,
@@ -49,7 +49,7 @@
                 "next term."},
     SettingSpec{"leases.grant_ttl_ms", &Settings::grant_ttl, "450", 50,
                 kMinuteMs, "Time to live of an upstream's grant."},
-    SettingSpec{"leases.grant_renew_ms", &Settings::grant_renew, "100", 10,
+    SettingSpec{"leases.grant_renew_ms", &Settings::grant_renew, "150", 10,
                 kMinuteMs, "Time between grant renewals."},
     SettingSpec{"leases.upstream_silence_ms", &Settings::upstream_silence,
                 "350", 50, kMinuteMs,
