Send grants at their interval, and count the token's age into their time

Cause: grants were sent in every round of 10 ms, not every grant_renew_ms, which was most of what control cost a host. A unit test holds the bound: a grant never outlasts the lease.

--- a/source/core/ownership/grant_tracker.cc
+++ b/source/core/ownership/grant_tracker.cc
@@ -11,8 +11,15 @@
   GrantToSend grant;
   grant.revision = revision;
   grant.shards = std::move(shards);
-  grant.ttl =
-      std::clamp<Duration>(lease_left, Duration::zero(), timing.grant_ttl);
+  // The upstream counts from its token, which is already this old: the grant
+  // still ends before the lease does.
+  const bool has_token = tracker.token_received_at != kNever;
+  const Duration token_age =
+      has_token ? now - tracker.token_received_at : Duration::zero();
+  const Duration bound = lease_left > Duration::zero()
+                             ? timing.Shortened(lease_left + token_age)
+                             : Duration::zero();
+  grant.ttl = std::min(bound, timing.grant_ttl);
   grant.sent_at = now;
   grant.token = tracker.token;
   return grant;
--- a/source/core/upstream/upstream_link.cc
+++ b/source/core/upstream/upstream_link.cc
@@ -65,7 +65,10 @@
   // After the loss of the assignment, grants go on until what was running has
   // finished.
   if ((!dispatching_ && applied_ >= version_) || control_->busy()) return;
-  if (first_probe_ == kNever) first_probe_ = loop_.timers().now();
+  const MonotonicTime now = loop_.timers().now();
+  if (now < next_renewal_ && !renew_at_once_) return;
+  next_renewal_ = now + options_.timing.grant_renew;
+  if (first_probe_ == kNever) first_probe_ = now;
   renew_at_once_ = false;
   if (options_.checks_grants) {
     if (lease_left > Duration::zero()) SendGrant(lease_left);
--- a/source/core/upstream/upstream_link.h
+++ b/source/core/upstream/upstream_link.h
@@ -57,7 +57,8 @@
   void SetAssignment(const TableVersion& version, ShardSet shards,
                      bool dispatching);
 
-  // Sends a grant, or a probe, unless one is on its way. `lease_left` is zero
+  // To be called at short intervals. Sends a grant, or a probe, when it is time
+  // or something changed, unless one is on its way. `lease_left` is zero
   // without a lease.
   void Renew(Duration lease_left);
 
@@ -121,8 +122,8 @@
   MonotonicTime last_answer_ = kNever;
   MonotonicTime first_probe_ = kNever;
   int refused_connections_ = 0;
-  // A change came while a grant was on its way: the next is sent as soon as it
-  // is answered.
+  MonotonicTime next_renewal_ = kNever;
+  // A change came: the next grant is sent without waiting for its time.
   bool renew_at_once_ = false;
   Duration lease_left_{};
   UpstreamHealth reported_health_ = UpstreamHealth::kUnknown;
--- a/source/unit_tests/ownership/grant_tracker_test.cc
+++ b/source/unit_tests/ownership/grant_tracker_test.cc
@@ -63,7 +63,14 @@
   Exchange(1, false, "t1");
   const GrantToSend grant =
       PrepareGrant(tracker, timing, 1, shards, milliseconds(30), now);
-  CHECK_TRUE(grant.ttl == Duration(milliseconds(30)));
+  // The token was received now, so nothing is added for its age.
+  CHECK_TRUE(grant.ttl == timing.Shortened(milliseconds(30)));
+  now += milliseconds(100);
+  const GrantToSend later =
+      PrepareGrant(tracker, timing, 1, shards, milliseconds(30), now);
+  CHECK_TRUE(tracker.token_received_at + later.ttl <=
+             now + Duration(milliseconds(30)));
+  CHECK_TRUE(later.ttl > Duration(milliseconds(100)));
   CHECK_TRUE(
       PrepareGrant(tracker, timing, 1, shards, milliseconds(-5), now).ttl ==
       Duration::zero());
