--- a/source/core/common/log.cc
+++ b/source/core/common/log.cc
@@ -1,9 +1,12 @@
 #include "common/log.h"
 
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <array>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
 
 #include "common/enum_names.h"
 
@@ -24,7 +27,31 @@
 
 constexpr char kTextPattern[] = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
 constexpr char kJsonPattern[] =
-    R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":"%v"})";
+    R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":%*})";
+
+// Writes the message as a JSON string.
+class JsonMessageFlag : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, const std::tm& /*time*/,
+              spdlog::memory_buf_t& destination) override {
+    const std::string text(message.payload.data(), message.payload.size());
+    const std::string quoted = nlohmann::json(text).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    destination.append(quoted.data(), quoted.data() + quoted.size());
+  }
+
+  std::unique_ptr<custom_flag_formatter> clone() const override {
+    return std::make_unique<JsonMessageFlag>();
+  }
+};
+
+std::unique_ptr<spdlog::formatter> MakeFormatter(LogFormat format) {
+  auto formatter = std::make_unique<spdlog::pattern_formatter>();
+  formatter->add_flag<JsonMessageFlag>('*');
+  formatter->set_pattern(format == LogFormat::kJson ? kJsonPattern
+                                                    : kTextPattern);
+  return formatter;
+}
 
 using Loggers = std::array<std::shared_ptr<spdlog::logger>, kLogPartCount>;
 
@@ -53,8 +80,7 @@
 
 void ConfigureLogging(LogFormat format, spdlog::level::level_enum level) {
   for (auto& logger : AllLoggers()) {
-    logger->set_pattern(format == LogFormat::kJson ? kJsonPattern
-                                                   : kTextPattern);
+    logger->set_formatter(MakeFormatter(format));
     logger->set_level(level);
     logger->flush_on(spdlog::level::info);
   }
--- a/source/core/net/http_client_connection.cc
+++ b/source/core/net/http_client_connection.cc
@@ -8,6 +8,7 @@
 
 #include "common/enum_names.h"
 #include "net/event_loop.h"
+#include "net/lws_headers.h"
 
 namespace mimosadeal {
 namespace {
@@ -24,12 +25,6 @@
 
 constexpr char kProtocolName[] = "http-client";
 constexpr size_t kReadBytes = 16 * 1024;
-constexpr size_t kMaxHeaderValueBytes = 4096;
-
-struct HeaderToken {
-  lws_token_indexes token;
-  const char* name;
-};
 
 constexpr std::array<HeaderToken, 6> kResponseTokens = {{
     {WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type"},
@@ -251,11 +246,7 @@
   if (!request_.body.empty())
     headers.push_back({"content-length", std::to_string(request_.body.size())});
   for (const HttpHeader& header : headers) {
-    const std::string name = header.name + ":";
-    if (lws_add_http_header_by_name(
-            wsi, reinterpret_cast<const unsigned char*>(name.c_str()),
-            reinterpret_cast<const unsigned char*>(header.value.data()),
-            static_cast<int>(header.value.size()), at, end) != 0) {
+    if (!AppendHeader(wsi, header, at, end)) {
       response_.request_written = false;
       return -1;
     }
@@ -282,24 +273,14 @@
 int HttpClientConnection::Impl::OnResponseHeaders(lws* wsi) {
   loop_.RequestRound();
   response_.status = static_cast<int>(lws_http_client_http_response(wsi));
-  std::array<char, kMaxHeaderValueBytes + 1> buffer{};
   for (const HeaderToken& entry : kResponseTokens) {
-    const int copied = lws_hdr_copy(
-        wsi, buffer.data(), static_cast<int>(buffer.size()), entry.token);
-    if (copied > 0)
-      response_.headers.push_back(
-          {entry.name,
-           std::string(buffer.data(), static_cast<size_t>(copied))});
+    std::string value = CopyHeader(wsi, entry.token);
+    if (!value.empty())
+      response_.headers.push_back({entry.name, std::move(value)});
   }
   for (const std::string& name : options_.custom_headers) {
-    const std::string with_colon = name + ":";
-    const int name_length = static_cast<int>(with_colon.size());
-    const int copied =
-        lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()),
-                            with_colon.c_str(), name_length);
-    if (copied > 0)
-      response_.headers.push_back(
-          {name, std::string(buffer.data(), static_cast<size_t>(copied))});
+    std::string value = CopyCustomHeader(wsi, name);
+    if (!value.empty()) response_.headers.push_back({name, std::move(value)});
   }
   // A response that only the end of the connection delimits cannot be told from
   // a truncated one.
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -10,11 +10,11 @@
 #include <utility>
 
 #include "net/event_loop.h"
+#include "net/lws_headers.h"
 
 namespace mimosadeal {
 namespace {
 
-constexpr size_t kMaxHeaderValueBytes = 4096;
 constexpr size_t kResponseHeaderBytes = 4096;
 constexpr char kProtocolName[] = "http";
 
@@ -33,11 +33,6 @@
     {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
 }};
 
-struct HeaderToken {
-  lws_token_indexes token;
-  const char* name;
-};
-
 // The standard headers that mean something end to end.
 constexpr std::array<HeaderToken, 13> kHeaderTokens = {{
     {WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type"},
@@ -55,32 +50,6 @@
     {WSI_TOKEN_HOST, "host"},
 }};
 
-std::string CopyToken(lws* wsi, lws_token_indexes token) {
-  const int length = lws_hdr_total_length(wsi, token);
-  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes)
-    return {};
-  std::array<char, kMaxHeaderValueBytes + 1> buffer{};
-  const int copied =
-      lws_hdr_copy(wsi, buffer.data(), static_cast<int>(buffer.size()), token);
-  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(copied))
-                    : std::string();
-}
-
-std::string CopyCustom(lws* wsi, const std::string& name) {
-  const std::string with_colon = name + ":";
-  const int name_length = static_cast<int>(with_colon.size());
-  const int length =
-      lws_hdr_custom_length(wsi, with_colon.c_str(), name_length);
-  if (length <= 0 || static_cast<size_t>(length) > kMaxHeaderValueBytes)
-    return {};
-  std::array<char, kMaxHeaderValueBytes + 1> buffer{};
-  const int copied =
-      lws_hdr_custom_copy(wsi, buffer.data(), static_cast<int>(buffer.size()),
-                          with_colon.c_str(), name_length);
-  return copied > 0 ? std::string(buffer.data(), static_cast<size_t>(length))
-                    : std::string();
-}
-
 // libwebsockets splits the query at its ampersands and keeps the parts.
 std::string CopyQuery(lws* wsi) {
   std::string query;
@@ -111,15 +80,6 @@
   Exchange* exchange;
 };
 
-bool AppendHeader(lws* wsi, const std::string& name, const std::string& value,
-                  unsigned char** at, unsigned char* end) {
-  const std::string with_colon = name + ":";
-  return lws_add_http_header_by_name(
-             wsi, reinterpret_cast<const unsigned char*>(with_colon.c_str()),
-             reinterpret_cast<const unsigned char*>(value.data()),
-             static_cast<int>(value.size()), at, end) == 0;
-}
-
 }  // namespace
 
 class HttpServer::Impl {
@@ -323,17 +283,17 @@
   for (const MethodToken& entry : kMethodTokens) {
     if (lws_hdr_total_length(wsi, entry.token) <= 0) continue;
     request.method = entry.method;
-    request.path = CopyToken(wsi, entry.token);
+    request.path = CopyHeader(wsi, entry.token);
     break;
   }
   request.query = CopyQuery(wsi);
   for (const HeaderToken& entry : kHeaderTokens) {
-    std::string value = CopyToken(wsi, entry.token);
+    std::string value = CopyHeader(wsi, entry.token);
     if (!value.empty())
       request.headers.push_back({entry.name, std::move(value)});
   }
   for (const std::string& name : options_.custom_headers) {
-    std::string value = CopyCustom(wsi, name);
+    std::string value = CopyCustomHeader(wsi, name);
     if (!value.empty()) request.headers.push_back({name, std::move(value)});
   }
   return request;
@@ -356,14 +316,14 @@
       0)
     return false;
   if (!response.content_type.empty() &&
-      !AppendHeader(wsi, "content-type", response.content_type, &at, end)) {
+      !AppendHeader(wsi, {"content-type", response.content_type}, &at, end)) {
     return false;
   }
   for (const HttpHeader& header : response.headers) {
-    if (!AppendHeader(wsi, header.name, header.value, &at, end)) return false;
+    if (!AppendHeader(wsi, header, &at, end)) return false;
   }
   const bool close = exchange.close_after_response || !keep_alive_;
-  if (close && !AppendHeader(wsi, "connection", "close", &at, end))
+  if (close && !AppendHeader(wsi, {"connection", "close"}, &at, end))
     return false;
   if (lws_finalize_http_header(wsi, &at, end) != 0) return false;
   if (has_body) {
--- a/source/core/requests/ledger.cc
+++ b/source/core/requests/ledger.cc
@@ -104,6 +104,10 @@
   if (inserted) order_.push_back(std::move(key));
 }
 
+bool IsRecordedInLedger(const DispatchRequest& request) {
+  return !request.idempotent && request.has_key;
+}
+
 uint64_t FingerprintOf(const DispatchRequest& request) {
   return HashText(request.body,
                   HashText(request.path, HashText(request.method)));
--- a/source/core/requests/ledger.h
+++ b/source/core/requests/ledger.h
@@ -80,6 +80,10 @@
   std::deque<std::string> order_;
 };
 
+// True for a request whose id is kept: it is not idempotent and its caller gave
+// it an id. An id made by the ingress is never sent again.
+bool IsRecordedInLedger(const DispatchRequest& request);
+
 // Returns a fingerprint by which a reused id with another request is
 // recognised.
 uint64_t FingerprintOf(const DispatchRequest& request);
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -6,6 +6,7 @@
 #include "common/ids.h"
 #include "common/log.h"
 #include "net/event_loop.h"
+#include "requests/dispatch_reply.h"
 #include "server/metrics.h"
 #include "upstream/upstream_protocol.h"
 
@@ -26,12 +27,6 @@
           settings.ledger_retention};
 }
 
-// An id given by the caller is remembered; one made by the ingress is never
-// sent again.
-bool IsRecorded(const DispatchRequest& message) {
-  return !message.idempotent && message.has_key;
-}
-
 uint64_t FlowOf(const DispatchRequest& message) {
   return HashText(message.tenant, message.shard);
 }
@@ -44,15 +39,6 @@
          1;  // A rank that was removed meanwhile counts as the least urgent.
 }
 
-DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome,
-                        std::string detail) {
-  DispatchReply reply;
-  reply.status = static_cast<uint8_t>(status);
-  reply.outcome = static_cast<uint8_t>(outcome);
-  reply.detail = std::move(detail);
-  return reply;
-}
-
 }  // namespace
 
 Dispatcher::Dispatcher(Environment environment)
@@ -193,73 +179,10 @@
                  "this host does not serve the key now", Duration::zero());
     return;
   }
-  if (IsRecorded(message) && !CheckLedger(handle)) return;
+  if (IsRecordedInLedger(message) && !CheckLedger(handle)) return;
   Enqueue(handle);
 }
 
-// Returns true when the request is new and may go on.
-bool Dispatcher::CheckLedger(uint64_t handle) {
-  Request& request = requests_.at(handle);
-  const DispatchRequest& message = request.message;
-  const MonotonicTime now = environment_.loop.timers().now();
-  const LedgerReadiness readiness =
-      intake_.ReadinessOf(message.service, message.shard, now);
-  if (readiness == LedgerReadiness::kFetching) {
-    request.stage = Stage::kAwaitingLedger;
-    return false;
-  }
-  if (readiness == LedgerReadiness::kIncomplete &&
-      ledger_.Find(message.service, message.id) == nullptr) {
-    Finish(handle,
-           MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                     "the record of earlier requests with this key was lost "
-                     "with the hosts that kept it"));
-    return false;
-  }
-  switch (ledger_.Begin(message.service, message.id, message.shard,
-                        FingerprintOf(message), now)) {
-    case LedgerVerdict::kNew:
-      return true;
-    case LedgerVerdict::kRunning:
-      request.stage = Stage::kJoined;
-      joined_.emplace(std::pair(message.service, message.id), handle);
-      return false;
-    case LedgerVerdict::kFinished:
-      AnswerFromLedger(handle, *ledger_.Find(message.service, message.id));
-      return false;
-    case LedgerVerdict::kMismatch:
-      Finish(
-          handle,
-          MakeReply(DispatchStatus::kConflict, RequestOutcome::kNotRun,
-                    "this Idempotency-Key was used for a different request"));
-      return false;
-    case LedgerVerdict::kFull:
-      FinishUnsent(handle, DispatchStatus::kRefused,
-                   "the record of non-idempotent requests is full",
-                   std::chrono::seconds(1));
-      return false;
-  }
-  return false;
-}
-
-void Dispatcher::AnswerFromLedger(uint64_t handle, const LedgerRecord& record) {
-  const auto outcome = static_cast<RequestOutcome>(record.outcome);
-  DispatchReply reply = MakeReply(DispatchStatus::kAnswered, outcome, "");
-  if (outcome != RequestOutcome::kRan) {
-    reply.status = static_cast<uint8_t>(DispatchStatus::kUpstreamLost);
-    reply.detail =
-        "an earlier request with this Idempotency-Key has an unknown outcome";
-  }
-  reply.replayed = true;
-  reply.http_status = record.http_status;
-  if (!record.content_type.empty())
-    reply.headers.push_back({"content-type", record.content_type});
-  reply.body = record.body;
-  if (!record.body_kept)
-    reply.detail = "the earlier request ran; its response is not kept";
-  Finish(handle, std::move(reply));
-}
-
 void Dispatcher::Enqueue(uint64_t handle) {
   Request& request = requests_.at(handle);
   const MonotonicTime now = environment_.loop.timers().now();
@@ -276,7 +199,7 @@
   const AdmissionVerdict verdict =
       Offer(upstream->scheduler, request.waiting, now);
   if (!verdict.admitted) {
-    if (IsRecorded(request.message))
+    if (IsRecordedInLedger(request.message))
       ledger_.Forget(request.message.service, request.message.id);
     FinishUnsent(handle, DispatchStatus::kRefused,
                  "the request could not be served in time",
@@ -285,7 +208,7 @@
   }
   request.stage = Stage::kQueued;
   const std::string upstream_id = request.upstream;
-  if (IsRecorded(request.message)) {
+  if (IsRecordedInLedger(request.message)) {
     const LedgerRecord* record =
         ledger_.Find(request.message.service, request.message.id);
     replication_.Replicate(*record, [this, handle] { OnReplicated(handle); });
@@ -313,7 +236,7 @@
     if (!next.has_value()) return;
     Request& request = requests_.at(next->ticket);
     request.waiting = *next;
-    if (IsRecorded(request.message) && !request.replicated) {
+    if (IsRecordedInLedger(request.message) && !request.replicated) {
       request.stage = Stage::kAwaitingReplica;
       continue;
     }
@@ -378,9 +301,9 @@
       sent.push_back(handle);
   }
   for (const uint64_t handle : sent) {
-    const DispatchReply reply =
-        MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                  "the upstream was replaced while it ran the request");
+    const DispatchReply reply = MakeDispatchReply(
+        DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+        "the upstream was replaced while it ran the request");
     RecordOutcome(requests_.at(handle).message, reply);
     Finish(handle, reply);
   }
@@ -400,7 +323,8 @@
   ReleaseSlot(request, answer.complete);
   DispatchReply reply;
   if (answer.complete && answer.outcome == RequestOutcome::kRan) {
-    reply = MakeReply(DispatchStatus::kAnswered, RequestOutcome::kRan, "");
+    reply =
+        MakeDispatchReply(DispatchStatus::kAnswered, RequestOutcome::kRan, "");
     reply.http_status = answer.response.status;
     for (const HttpHeader& header : answer.response.headers) {
       if (header.name == "content-length" || header.name == "transfer-encoding")
@@ -411,61 +335,33 @@
     reply.body = std::move(answer.response.body);
   } else if (answer.complete) {
     const bool not_owner = answer.response.status == kConflictStatus;
-    reply = MakeReply(
+    reply = MakeDispatchReply(
         not_owner ? DispatchStatus::kNoOwner : DispatchStatus::kRefused,
         RequestOutcome::kNotRun, "the upstream refused the request unrun");
     reply.retry_after_ms =
         static_cast<int32_t>(ToMilliseconds(kLeastRetryAfter));
   } else if (answer.silent) {
-    reply = MakeReply(DispatchStatus::kUpstreamSilent, answer.outcome,
-                      "the upstream does not answer");
+    reply = MakeDispatchReply(DispatchStatus::kUpstreamSilent, answer.outcome,
+                              "the upstream does not answer");
   } else if (answer.response.failure == ClientFailure::kTimeout) {
-    reply = MakeReply(DispatchStatus::kDeadline, answer.outcome,
-                      "the deadline passed before the upstream answered");
-  } else {
     reply =
-        MakeReply(DispatchStatus::kUpstreamLost, answer.outcome,
-                  "the upstream's connection failed: " +
-                      std::string(ClientFailureName(answer.response.failure)));
+        MakeDispatchReply(DispatchStatus::kDeadline, answer.outcome,
+                          "the deadline passed before the upstream answered");
+  } else {
+    reply = MakeDispatchReply(
+        DispatchStatus::kUpstreamLost, answer.outcome,
+        "the upstream's connection failed: " +
+            std::string(ClientFailureName(answer.response.failure)));
   }
   RecordOutcome(request.message, reply);
   Finish(handle, std::move(reply));
   SendWaiting(upstream_id);
 }
 
-void Dispatcher::RecordOutcome(const DispatchRequest& message,
-                               const DispatchReply& reply) {
-  if (!IsRecorded(message)) return;
-  const auto outcome = static_cast<RequestOutcome>(reply.outcome);
-  if (outcome == RequestOutcome::kNotRun) {
-    ForgetUnrun(message);
-    return;
-  }
-  std::string content_type;
-  for (const WireHeader& header : reply.headers) {
-    if (header.name == "content-type") content_type = header.value;
-  }
-  ledger_.Finish(message.service, message.id, outcome, reply.http_status,
-                 content_type, reply.body);
-  replication_.Replicate(*ledger_.Find(message.service, message.id), [] {});
-}
-
-void Dispatcher::ForgetUnrun(const DispatchRequest& message) {
-  if (!IsRecorded(message)) return;
-  const LedgerRecord* found = ledger_.Find(message.service, message.id);
-  if (found == nullptr) return;
-  // The replica is told as well, or the next dispatcher would have to call the
-  // outcome unknown.
-  LedgerRecord record = *found;
-  record.finished = true;
-  record.outcome = static_cast<uint8_t>(RequestOutcome::kNotRun);
-  ledger_.Forget(message.service, message.id);
-  replication_.Replicate(record, [] {});
-}
-
 void Dispatcher::FinishUnsent(uint64_t handle, DispatchStatus status,
                               const std::string& detail, Duration retry_after) {
-  DispatchReply reply = MakeReply(status, RequestOutcome::kNotRun, detail);
+  DispatchReply reply =
+      MakeDispatchReply(status, RequestOutcome::kNotRun, detail);
   if (retry_after > Duration::zero()) {
     const double jitter =
         1.0 + kRetryJitter * static_cast<double>(HashText("", handle) % 1000) /
@@ -483,23 +379,10 @@
   const Request request = std::move(found->second);
   requests_.erase(found);
   if (!request.reply_dropped) request.reply(std::move(reply));
-  if (IsRecorded(request.message) && request.stage != Stage::kJoined)
+  if (IsRecordedInLedger(request.message) && request.stage != Stage::kJoined)
     AnswerJoined(request.message);
 }
 
-void Dispatcher::AnswerJoined(const DispatchRequest& message) {
-  const auto range = joined_.equal_range({message.service, message.id});
-  std::vector<uint64_t> handles;
-  for (auto it = range.first; it != range.second; ++it)
-    handles.push_back(it->second);
-  joined_.erase(range.first, range.second);
-  // The first of them may become the one that runs, when the earlier request
-  // was not run.
-  for (const uint64_t handle : handles) {
-    if (requests_.count(handle) != 0) Admit(handle);
-  }
-}
-
 void Dispatcher::Cancel(uint64_t handle) {
   const auto found = requests_.find(handle);
   if (found == requests_.end()) return;
@@ -551,17 +434,6 @@
   }
 }
 
-void Dispatcher::RetryAwaitingLedger() {
-  AnswerDeferredFetches();
-  std::vector<uint64_t> awaiting;
-  for (const auto& [handle, request] : requests_) {
-    if (request.stage == Stage::kAwaitingLedger) awaiting.push_back(handle);
-  }
-  for (const uint64_t handle : awaiting) {
-    if (requests_.count(handle) != 0) Admit(handle);
-  }
-}
-
 void Dispatcher::Tick() {
   const MonotonicTime now = environment_.loop.timers().now();
   const Duration lease_left = LeaseLeft();
@@ -583,9 +455,10 @@
     const Request& request = found->second;
     if (request.stage == Stage::kJoined) {
       Finish(handle,
-             MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
-                       "the deadline passed while an earlier request with this "
-                       "id was running"));
+             MakeDispatchReply(
+                 DispatchStatus::kDeadline, RequestOutcome::kUnknown,
+                 "the deadline passed while an earlier request with this "
+                 "id was running"));
       continue;
     }
     if (request.stage == Stage::kAwaitingReplica) ReleaseSlot(request, false);
@@ -617,54 +490,4 @@
   return reports;
 }
 
-void Dispatcher::OnLedgerUpdate(ConnectionId connection,
-                                const LedgerUpdate& update) {
-  replication_.OnUpdate(connection, update);
-}
-
-void Dispatcher::OnLedgerAck(const LedgerAck& ack) { replication_.OnAck(ack); }
-
-void Dispatcher::OnLedgerFetch(ConnectionId connection,
-                               const LedgerFetch& fetch) {
-  const MonotonicTime now = environment_.loop.timers().now();
-  std::vector<ShardId> shards;
-  for (const ShardReference& shard : fetch.shards)
-    shards.emplace_back(shard.service, shard.shard);
-  std::sort(shards.begin(), shards.end());
-  const auto wanted = [&](const LedgerRecord& record) {
-    return std::binary_search(shards.begin(), shards.end(),
-                              ShardId{record.service, record.shard});
-  };
-  LedgerEntries entries;
-  if (fetch.host == environment_.process) {
-    const LedgerReadiness readiness = intake_.ReadinessToHandOn(shards, now);
-    if (readiness == LedgerReadiness::kFetching) {
-      // Answered when this host's own fetch is done.
-      deferred_fetches_.push_back({connection, fetch});
-      return;
-    }
-    entries.complete = readiness == LedgerReadiness::kReady;
-    entries.records = ledger_.Export(wanted, now);
-  } else {
-    entries = replication_.CopyFor(fetch.host, wanted);
-  }
-  entries.fetch = fetch.fetch;
-  environment_.transport.Send(connection, entries);
-}
-
-void Dispatcher::AnswerDeferredFetches() {
-  std::vector<DeferredFetch> deferred = std::move(deferred_fetches_);
-  deferred_fetches_.clear();
-  for (const DeferredFetch& entry : deferred)
-    OnLedgerFetch(entry.connection, entry.fetch);
-}
-
-void Dispatcher::OnLedgerEntries(const LedgerEntries& entries) {
-  intake_.OnEntries(entries);
-}
-
-void Dispatcher::OnDisconnected(ConnectionId connection) {
-  replication_.OnDisconnected(connection);
-}
-
 }  // namespace mimosadeal
--- /dev/null
+++ b/source/core/server/dispatcher_ledger.cc
@@ -0,0 +1,181 @@
+// The part of the dispatcher that keeps non-idempotent requests from running
+// twice: looking ids up before anything is sent, recording outcomes, and
+// handing entries on to other dispatchers.
+#include <algorithm>
+#include <utility>
+
+#include "net/event_loop.h"
+#include "requests/dispatch_reply.h"
+#include "server/dispatcher.h"
+
+namespace mimosadeal {
+
+// Returns true when the request is new and may go on.
+bool Dispatcher::CheckLedger(uint64_t handle) {
+  Request& request = requests_.at(handle);
+  const DispatchRequest& message = request.message;
+  const MonotonicTime now = environment_.loop.timers().now();
+  const LedgerReadiness readiness =
+      intake_.ReadinessOf(message.service, message.shard, now);
+  if (readiness == LedgerReadiness::kFetching) {
+    request.stage = Stage::kAwaitingLedger;
+    return false;
+  }
+  if (readiness == LedgerReadiness::kIncomplete &&
+      ledger_.Find(message.service, message.id) == nullptr) {
+    Finish(handle, MakeDispatchReply(
+                       DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+                       "the record of earlier requests with this key was lost "
+                       "with the hosts that kept it"));
+    return false;
+  }
+  switch (ledger_.Begin(message.service, message.id, message.shard,
+                        FingerprintOf(message), now)) {
+    case LedgerVerdict::kNew:
+      return true;
+    case LedgerVerdict::kRunning:
+      request.stage = Stage::kJoined;
+      joined_.emplace(std::pair(message.service, message.id), handle);
+      return false;
+    case LedgerVerdict::kFinished:
+      AnswerFromLedger(handle, *ledger_.Find(message.service, message.id));
+      return false;
+    case LedgerVerdict::kMismatch:
+      Finish(handle,
+             MakeDispatchReply(
+                 DispatchStatus::kConflict, RequestOutcome::kNotRun,
+                 "this Idempotency-Key was used for a different request"));
+      return false;
+    case LedgerVerdict::kFull:
+      FinishUnsent(handle, DispatchStatus::kRefused,
+                   "the record of non-idempotent requests is full",
+                   std::chrono::seconds(1));
+      return false;
+  }
+  return false;
+}
+
+void Dispatcher::AnswerFromLedger(uint64_t handle, const LedgerRecord& record) {
+  const auto outcome = static_cast<RequestOutcome>(record.outcome);
+  DispatchReply reply =
+      MakeDispatchReply(DispatchStatus::kAnswered, outcome, "");
+  if (outcome != RequestOutcome::kRan) {
+    reply.status = static_cast<uint8_t>(DispatchStatus::kUpstreamLost);
+    reply.detail =
+        "an earlier request with this Idempotency-Key has an unknown outcome";
+  }
+  reply.replayed = true;
+  reply.http_status = record.http_status;
+  if (!record.content_type.empty())
+    reply.headers.push_back({"content-type", record.content_type});
+  reply.body = record.body;
+  if (!record.body_kept)
+    reply.detail = "the earlier request ran; its response is not kept";
+  Finish(handle, std::move(reply));
+}
+
+void Dispatcher::RecordOutcome(const DispatchRequest& message,
+                               const DispatchReply& reply) {
+  if (!IsRecordedInLedger(message)) return;
+  const auto outcome = static_cast<RequestOutcome>(reply.outcome);
+  if (outcome == RequestOutcome::kNotRun) {
+    ForgetUnrun(message);
+    return;
+  }
+  std::string content_type;
+  for (const WireHeader& header : reply.headers) {
+    if (header.name == "content-type") content_type = header.value;
+  }
+  ledger_.Finish(message.service, message.id, outcome, reply.http_status,
+                 content_type, reply.body);
+  replication_.Replicate(*ledger_.Find(message.service, message.id), [] {});
+}
+
+void Dispatcher::ForgetUnrun(const DispatchRequest& message) {
+  if (!IsRecordedInLedger(message)) return;
+  const LedgerRecord* found = ledger_.Find(message.service, message.id);
+  if (found == nullptr) return;
+  // The replica is told as well, or the next dispatcher would have to call the
+  // outcome unknown.
+  LedgerRecord record = *found;
+  record.finished = true;
+  record.outcome = static_cast<uint8_t>(RequestOutcome::kNotRun);
+  ledger_.Forget(message.service, message.id);
+  replication_.Replicate(record, [] {});
+}
+
+void Dispatcher::AnswerJoined(const DispatchRequest& message) {
+  const auto range = joined_.equal_range({message.service, message.id});
+  std::vector<uint64_t> handles;
+  for (auto it = range.first; it != range.second; ++it)
+    handles.push_back(it->second);
+  joined_.erase(range.first, range.second);
+  // The first of them may become the one that runs, when the earlier request
+  // was not run.
+  for (const uint64_t handle : handles) {
+    if (requests_.count(handle) != 0) Admit(handle);
+  }
+}
+
+void Dispatcher::RetryAwaitingLedger() {
+  AnswerDeferredFetches();
+  std::vector<uint64_t> awaiting;
+  for (const auto& [handle, request] : requests_) {
+    if (request.stage == Stage::kAwaitingLedger) awaiting.push_back(handle);
+  }
+  for (const uint64_t handle : awaiting) {
+    if (requests_.count(handle) != 0) Admit(handle);
+  }
+}
+
+void Dispatcher::OnLedgerUpdate(ConnectionId connection,
+                                const LedgerUpdate& update) {
+  replication_.OnUpdate(connection, update);
+}
+
+void Dispatcher::OnLedgerAck(const LedgerAck& ack) { replication_.OnAck(ack); }
+
+void Dispatcher::OnLedgerFetch(ConnectionId connection,
+                               const LedgerFetch& fetch) {
+  const MonotonicTime now = environment_.loop.timers().now();
+  std::vector<ShardId> shards;
+  for (const ShardReference& shard : fetch.shards)
+    shards.emplace_back(shard.service, shard.shard);
+  std::sort(shards.begin(), shards.end());
+  const auto wanted = [&](const LedgerRecord& record) {
+    return std::binary_search(shards.begin(), shards.end(),
+                              ShardId{record.service, record.shard});
+  };
+  LedgerEntries entries;
+  if (fetch.host == environment_.process) {
+    const LedgerReadiness readiness = intake_.ReadinessToHandOn(shards, now);
+    if (readiness == LedgerReadiness::kFetching) {
+      // Answered when this host's own fetch is done.
+      deferred_fetches_.push_back({connection, fetch});
+      return;
+    }
+    entries.complete = readiness == LedgerReadiness::kReady;
+    entries.records = ledger_.Export(wanted, now);
+  } else {
+    entries = replication_.CopyFor(fetch.host, wanted);
+  }
+  entries.fetch = fetch.fetch;
+  environment_.transport.Send(connection, entries);
+}
+
+void Dispatcher::AnswerDeferredFetches() {
+  std::vector<DeferredFetch> deferred = std::move(deferred_fetches_);
+  deferred_fetches_.clear();
+  for (const DeferredFetch& entry : deferred)
+    OnLedgerFetch(entry.connection, entry.fetch);
+}
+
+void Dispatcher::OnLedgerEntries(const LedgerEntries& entries) {
+  intake_.OnEntries(entries);
+}
+
+void Dispatcher::OnDisconnected(ConnectionId connection) {
+  replication_.OnDisconnected(connection);
+}
+
+}  // namespace mimosadeal
--- a/source/core/server/router.cc
+++ b/source/core/server/router.cc
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "net/event_loop.h"
+#include "requests/dispatch_reply.h"
 #include "server/dispatcher.h"
 
 namespace mimosadeal {
@@ -21,18 +22,9 @@
 constexpr Duration kAvoidance = std::chrono::milliseconds(1000);
 constexpr Duration kNoOwnerRetryAfter = std::chrono::milliseconds(500);
 
-DispatchReply MakeReply(DispatchStatus status, RequestOutcome outcome,
-                        std::string detail) {
-  DispatchReply reply;
-  reply.status = static_cast<uint8_t>(status);
-  reply.outcome = static_cast<uint8_t>(outcome);
-  reply.detail = std::move(detail);
-  return reply;
-}
-
 DispatchReply NoOwnerReply(std::string detail) {
-  DispatchReply reply = MakeReply(DispatchStatus::kNoOwner,
-                                  RequestOutcome::kNotRun, std::move(detail));
+  DispatchReply reply = MakeDispatchReply(
+      DispatchStatus::kNoOwner, RequestOutcome::kNotRun, std::move(detail));
   reply.retry_after_ms =
       static_cast<int32_t>(ToMilliseconds(kNoOwnerRetryAfter));
   return reply;
@@ -257,9 +249,9 @@
                      (request.lost_once || TakeRetryFromBudget());
   request.lost_once = true;
   if (!again) {
-    Finish(handle,
-           MakeReply(DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
-                     "the host that dispatched the request was lost"));
+    Finish(handle, MakeDispatchReply(
+                       DispatchStatus::kUpstreamLost, RequestOutcome::kUnknown,
+                       "the host that dispatched the request was lost"));
     return;
   }
   request.awaiting_owner = true;
@@ -297,9 +289,9 @@
     }
     if (request.local) continue;  // The dispatcher minds its deadlines.
     environment_.transport.Send(request.connection, DispatchCancel{handle});
-    Finish(handle,
-           MakeReply(DispatchStatus::kDeadline, RequestOutcome::kUnknown,
-                     "the deadline passed before the dispatcher answered"));
+    Finish(handle, MakeDispatchReply(
+                       DispatchStatus::kDeadline, RequestOutcome::kUnknown,
+                       "the deadline passed before the dispatcher answered"));
   }
 }
 
