--- a/source/standins/test_deployment.cc
+++ b/source/standins/test_deployment.cc
@@ -135,8 +135,7 @@
        << "\"\ngroup = \"" << host.zone << "\"\n";
   file << "[listen]\ncallers = \"" << host.callers << "\"\noperators = \""
        << host.operators << "\"\ninner = \"" << host.inner << "\"\n";
-  file << "[platform]\naddress = \"" << PlatformAddressFor(host.id)
-       << "\"\n";
+  file << "[platform]\naddress = \"" << PlatformAddressFor(host.id) << "\"\n";
   file << "[peers]\nseeds = [";
   for (const EntryHost& other : hosts_) {
     if (other.zone == host.zone && other.id != host.id)
--- a/source/unit_tests/admission/rank_scheduler_test.cc
+++ b/source/unit_tests/admission/rank_scheduler_test.cc
@@ -94,8 +94,8 @@
 TEST(RankScheduler, WhatCannotBeServedInTimeIsRefusedAtOnce) {
   int admitted = 0;
   while (Admit(kUrgent) && admitted < 1000) ++admitted;
-  // 100 ms at two slots of 10 ms each are 20 at most; three quarters of that is counted on, and each
-  // needs its own service time besides.
+  // 100 ms at two slots of 10 ms each are 20 at most; three quarters of that is
+  // counted on, and each needs its own service time besides.
   CHECK_TRUE(admitted >= 13 && admitted <= 15);
   const AdmissionVerdict verdict = Offer(state, MakeRequest(kUrgent), now);
   CHECK_TRUE(verdict.retry_after > Duration::zero());
