--- a/source/standins/test_deployment.cc
+++ b/source/standins/test_deployment.cc
@@ -33,11 +33,8 @@
 }  // namespace
 
 ProgramPaths DefaultPrograms() {
-  return {std::getenv("MIMOSADEAL_DAEMON_OVERRIDE")
-              ? std::getenv("MIMOSADEAL_DAEMON_OVERRIDE")
-              : MIMOSADEAL_DAEMON,
-          MIMOSADEAL_STANDIN_PLATFORM, MIMOSADEAL_STANDIN_UPSTREAM,
-          MIMOSADEAL_STANDIN_FAULTS};
+  return {MIMOSADEAL_DAEMON, MIMOSADEAL_STANDIN_PLATFORM,
+          MIMOSADEAL_STANDIN_UPSTREAM, MIMOSADEAL_STANDIN_FAULTS};
 }
 
 TestDeployment::TestDeployment(ProgramPaths programs, DeploymentLayout layout,
