--- a/bench/ownership_bench.cc
+++ b/bench/ownership_bench.cc
@@ -294,15 +294,15 @@
     return (after[name].get<double>() - before[name].get<double>()) /
            ToSeconds(length);
   };
-  const Json result = {{"hosts", hosts},
-                       {"platform_reads_per_second", rate("reads")},
-                       {"platform_writes_per_second", rate("writes")},
-                       {"watches_started_per_second", rate("watches")},
-                       {"processor_share_mean", sum_processor / hosts},
-                       {"processor_share_most", most_processor},
-                       {"control_bytes_per_second_mean", sum_bytes / hosts},
-                       {"control_bytes_per_second_most", most_bytes},
-                       {"resident_kb_most", most_memory}};
+  Json result = {{"hosts", hosts},
+                 {"platform_reads_per_second", rate("reads")},
+                 {"platform_writes_per_second", rate("writes")},
+                 {"watches_started_per_second", rate("watches")},
+                 {"processor_share_mean", sum_processor / hosts},
+                 {"processor_share_most", most_processor},
+                 {"control_bytes_per_second_mean", sum_bytes / hosts},
+                 {"control_bytes_per_second_most", most_bytes},
+                 {"resident_kb_most", most_memory}};
   std::printf(
       "without requests, %.0f hosts: platform reads %.1f/s, writes %.1f/s, "
       "watches begun %.2f/s; a host's processor "
--- a/source/core/net/http_message.cc
+++ b/source/core/net/http_message.cc
@@ -12,19 +12,19 @@
 }
 
 std::string EncodePath(std::string_view path) {
-  constexpr std::string_view kAllowed = "-._~!$&'()*+,;=:@/";
-  constexpr char kHexDigits[] = "0123456789ABCDEF";
+  constexpr std::string_view allowed = "-._~!$&'()*+,;=:@/";
+  constexpr char hex_digits[] = "0123456789ABCDEF";
   std::string encoded;
   encoded.reserve(path.size());
   for (const char c : path) {
     const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 || kAllowed.find(c) != std::string_view::npos) {
+    if (std::isalnum(byte) != 0 || allowed.find(c) != std::string_view::npos) {
       encoded += c;
       continue;
     }
     encoded += '%';
-    encoded += kHexDigits[byte >> 4];
-    encoded += kHexDigits[byte & 0xF];
+    encoded += hex_digits[byte >> 4];
+    encoded += hex_digits[byte & 0xF];
   }
   return encoded;
 }
--- a/source/core/operator_client/operator_commands.cc
+++ b/source/core/operator_client/operator_commands.cc
@@ -13,9 +13,9 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 
-Json MemberOr(const Json& object, const char* name, Json fallback) {
+Json MemberOr(const Json& object, const char* name, const Json& fallback) {
   const auto found = object.find(name);
-  return found == object.end() ? std::move(fallback) : *found;
+  return found == object.end() ? fallback : *found;
 }
 
 CommandResult Failure(const Error& error) {
--- a/source/core/server/operators_api.cc
+++ b/source/core/server/operators_api.cc
@@ -86,7 +86,7 @@
 }  // namespace
 
 OperatorsApi::OperatorsApi(Environment environment)
-    : environment_(std::move(environment)) {}
+    : environment_(environment) {}
 
 Result<std::unique_ptr<OperatorsApi>> OperatorsApi::Listen(
     Environment environment) {
@@ -94,7 +94,7 @@
   BOOST_OUTCOME_TRY(
       address,
       ParseSocketAddress(environment.sources.settings.operators_address));
-  std::unique_ptr<OperatorsApi> api(new OperatorsApi(std::move(environment)));
+  std::unique_ptr<OperatorsApi> api(new OperatorsApi(environment));
   OperatorsApi* self = api.get();
   HttpServerOptions options;
   options.address = std::move(address);
--- a/source/standins/http_exchange.cc
+++ b/source/standins/http_exchange.cc
@@ -40,13 +40,13 @@
   Pooled& pooled = FreeConnection(address);
   pooled.busy = true;
   ++in_flight_;
-  pooled.connection->Start(
-      std::move(request),
-      [this, &pooled, callback = std::move(callback)](ClientResponse response) {
-        pooled.busy = false;
-        --in_flight_;
-        callback(response);
-      });
+  pooled.connection->Start(std::move(request),
+                           [this, &pooled, callback = std::move(callback)](
+                               const ClientResponse& response) {
+                             pooled.busy = false;
+                             --in_flight_;
+                             callback(response);
+                           });
 }
 
 ClientResponse HttpExchange::Call(const std::string& address,
