--- a/source/standins/load_run.cc
+++ b/source/standins/load_run.cc
@@ -27,6 +27,7 @@
 
 std::string FormatRow(const std::string& phase, const LoadClass& load_class,
                       const LoadCounts& counts) {
+  const uint64_t unanswered = counts.failed + counts.not_sent;
   char row[256];
   std::snprintf(
       row, sizeof(row),
@@ -38,7 +39,7 @@
       static_cast<unsigned long long>(counts.refused),
       static_cast<unsigned long long>(counts.late),
       static_cast<unsigned long long>(counts.unknown),
-      static_cast<unsigned long long>(counts.failed + counts.not_sent),
+      static_cast<unsigned long long>(unanswered),
       Percentile(counts.latencies_us, 0.5) / 1000.0,
       Percentile(counts.latencies_us, 0.99) / 1000.0,
       Percentile(counts.latencies_us, 0.999) / 1000.0,
