Know of requests that nothing received: await new connections, distrust long rests

The log shows 1,302 resets of connections right after the request was written: an upstream above its limit of connections accepts a connection and resets it, and by then the request was in its buffer, so that nobody could say that it had not run.

Change: a request that is not idempotent waits on a new connection for one round trip and a millisecond before it is written; a reset in that time means that it was not sent. Connections that were reset on reuse shorten the rest after which any is used again, for 30 s. A kept connection that ended before the request was written is no failure of the upstream, and no send for the retry budget.

Ruled out: crashes (no upstream had ended), time-outs (the failures came 7 ms after arrival).

Tests: Exchange.AConnectionResetOnAcceptanceHasCarriedNothingIfAwaited failed without the wait; IdleTrust.*.

--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -256,6 +256,7 @@
   ExchangeRequest request =
       protocol_.write_request(pending.request, pending.give_up_at - now, id);
   request.timeout = pending.give_up_at - now + std::chrono::seconds(1);
+  request.await_acceptance = !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
   pending.call = pool_.Send(
       upstream.record, std::move(request),
@@ -264,7 +265,8 @@
         if (known != nullptr && result.failure == ClientFailure::kNone) {
           OnConnected(*known);
         } else if (known != nullptr &&
-                   result.failure == ClientFailure::kNotConnected) {
+                   result.failure == ClientFailure::kNotConnected &&
+                   !result.reused) {
           OnConnectFailure(*known, loop_.timers().now());
         }
         OnResult(exchange, record, std::move(result));
--- a/source/core/entry/request_flow_answers.cc
+++ b/source/core/entry/request_flow_answers.cc
@@ -89,9 +89,12 @@
                 {"failure", ClientFailureName(result.failure)},
                 {"end", StreamEndName(result.end)},
                 {"written", result.request_written},
+                {"reused", result.reused},
                 {"sends", pending.sends}});
   if (!result.request_written) {
-    if (pending.service->keyed) {
+    --pending.sends;  // Nothing arrived that a retry budget would count.
+    // A kept connection that has just ended says nothing of the upstream.
+    if (pending.service->keyed && !result.reused) {
       Hold(pending, RefusalReason::kNoOwner, kMisdirectedPause);
     } else {
       Try(pending);
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -10,6 +10,9 @@
 // Idle connections kept to one upstream.
 constexpr size_t kMostIdle = 6;
 constexpr Duration kIdleSweep = std::chrono::seconds(1);
+// A reset that comes later than a round trip to any zone has other causes than
+// a connection that the upstream had forgotten.
+constexpr Duration kLatestIdleReset = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -24,6 +27,8 @@
   int64_t incarnation = 0;
   std::unique_ptr<ExchangeClient> client;
   Callback callback;
+  MonotonicTime began = kNever;
+  Duration rested{};  // Of the connection before this call.
 };
 
 UpstreamPool::UpstreamPool(EventLoop& loop, UpstreamPoolLimits limits)
@@ -70,7 +75,8 @@
                               : limits_.assumed_idle_timeout;
     const auto usable = Duration(static_cast<int64_t>(
         static_cast<double>(kept.count()) * limits_.idle_share));
-    if (client->reusable() && now - client->idle_since() < usable)
+    if (client->reusable() &&
+        now - client->idle_since() < TrustedRest(idle_trust_, usable, now))
       return client;
   }
   ++connections_opened_;
@@ -86,6 +92,9 @@
   call->upstream = record.id;
   call->incarnation = record.incarnation;
   call->client = TakeConnection(upstream);
+  call->began = loop_.timers().now();
+  if (call->client->reusable())
+    call->rested = call->began - call->client->idle_since();
   call->callback = std::move(callback);
   ++upstream.load.in_flight;
   request.connect_timeout = limits_.connect_timeout;
@@ -102,6 +111,7 @@
   if (found == calls_.end()) return;
   const std::unique_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
+  NoteIdleLoss(*call, result);
   const auto upstream = upstreams_.find(call->upstream);
   if (upstream != upstreams_.end() &&
       upstream->second->record.incarnation == call->incarnation) {
@@ -112,6 +122,15 @@
   call->callback(std::move(result));
 }
 
+void UpstreamPool::NoteIdleLoss(const Call& call,
+                                const ExchangeResult& result) {
+  const MonotonicTime now = loop_.timers().now();
+  const bool forgotten = result.reused && result.end == StreamEnd::kReset &&
+                         !result.response_started &&
+                         now - call.began < kLatestIdleReset;
+  if (forgotten) OnIdleLoss(idle_trust_, call.rested, now);
+}
+
 void UpstreamPool::Cancel(PoolCallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -1,5 +1,6 @@
 #include "net/exchange_client.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -10,6 +11,13 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr char kTimeoutParameter[] = "timeout=";
+// A reset leaves the peer when the connection reaches it, half a round trip
+// after it stands here.
+constexpr int kAcceptanceRoundTrips = 1;
+// For the peer to accept the connection; links between zones take 1 ms.
+constexpr Duration kAcceptanceSlack = std::chrono::milliseconds(1);
+// Of a slow link; a connection that took longer lost a packet.
+constexpr Duration kLongestAcceptance = std::chrono::milliseconds(20);
 
 // Returns the timeout of a Keep-Alive header, or zero when there is none.
 Duration ParseKeepAlive(std::string_view value) {
@@ -30,6 +38,7 @@
 ExchangeClient::~ExchangeClient() {
   loop_.timers().Cancel(timeout_);
   loop_.timers().Cancel(connect_timeout_);
+  loop_.timers().Cancel(acceptance_timer_);
 }
 
 bool ExchangeClient::reusable() const {
@@ -44,35 +53,54 @@
   parser_ =
       std::make_unique<HttpResponseParser>(limits_, request_.method == "HEAD");
   timeout_ = loop_.timers().After(request_.timeout, [this] { OnTimeout(); });
-  const std::string text = WriteRequest(request_.method, request_.target,
-                                        request_.headers, request_.body);
+  unsent_ = WriteRequest(request_.method, request_.target, request_.headers,
+                         request_.body);
   request_.body.clear();
-  if (stream_ == nullptr) {
-    auto stream = TcpStream::Connect(
-        loop_, address_,
-        TcpStreamHandlers{[this] { connected_ = true; },
-                          [this](std::string_view bytes) { OnData(bytes); },
-                          [this](StreamEnd end) { OnEnd(end); }});
-    if (!stream.has_value()) {
-      // The callback must not run from within this call.
-      loop_.timers().Cancel(timeout_);
-      timeout_ = loop_.timers().After(Duration::zero(), [this] {
-        ExchangeResult result;
-        result.failure = ClientFailure::kNotConnected;
-        result.end = StreamEnd::kFailed;
-        Finish(std::move(result));
-      });
-      return;
-    }
-    stream_ = std::move(stream.value());
-    connected_ = false;
-    if (request_.connect_timeout > Duration::zero()) {
-      connect_timeout_ = loop_.timers().After(request_.connect_timeout,
-                                              [this] { OnConnectTimeout(); });
-    }
+  reused_ = stream_ != nullptr;
+  if (!reused_ && !Connect()) {
+    // The callback must not run from within this call.
+    loop_.timers().Cancel(timeout_);
+    timeout_ = loop_.timers().After(Duration::zero(), [this] {
+      ExchangeResult result;
+      result.failure = ClientFailure::kNotConnected;
+      result.end = StreamEnd::kFailed;
+      Finish(std::move(result));
+    });
+    return;
   }
   sent_before_ = stream_->bytes_sent();
-  stream_->Write(text);
+  if (!reused_ && request_.await_acceptance) return;
+  stream_->Write(std::exchange(unsent_, {}));
+}
+
+bool ExchangeClient::Connect() {
+  auto stream = TcpStream::Connect(
+      loop_, address_,
+      TcpStreamHandlers{[this] { OnConnected(); },
+                        [this](std::string_view bytes) { OnData(bytes); },
+                        [this](StreamEnd end) { OnEnd(end); }});
+  if (!stream.has_value()) return false;
+  stream_ = std::move(stream.value());
+  connected_ = false;
+  connect_began_ = loop_.timers().now();
+  if (request_.connect_timeout > Duration::zero()) {
+    connect_timeout_ = loop_.timers().After(request_.connect_timeout,
+                                            [this] { OnConnectTimeout(); });
+  }
+  return true;
+}
+
+void ExchangeClient::OnConnected() {
+  connected_ = true;
+  if (!request_.await_acceptance) return;
+  const Duration took = loop_.timers().now() - connect_began_;
+  const Duration wait = std::min(
+      took * kAcceptanceRoundTrips + kAcceptanceSlack, kLongestAcceptance);
+  acceptance_timer_ = loop_.timers().After(wait, [this] {
+    acceptance_timer_ = 0;
+    if (busy() && stream_ != nullptr)
+      stream_->Write(std::exchange(unsent_, {}));
+  });
 }
 
 void ExchangeClient::OnData(std::string_view bytes) {
@@ -116,7 +144,8 @@
   result.response_started = true;
   // A response to a request that is not wholly sent leaves the rest of the body
   // due on the connection.
-  if (!text.keep_alive || !input_.empty() || stream_->queued_bytes() > 0)
+  if (!text.keep_alive || !input_.empty() || !unsent_.empty() ||
+      stream_->queued_bytes() > 0)
     spoiled_ = true;
   const Duration announced =
       ParseKeepAlive(FindHeader(text.response.headers, "keep-alive"));
@@ -173,6 +202,7 @@
 void ExchangeClient::Finish(ExchangeResult result) {
   loop_.timers().Cancel(timeout_);
   loop_.timers().Cancel(connect_timeout_);
+  result.reused = reused_;
   timeout_ = 0;
   Callback callback = std::exchange(callback_, nullptr);
   if (callback) callback(std::move(result));
@@ -203,6 +233,9 @@
 }
 
 void ExchangeClient::CloseStream() {
+  loop_.timers().Cancel(acceptance_timer_);
+  acceptance_timer_ = 0;
+  unsent_.clear();
   stream_.reset();
   input_.clear();
   connected_ = false;
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -29,6 +29,10 @@
   Duration timeout = std::chrono::seconds(10);
   // For a new connection to be established; zero leaves it to `timeout`.
   Duration connect_timeout{};
+  // Sends on a new connection only after it has stood for a round trip, so that
+  // a peer that resets the connections above its limit gets no request that may
+  // or may not have run.
+  bool await_acceptance = false;
   // Whether a response belongs to this request; without it every one does. A
   // response that does not is dropped, and the wait goes on.
   std::function<bool(const HttpResponse&)> is_answer;
@@ -43,6 +47,8 @@
   bool request_written = false;
   // A response had begun to arrive when the exchange failed.
   bool response_started = false;
+  // Set when the request was sent on a connection that an earlier one had used.
+  bool reused = false;
   HttpResponse response;
 };
 
@@ -78,6 +84,8 @@
   void OnEnd(StreamEnd end);
   void OnTimeout();
   void OnConnectTimeout();
+  void OnConnected();
+  bool Connect();
   void Complete(HttpResponseText text);
   void Finish(ExchangeResult result);
   void CloseStream();
@@ -94,7 +102,12 @@
   Callback callback_;
   uint64_t timeout_ = 0;
   uint64_t connect_timeout_ = 0;
+  uint64_t acceptance_timer_ = 0;
   bool connected_ = false;
+  bool reused_ = false;
+  MonotonicTime connect_began_ = kNever;
+  // Not handed to the connection yet; see ExchangeRequest::await_acceptance.
+  std::string unsent_;
   // Bytes arrived, or the peer announced an end, so that the connection must
   // not carry another request.
   bool spoiled_ = false;
--- a/source/unit_tests/balance/balance_test.cc
+++ b/source/unit_tests/balance/balance_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "balance/crash_suspects.h"
+#include "balance/idle_trust.h"
 #include "balance/retry_budget.h"
 #include "balance/upstream_choice.h"
 #include "balance/upstream_load.h"
@@ -171,5 +172,35 @@
         RequestFingerprint("POST", "h", "/a", "2"));
 }
 
+// Load pattern: half of the upstreams forget what rested for 300 ms, though
+// they announce seconds.
+TEST_GROUP(IdleTrust) {
+  IdleTrust trust;
+  MonotonicTime now{seconds(10)};
+  Duration announced = seconds(4);
+};
+
+TEST(IdleTrust, WithoutALossTheAnnouncedRestHolds) {
+  CHECK(TrustedRest(trust, announced, now) == announced);
+}
+
+TEST(IdleTrust, TwoLossesLeadBelowTheRestAtWhichConnectionsAreForgotten) {
+  OnIdleLoss(trust, seconds(3), now);
+  const Duration first = TrustedRest(trust, announced, now);
+  CHECK(first < seconds(1));
+  OnIdleLoss(trust, first, now + seconds(1));
+  CHECK(TrustedRest(trust, announced, now + seconds(2)) < milliseconds(300));
+  // A longer rest that was lost as well teaches nothing.
+  OnIdleLoss(trust, seconds(2), now + seconds(2));
+  CHECK(TrustedRest(trust, announced, now + seconds(2)) < milliseconds(300));
+}
+
+TEST(IdleTrust, OldLossesAreForgotten) {
+  OnIdleLoss(trust, milliseconds(400), now);
+  CHECK(TrustedRest(trust, announced, now + seconds(31)) == announced);
+  OnIdleLoss(trust, seconds(3), now + seconds(31));
+  CHECK(TrustedRest(trust, announced, now + seconds(32)) > milliseconds(400));
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/net/exchange_test.cc
+++ b/source/unit_tests/net/exchange_test.cc
@@ -235,6 +235,53 @@
   CHECK_FALSE(got.response_started);
 }
 
+// A peer that accepts each connection and resets it at once, as one above its
+// limit of connections does.
+TEST(Exchange, AConnectionResetOnAcceptanceHasCarriedNothingIfAwaited) {
+  const int listener = ListenTcp(kAddress).value();
+  ExchangeClient client(loop, kAddress, kText);
+  ExchangeResult got;
+  bool done = false;
+  ExchangeRequest request = Ask("a");
+  request.await_acceptance = true;
+  client.Start(std::move(request), [&](ExchangeResult result) {
+    got = std::move(result);
+    done = true;
+  });
+  // The client knows of its connection before the peer resets it.
+  CHECK(RunUntil([&] { return client.connected(); }));
+  const int accepted = accept(listener, nullptr, nullptr);
+  const linger at_once = {1, 0};
+  setsockopt(accepted, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  close(accepted);
+  CHECK(RunUntil([&] { return done; }));
+  close(listener);
+  CHECK(got.failure == ClientFailure::kNotConnected);
+  CHECK_FALSE(got.request_written);
+  CHECK_FALSE(got.reused);
+}
+
+TEST(Exchange, AnAwaitedConnectionCarriesItsRequestAndIsReused) {
+  Serve();
+  ExchangeClient client(loop, kAddress, kText);
+  for (int i = 0; i < 2; ++i) {
+    ExchangeRequest request = Ask("a");
+    request.await_acceptance = true;
+    ExchangeResult got;
+    bool done = false;
+    client.Start(std::move(request), [&](ExchangeResult result) {
+      got = std::move(result);
+      done = true;
+    });
+    const size_t wanted = static_cast<size_t>(i) + 1;
+    CHECK(RunUntil([&] { return requests.size() == wanted; }));
+    server->Respond(requests.back().first, Ok("a", "whole"));
+    CHECK(RunUntil([&] { return done; }));
+    CHECK(got.failure == ClientFailure::kNone);
+    CHECK(got.reused == (i == 1));
+  }
+}
+
 TEST(Exchange, AnIdleConnectionThatEndsIsKnownAsLost) {
   Serve();
   ExchangeClient client(loop, kAddress, kText);
