Keep a zone that a host no longer works for until its calls have ended

Its last log lines: grants of the cut zone timed out all at once, and in the same round of the loop the host lost its own zone's lease. A host that loses its lease destroyed its keepers of other zones in the next round of the loop, while calls to the store and to upstreams were under way whose callbacks lead to them: a use after free.

Change: such a zone is retired, its lease resigned and its keeper ended as before, and destroyed after 15 s, longer than any call takes.

Ruled out: want of memory (peak 19.8 MB of 112), lengths from the network (the archive checks each against the frame).

--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -66,6 +66,9 @@
 // Queues grow quickly above 0.6 of the capacity; a smaller difference than 0.25
 // is within what the measured load varies by.
 constexpr BalanceLimits kBalanceLimits = {0.6, 0.25, 0.05, 0.1, 4, 0.1};
+// Longer than any call to the store or an upstream takes; the longest is a
+// release, for the longest hold of 10 s.
+constexpr Duration kRetirement = std::chrono::seconds(15);
 // A follower that has been silent for this long gets no more reports.
 constexpr Duration kFollowerSilence = std::chrono::seconds(5);
 
@@ -194,10 +197,12 @@
   loop_.Post([this] {
     if (zones_.contains(options_.zone) && home().lease->active()) return;
     for (auto& [name, zone] : zones_) {
-      if (!zone->home) zone->lease->Resign();
+      if (zone->home) continue;
+      zone->lease->Resign();
+      retired_zones_.emplace_back(loop_.timers().now(), std::move(zone));
     }
     std::erase_if(zones_,
-                  [](const auto& entry) { return !entry.second->home; });
+                  [](const auto& entry) { return entry.second == nullptr; });
   });
 }
 
@@ -332,6 +337,9 @@
 
 void ZoneTeam::ShareLoad() {
   const MonotonicTime now = loop_.timers().now();
+  std::erase_if(retired_zones_, [now](const auto& retired) {
+    return now - retired.first > kRetirement;
+  });
   std::erase_if(followers_, [now](const auto& entry) {
     return now - entry.second.seen_at > kFollowerSilence;
   });
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -123,6 +123,9 @@
   ZoneTeamHandlers handlers_;
   std::unique_ptr<InnerTransport> transport_;
   std::map<std::string, std::unique_ptr<Zone>> zones_;
+  // Zones that this host no longer works for, and since when: calls to the
+  // store and to upstreams are still under way that lead back to them.
+  std::vector<std::pair<MonotonicTime, std::unique_ptr<Zone>>> retired_zones_;
   // By service, the tables as the followers that had every update have them.
   std::map<std::string, RangeTable> sent_tables_;
   std::map<std::string, Follower> followers_;  // By inner address.
