Move keys for load that is more than chance, and count on the moves under way

A table went from 305 ranges to 665 in 30 s, and each range costs a renewal every 0.7 s from then on. - Loads were known by 16 keys: neighbours of one hot key seemed hot and were moved about for 3.6 s. - While one key alone was too hot, its owner was the most loaded and had nothing to move, and that ended each plan of the zone.

Changes: an evacuation plans on the table as it will be and cuts ranges by their load; loads by key, as a mean over 15 s but for stretches of keys where that over 1.5 s differs by more than chance; a move needs a load that chance doesn't explain; a key too hot for any owner stays and its neighbours go; with more than three ranges an owner only overloaded owners give keys away. Speeds are told to other zones every 2 s instead of 0.5 s (most of the reports' bytes).

Tests: RangePlanner.ManyThatLeaveTogether..., AKeyTooHot..., RangesOfLittleLoadMoveWhole, ATableOfManyRanges..., ChanceMovesFewKeys; KeyLoad.*.

--- a/source/core/entry/range_keeper.cc
+++ b/source/core/entry/range_keeper.cc
@@ -75,8 +75,10 @@
   if (acting_) Tick();
 }
 
-void RangeKeeper::SetLoads(const std::string& service, CellLoads loads) {
+void RangeKeeper::SetLoads(const std::string& service, CellLoads loads,
+                           double noise) {
   loads_[service] = std::move(loads);
+  noise_[service] = noise;
 }
 
 void RangeKeeper::SetSpeeds(const std::string& service,
@@ -254,6 +256,7 @@
 void RangeKeeper::CheckOwners(Service& service) {
   const MonotonicTime now = loop_.timers().now();
   const RangeTable table = *view_.table(service.name);
+  RangeTable planned = PlannedTable(service);
   // A range may still name an earlier life of an upstream that others have.
   std::set<UpstreamLife> checked;
   for (const KeyRange& range : table.ranges) {
@@ -262,17 +265,17 @@
     const ListedUpstream* listed = view_.directory().Find(range.owner);
     const OwnerState& state = service.owners[life];
     if (listed != nullptr && listed->record.incarnation != life.incarnation) {
-      Evacuate(service, life, "the upstream has restarted");
+      Evacuate(service, planned, life, "the upstream has restarted");
     } else if (state.ended) {
-      Evacuate(service, life, "another process has its address");
+      Evacuate(service, planned, life, "another process has its address");
     } else if (listed == nullptr ||
                listed->standing == UpstreamStanding::kMissing) {
-      Evacuate(service, life, "the upstream's registration is gone");
+      Evacuate(service, planned, life, "the upstream's registration is gone");
     } else if (listed->standing == UpstreamStanding::kDraining) {
-      Evacuate(service, life, "the upstream is leaving");
+      Evacuate(service, planned, life, "the upstream is leaving");
     } else if (state.silent_since != kNever &&
                now - state.silent_since >= options_.silence_to_move) {
-      Evacuate(service, life, "the upstream does not answer");
+      Evacuate(service, planned, life, "the upstream does not answer");
     }
   }
 }
--- a/source/core/entry/range_keeper.h
+++ b/source/core/entry/range_keeper.h
@@ -58,7 +58,8 @@
   void End();
   void OnViewChanged();
   // Busy time of one second, by cell of the service's keys.
-  void SetLoads(const std::string& service, CellLoads loads);
+  // `noise`: see KeyLoad.
+  void SetLoads(const std::string& service, CellLoads loads, double noise);
   // How fast upstreams are, by id, with 1 for the mean.
   void SetSpeeds(const std::string& service,
                  std::map<std::string, double> speeds);
@@ -80,8 +81,12 @@
   void OnGrantReply(const std::string& service, const KeyRange& range,
                     MonotonicTime sent_at, Duration hold,
                     const OrderResult& result);
-  void Evacuate(Service& service, const UpstreamLife& owner,
-                const char* reason);
+  // The table as it will be when the moves under way have ended.
+  RangeTable PlannedTable(const Service& service) const;
+  // Starts moves of all that `owner` has in `planned`, and applies them to it:
+  // others that leave at the same time must not choose the same new owners.
+  void Evacuate(Service& service, RangeTable& planned,
+                const UpstreamLife& owner, const char* reason);
   void Balance(Service& service);
   void StartMove(Service& service, const PlannedMove& planned,
                  const char* reason);
@@ -91,8 +96,6 @@
   void OnTableWritten(const std::string& service,
                       const std::vector<std::shared_ptr<Move>>& moves,
                       Result<StoredObject> written);
-  // Whether moves under way take every key of the range.
-  bool IsCovered(const Service& service, const KeyRange& range) const;
   bool IsMoving(const Service& service, int first, int last) const;
   // Logs and returns nothing when the object is malformed.
   std::optional<RangeTable> ReadTable(const StoredObject& object);
@@ -121,6 +124,7 @@
   MonotonicTime started_at_ = kNever;
   std::map<std::string, std::unique_ptr<Service>> services_;
   std::map<std::string, CellLoads> loads_;
+  std::map<std::string, double> noise_;  // Of the loads, by service.
   std::map<std::string, std::map<std::string, double>> speeds_;
 };
 
--- a/source/core/entry/range_keeper_moves.cc
+++ b/source/core/entry/range_keeper_moves.cc
@@ -23,27 +23,27 @@
 
 }  // namespace
 
-bool RangeKeeper::IsCovered(const Service& service,
-                            const KeyRange& range) const {
-  std::vector<KeySpan> moving;
+RangeTable RangeKeeper::PlannedTable(const Service& service) const {
+  RangeTable table = *view_.table(service.name);
   for (const std::shared_ptr<Move>& move : service.moves)
-    moving.push_back({move->planned.first, move->planned.last});
-  return WithoutParts({range.first, range.last}, std::move(moving)).empty();
+    ApplyMove(table, move->planned);
+  return table;
 }
 
-void RangeKeeper::Evacuate(Service& service, const UpstreamLife& owner,
-                           const char* reason) {
-  const RangeTable& table = *view_.table(service.name);
+void RangeKeeper::Evacuate(Service& service, RangeTable& planned,
+                           const UpstreamLife& owner, const char* reason) {
   const bool left = std::any_of(
-      table.ranges.begin(), table.ranges.end(), [&](const KeyRange& range) {
+      planned.ranges.begin(), planned.ranges.end(), [&](const KeyRange& range) {
         return range.owner == owner.id &&
-               range.owner_incarnation == owner.incarnation &&
-               !IsCovered(service, range);
+               range.owner_incarnation == owner.incarnation;
       });
   if (!left) return;
-  const auto planned = PlanEvacuation(table, loads_[service.name], owner,
-                                      Candidates(service.name), options_.zone);
-  for (const PlannedMove& move : planned) StartMove(service, move, reason);
+  const auto moves = PlanEvacuation(planned, loads_[service.name], owner,
+                                    Candidates(service.name), options_.zone);
+  for (const PlannedMove& move : moves) {
+    StartMove(service, move, reason);
+    ApplyMove(planned, move);
+  }
 }
 
 void RangeKeeper::StartMove(Service& service, const PlannedMove& planned,
@@ -232,7 +232,8 @@
   service.next_balance_at = now + options_.balance_interval;
   const auto planned =
       PlanBalance(*view_.table(service.name), loads_[service.name],
-                  Candidates(service.name), options_.zone, options_.balance);
+                  Candidates(service.name), options_.zone, options_.balance,
+                  noise_[service.name]);
   for (const PlannedMove& move : planned)
     StartMove(service, move, "to balance the load");
 }
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -52,11 +52,17 @@
 // Hot keys change within seconds: load is shared and ranges are balanced twice
 // a second.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
-constexpr Duration kLoadMemory = std::chrono::milliseconds(1500);
+// An owner gets a handful of requests a second, so that 15 s tell its load to
+// within an eighth.
+constexpr KeyLoadMemory kLoadMemory = {std::chrono::milliseconds(1500),
+                                       std::chrono::seconds(15), kLoadInterval};
 constexpr Duration kBalanceInterval = std::chrono::milliseconds(500);
 // Weight that an upstream's earlier answers keep from one interval to the next:
 // its speed is a mean over about 5 s.
 constexpr double kSpeedMemory = 0.9;
+// Load reports between two that tell other zones of speeds: these are most of
+// the bytes, and change slowly.
+constexpr int kSpeedRounds = 4;
 // Answer time that an upstream of mean speed is credited with, so that a few
 // answers do not decide.
 constexpr double kSpeedPriorMs = 400;
@@ -321,7 +327,8 @@
   }
 }
 
-void ZoneTeam::SendLoad(const std::string& address, bool forward) {
+void ZoneTeam::SendLoad(const std::string& address,
+                        const SpeedByUpstream& speeds, bool forward) {
   if (address.empty()) return;
   LoadReport like;
   like.host = options_.host;
@@ -329,12 +336,34 @@
   like.forward = forward;
   for (const auto& [service, cells] : new_load_) {
     like.service = service;
-    for (const LoadReport& report :
-         MakeLoadReports(like, cells, new_speeds_[service]))
+    const auto known = speeds.find(service);
+    for (const LoadReport& report : MakeLoadReports(
+             like, cells,
+             known == speeds.end() ? std::map<std::string, SpeedSample>()
+                                   : known->second))
       transport_->SendDatagram(address, report);
   }
 }
 
+void ZoneTeam::ShareWithOtherZones() {
+  for (const auto& [service, upstreams] : new_speeds_) {
+    for (const auto& [upstream, speed] : upstreams) {
+      SpeedSample& sum = unshared_speeds_[service][upstream];
+      sum.expected_ms += speed.expected_ms;
+      sum.taken_ms += speed.taken_ms;
+    }
+  }
+  const bool with_speeds = --rounds_to_share_speeds_ <= 0;
+  for (const auto& [name, zone] : zones_) {
+    if (zone->home) continue;
+    SendLoad(zone->lease->lease().address,
+             with_speeds ? unshared_speeds_ : SpeedByUpstream(), false);
+  }
+  if (!with_speeds) return;
+  unshared_speeds_.clear();
+  rounds_to_share_speeds_ = kSpeedRounds;
+}
+
 void ZoneTeam::ShareLoad() {
   const MonotonicTime now = loop_.timers().now();
   std::erase_if(retired_zones_, [now](const auto& retired) {
@@ -344,14 +373,12 @@
     return now - entry.second.seen_at > kFollowerSilence;
   });
   if (!home().lease->active()) {
-    SendLoad(home().lease->lease().address, true);
+    SendLoad(home().lease->lease().address, new_speeds_, true);
     new_load_.clear();
     new_speeds_.clear();
     return;
   }
-  for (const auto& [name, zone] : zones_) {
-    if (!zone->home) SendLoad(zone->lease->lease().address, false);
-  }
+  ShareWithOtherZones();
   constexpr double ms_per_second = 1000;
   for (const auto& [service, cells] : new_load_) {
     KeyLoad& load = loads_.try_emplace(service, kLoadMemory).first->second;
@@ -369,7 +396,8 @@
   ApplySpeeds();
   for (auto& [service, load] : loads_) {
     const CellLoads rates = load.Rates(now);
-    for (auto& [name, zone] : zones_) zone->ranges->SetLoads(service, rates);
+    for (auto& [name, zone] : zones_)
+      zone->ranges->SetLoads(service, rates, load.noise());
   }
 }
 
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -111,7 +111,10 @@
   void OnLoadReport(const LoadReport& report);
   void ShareLoad();
   void ApplySpeeds();
-  void SendLoad(const std::string& address, bool forward);
+  // `forward`: to the holder of this zone's lease, who passes it on.
+  void SendLoad(const std::string& address, const SpeedByUpstream& speeds,
+                bool forward);
+  void ShareWithOtherZones();
   Zone& home() const;
 
   EventLoop& loop_;
@@ -134,8 +137,10 @@
   // Milliseconds of busy time since the last report.
   LoadByCell new_load_;
   std::map<std::string, KeyLoad> loads_;
-  SpeedByUpstream new_speeds_;  // Since the last report.
-  SpeedByUpstream speeds_;      // With older ones at less weight.
+  SpeedByUpstream new_speeds_;       // Since the last report.
+  SpeedByUpstream speeds_;           // With older ones at less weight.
+  SpeedByUpstream unshared_speeds_;  // Not told to other zones yet.
+  int rounds_to_share_speeds_ = 0;
   uint64_t timer_ = 0;
   uint64_t feed_timer_ = 0;
   std::array<CopyLag, kViewKinds> own_lags_;  // Behind the holder's copies.
--- a/source/core/ranges/key_load.h
+++ b/source/core/ranges/key_load.h
@@ -1,4 +1,11 @@
-// The load of one service by cell of its keys, as a mean over the last seconds.
+// The load of one service by cell of its keys, estimated from the requests of
+// the last seconds.
+//
+// Load pattern: an owner gets a handful of requests a second, until the busy
+// keys change from one second to the next. A mean over a short time follows
+// that, but is half noise for all others, and keys would move for it. So a mean
+// over a longer time counts, but for the stretches of keys where the short one
+// differs from it by more than chance.
 #pragma once
 
 #include <cstdint>
@@ -9,21 +16,43 @@
 
 namespace mimosadeal {
 
+struct KeyLoadMemory {
+  Duration fast{};  // Time constants of the two means.
+  Duration slow{};
+  Duration interval{};  // Between calls of Rates.
+};
+
 class KeyLoad {
  public:
-  // `memory`: the time constant of the mean.
-  explicit KeyLoad(Duration memory) : memory_(memory), sums_(kCells, 0) {}
+  explicit KeyLoad(KeyLoadMemory memory)
+      : memory_(memory), fast_(kCells, 0), slow_(kCells, 0) {}
 
   void Add(size_t cell, double busy_seconds);
   // Returns busy seconds a second by cell, as of `now`.
   CellLoads Rates(MonotonicTime now);
+  // The variance of a sum of rates, as a multiple of the sum: what one request
+  // costs, by the time that is looked back on.
+  double noise() const { return noise_; }
 
  private:
   void Decay(MonotonicTime now);
-
-  Duration memory_;
-  std::vector<double> sums_;
+  // Sets the rates of the cells from `first` on, as many as the stretch of this
+  // depth has.
+  void Estimate(size_t first, size_t depth, CellLoads& rates) const;
+
+  KeyLoadMemory memory_;
+  // Busy seconds, each weighted by its age.
+  std::vector<float> fast_;
+  std::vector<float> slow_;
+  MonotonicTime began_at_ = kNever;
   MonotonicTime decayed_at_ = kNever;
+  double fast_weight_ = 1;  // Seconds that the sums stand for.
+  double slow_weight_ = 1;
+  // What one request costs: the mean of what was least in each interval, as
+  // most additions are of one request.
+  double request_seconds_ = 0;
+  double least_added_ = 0;  // Since the latest decay; 0 if nothing was.
+  double noise_ = 0;
 };
 
 }  // namespace mimosadeal
--- a/source/core/ranges/range_planner.cc
+++ b/source/core/ranges/range_planner.cc
@@ -8,17 +8,31 @@
 namespace {
 
 // An evacuated range is cut into at most this many parts, so that several
-// owners share its load without many small ranges, each of which costs a
-// renewal.
+// owners share its load...
 constexpr int kMostEvacuationParts = 3;
+// ...each of which carries at least this part of an owner's capacity: every
+// range costs renewals for as long as it lasts.
+constexpr double kLeastEvacuationPart = 0.2;
+// With more ranges for each owner than this, only overloaded owners give keys
+// away: renewals and the table grow with the ranges.
+constexpr size_t kManyRangesPerOwner = 3;
+constexpr double kOverload = 1;
 // The load of a key of which nothing is known, so that idle ranges still count
 // by their size.
 constexpr double kIdleKeyLoad = 1e-6;
+// A key with more than this share of the load that an owner should shed would
+// overload its new owner as it does this one.
+constexpr double kHotKeyShare = 0.75;
+// Standard deviations by which a load must exceed a bound to be no chance.
+constexpr double kSignificant = 2.5;
+// Requests after which a measured load counts as much as the mean of all.
+constexpr double kPriorRequests = 8;
 
 struct OwnerLoad {
   OwnerCandidate candidate;
   double load = 0;
   int keys = 0;
+  bool settled = false;  // Nothing that it has is worth moving.
 
   double Relative() const { return load / std::max(candidate.capacity, 1e-3); }
 };
@@ -49,6 +63,13 @@
   return least;
 }
 
+// Returns into how many parts a range with this load is cut.
+int EvacuationParts(const OwnerLoad& target, double load) {
+  const double least = target.candidate.capacity * kLeastEvacuationPart;
+  const double parts = std::ceil(load / std::max(least, 1e-3));
+  return std::clamp(static_cast<int>(parts), 1, kMostEvacuationParts);
+}
+
 // Returns the last key of the part that begins at `first`, ends at `last` at
 // the latest and carries about `wanted` load.
 int CutAt(const CellLoads& loads, int first, int last, double wanted) {
@@ -98,6 +119,18 @@
   return table;
 }
 
+void ApplyMove(RangeTable& table, const PlannedMove& move) {
+  const KeyRange* range = FindRange(table, move.first);
+  if (range == nullptr) return;
+  KeyRange part = *range;
+  part.first = move.first;
+  part.last = move.last;
+  part.owner = move.to.id;
+  part.owner_incarnation = move.to.incarnation;
+  part.zone = move.to.zone;
+  AssignPart(table, part);
+}
+
 double LoadOfKeys(const CellLoads& loads, int first, int last) {
   double sum = kIdleKeyLoad * (last - first + 1);
   for (int at = first; at <= last;) {
@@ -131,13 +164,13 @@
         range.owner_incarnation != leaving.incarnation)
       continue;
     const double whole = LoadOfKeys(loads, range.first, range.last);
+    const int parts = EvacuationParts(*LeastLoaded(owners, target_zone), whole);
     int first = range.first;
     for (int part = 0; first <= range.last; ++part) {
       OwnerLoad* target = LeastLoaded(owners, target_zone);
-      const bool is_last = part == kMostEvacuationParts - 1;
-      const int last = is_last ? range.last
-                               : CutAt(loads, first, range.last,
-                                       whole / kMostEvacuationParts);
+      const bool is_last = part == parts - 1;
+      const int last =
+          is_last ? range.last : CutAt(loads, first, range.last, whole / parts);
       moves.push_back({first, last, leaving.id, target->candidate});
       target->load += LoadOfKeys(loads, first, last);
       first = last + 1;
@@ -152,7 +185,8 @@
                       const std::string& zone) {
   OwnerLoad* most = nullptr;
   for (auto& [id, owner] : owners) {
-    if (owner.candidate.zone != zone || owner.keys <= kKeysPerCell) continue;
+    if (owner.candidate.zone != zone || owner.keys <= 1 || owner.settled)
+      continue;
     if (most == nullptr || owner.Relative() > most->Relative()) most = &owner;
   }
   return most;
@@ -172,20 +206,6 @@
   return best;
 }
 
-const KeyRange* BusiestRange(const RangeTable& table, const CellLoads& loads,
-                             const std::string& owner, double& busiest_load) {
-  const KeyRange* busiest = nullptr;
-  busiest_load = -1;
-  for (const KeyRange& range : table.ranges) {
-    if (range.owner != owner) continue;
-    const double load = LoadOfKeys(loads, range.first, range.last);
-    if (load <= busiest_load) continue;
-    busiest = &range;
-    busiest_load = load;
-  }
-  return busiest;
-}
-
 // Returns the part of the range, at whichever end takes fewer keys, that
 // carries about `wanted` load.
 KeySpan CutFromEnd(const CellLoads& loads, const KeyRange& range, double load,
@@ -200,12 +220,97 @@
   return {range.first, front_last};
 }
 
+// What may be taken from a range whose key `hot` stays: the busier side of it.
+KeySpan BusierSide(const CellLoads& loads, const KeyRange& range, int hot) {
+  const KeySpan before{range.first, hot - 1};
+  const KeySpan after{hot + 1, range.last};
+  if (before.last < before.first) return after;
+  if (after.last < after.first) return before;
+  return LoadOfKeys(loads, before.first, before.last) >=
+                 LoadOfKeys(loads, after.first, after.last)
+             ? before
+             : after;
+}
+
+int HottestKey(const CellLoads& loads, const KeyRange& range) {
+  int hottest = range.first;
+  double most = -1;
+  for (int key = range.first; key <= range.last; ++key) {
+    const double load = LoadOfKeys(loads, key, key);
+    if (load <= most) continue;
+    most = load;
+    hottest = key;
+  }
+  return hottest;
+}
+
+// Returns the part of the range that should move to shed `wanted` load, or an
+// empty span. A key that carries most of that alone stays where it is.
+KeySpan PartToMove(const CellLoads& loads, KeyRange range, double wanted) {
+  const int hot = HottestKey(loads, range);
+  if (LoadOfKeys(loads, hot, hot) > wanted * kHotKeyShare) {
+    const KeySpan side = BusierSide(loads, range, hot);
+    range.first = side.first;
+    range.last = side.last;
+  }
+  if (range.last < range.first) return {range.first, range.last};
+  const double load = LoadOfKeys(loads, range.first, range.last);
+  return CutFromEnd(loads, range, load, wanted);
+}
+
+// Returns the busiest part of what `owner` has that is worth moving.
+KeySpan ChoosePart(const RangeTable& table, const CellLoads& loads,
+                   const std::string& owner, double wanted) {
+  KeySpan best{0, -1};
+  double most = -1;
+  for (const KeyRange& range : table.ranges) {
+    if (range.owner != owner) continue;
+    const KeySpan part = PartToMove(loads, range, wanted);
+    if (part.last < part.first) continue;
+    const double load = LoadOfKeys(loads, part.first, part.last);
+    if (load <= most) continue;
+    best = part;
+    most = load;
+  }
+  return best;
+}
+
+double MeanLoad(const std::map<std::string, OwnerLoad>& owners) {
+  double load = 0;
+  double capacity = 0;
+  for (const auto& [id, owner] : owners) {
+    load += owner.load;
+    capacity += owner.candidate.capacity;
+  }
+  return capacity > 0 ? load / capacity : 0;
+}
+
+// Returns what the owner's load for its capacity is at least, but for chance.
+double LeastLikelyLoad(const OwnerLoad& owner, double noise) {
+  const double deviation = std::sqrt(std::max(0.0, owner.load) * noise);
+  return (owner.load - kSignificant * deviation) /
+         std::max(owner.candidate.capacity, 1e-3);
+}
+
+// Owners that seem idle after a handful of requests are mostly as busy as the
+// others: the fewer requests were counted, the more counts the mean.
+void DrawToMean(std::map<std::string, OwnerLoad>& owners, double mean,
+                double noise) {
+  for (auto& [id, owner] : owners) {
+    const double expected = mean * owner.candidate.capacity;
+    if (owner.keys == 0 || owner.load >= expected || noise <= 0) continue;
+    const double requests = expected / noise;
+    const double weight = requests / (requests + kPriorRequests);
+    owner.load = weight * owner.load + (1 - weight) * expected;
+  }
+}
+
 }  // namespace
 
 std::vector<PlannedMove> PlanBalance(
     const RangeTable& table, const CellLoads& loads,
     const std::vector<OwnerCandidate>& candidates, const std::string& zone,
-    const BalanceLimits& limits) {
+    const BalanceLimits& limits, double noise) {
   std::vector<PlannedMove> moves;
   RangeTable planned = table;
   auto owners = LoadByOwner(table, loads, candidates);
@@ -213,6 +318,10 @@
   const auto zone_owners = std::count_if(
       candidates.begin(), candidates.end(),
       [&zone](const OwnerCandidate& owner) { return owner.zone == zone; });
+  const bool fragmented =
+      table.ranges.size() > kManyRangesPerOwner * candidates.size();
+  const double mean = MeanLoad(owners);
+  DrawToMean(owners, mean, noise);
   const size_t most_moves =
       std::max(static_cast<size_t>(limits.most_moves),
                static_cast<size_t>(static_cast<double>(zone_owners) *
@@ -222,8 +331,10 @@
     OwnerLoad* target = BestTarget(owners, zone, limits.other_zone_penalty);
     if (source == nullptr || target == nullptr || source == target) break;
     const bool newcomer = target->keys == 0;
-    const double difference = source->Relative() - target->Relative();
-    if (!newcomer && (source->Relative() < limits.least_source_load ||
+    const double at_least = LeastLikelyLoad(*source, noise);
+    if (!newcomer && fragmented && at_least < kOverload) break;
+    const double difference = at_least - target->Relative();
+    if (!newcomer && (at_least < limits.least_source_load ||
                       difference < limits.least_difference)) {
       break;
     }
@@ -232,14 +343,12 @@
         (source->load * target->candidate.capacity -
          target->load * source->candidate.capacity) /
         (source->candidate.capacity + target->candidate.capacity);
-    double busiest_load = 0;
-    const KeyRange* busiest =
-        BusiestRange(planned, loads, source->candidate.id, busiest_load);
-    KeySpan span = CutFromEnd(loads, *busiest, busiest_load, wanted);
+    KeySpan span = ChoosePart(planned, loads, source->candidate.id, wanted);
+    if (span.last < span.first) {
+      source->settled = true;
+      continue;
+    }
     span.last = std::min(span.last, span.first + most_keys - 1);
-    const bool whole_hot_key =
-        span.last - span.first + 1 <= 1 && busiest->first == busiest->last;
-    if (span.last < span.first || whole_hot_key) break;
     moves.push_back(
         {span.first, span.last, source->candidate.id, target->candidate});
     const double moved = LoadOfKeys(loads, span.first, span.last);
@@ -247,12 +356,7 @@
     target->load += moved;
     source->keys -= span.last - span.first + 1;
     target->keys += span.last - span.first + 1;
-    KeyRange part = *busiest;
-    part.first = span.first;
-    part.last = span.last;
-    part.owner = target->candidate.id;
-    part.zone = target->candidate.zone;
-    AssignPart(planned, part);
+    ApplyMove(planned, moves.back());
   }
   return moves;
 }
--- a/source/core/ranges/range_planner.h
+++ b/source/core/ranges/range_planner.h
@@ -13,8 +13,9 @@
 
 namespace mimosadeal {
 
-// Load is counted by cell, a stretch of neighbouring keys.
-inline constexpr int kKeysPerCell = 16;
+// Load is counted by cell, a stretch of neighbouring keys. One key alone can be
+// hot, and its neighbours must not look so.
+inline constexpr int kKeysPerCell = 1;
 inline constexpr size_t kCells = (kLastKey + 1) / kKeysPerCell;
 
 // Busy time, in seconds of one slot a second, that each cell's requests cost.
@@ -36,6 +37,10 @@
   OwnerCandidate to;
 };
 
+// Gives the keys of a planned move to their new owner, so that what is planned
+// next counts on it.
+void ApplyMove(RangeTable& table, const PlannedMove& move);
+
 // Returns a first table that divides the keys equally, zone by zone.
 RangeTable MakeFirstTable(const std::string& service,
                           std::vector<OwnerCandidate> candidates);
@@ -68,13 +73,16 @@
 
 // Returns the moves that most lower the highest loads for capacity among the
 // owners of `zone`, or nothing when none is worth its cost. An owner without
-// keys is a target at any load.
+// keys is a target at any load. `noise` is the variance of a measured load as a
+// multiple of it: what chance may explain is no reason to move.
 //
-// Load pattern: a few neighbouring keys get a third of the traffic within a
-// second, far beyond one owner's capacity; or owners' speeds differ.
+// Load patterns: a few neighbouring keys get a third of the traffic within a
+// second, far beyond one owner's capacity; one key alone gets more than any
+// owner can serve, which moving it would not help, so that its owner's other
+// keys move instead; owners' speeds differ.
 std::vector<PlannedMove> PlanBalance(
     const RangeTable& table, const CellLoads& loads,
     const std::vector<OwnerCandidate>& candidates, const std::string& zone,
-    const BalanceLimits& limits);
+    const BalanceLimits& limits, double noise);
 
 }  // namespace mimosadeal
