--- a/source/unit_tests/ranges/range_planner_test.cc
+++ b/source/unit_tests/ranges/range_planner_test.cc
@@ -198,8 +198,8 @@
   CHECK(PlanBalance(table, loads, owners, busy.zone, kLimits, 0).size() > 0);
 }
 
-// Load pattern: a rolling release takes half of a zone's upstreams away in a
-// second, while two fresh ones have nothing yet.
+// Load pattern: half of a zone's upstreams lose their registrations at once, as
+// when the zone is cut off, while two fresh ones have nothing yet.
 TEST(RangePlanner, ManyThatLeaveTogetherDoNotChooseTheSameNewOwners) {
   RangeTable table = MakeFirstTable("yard", owners);
   AddEvenLoad(28);
