--- a/source/core/forwarding/caller_request.h
+++ b/source/core/forwarding/caller_request.h
@@ -43,7 +43,10 @@
   AnswerKind kind = AnswerKind::kAnswer;
   HttpResponse response;  // As it goes to the caller.
   std::optional<UpstreamLoadReport> load;
-  bool leaving = false;  // The upstream closes its connections.
+  // The upstream says that it leaves: it should get nothing new.
+  bool leaving = false;
+  // For how long the upstream wants no requests from this host.
+  std::optional<Duration> rest;
 };
 
 }  // namespace mimosadeal
--- a/source/core/forwarding/deployment_bounds.h
+++ b/source/core/forwarding/deployment_bounds.h
@@ -10,6 +10,9 @@
   // From the store's acknowledgement of an upstream's leaving until no request
   // may reach it.
   Duration drain = std::chrono::seconds(2);
+  // From the store's acknowledgement of a configuration until it must be in
+  // force.
+  Duration configuration_apply = std::chrono::seconds(2);
   // From SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
   // The longest hold that an upstream accepts.
--- a/source/core/forwarding/key_orders.h
+++ b/source/core/forwarding/key_orders.h
@@ -33,6 +33,7 @@
   OrderOutcome outcome = OrderOutcome::kRefused;
   int status = 0;        // For the log.
   std::string handover;  // Of a release.
+  bool leaving = false;  // The upstream says that it leaves.
 };
 
 }  // namespace mimosadeal
--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -16,10 +16,13 @@
   kNone,
   // Not run, and never will be:
   kNoConfiguration,
+  // No route as far as this host knows, whose configuration may be outdated.
+  kRouteUnconfirmed,
   kNoOwner,      // The key has no owner that can be reached.
   kNoUpstream,   // The service has no upstream that can be reached.
   kOverloaded,   // It could not be served in time.
   kNotExecuted,  // The upstream turned it away.
+  kResting,      // All that could serve it want no requests for a time.
   kSuspect,      // It crashed the upstreams that ran it.
   kStopping,
   // Wrong in itself:
@@ -30,13 +33,15 @@
   kLostAnswer,
 };
 
-inline constexpr EnumNames<RefusalReason, 12> kRefusalReasonNames = {{
+inline constexpr EnumNames<RefusalReason, 14> kRefusalReasonNames = {{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kNoConfiguration, "no-configuration"},
+    {RefusalReason::kRouteUnconfirmed, "route-unconfirmed"},
     {RefusalReason::kNoOwner, "no-owner"},
     {RefusalReason::kNoUpstream, "no-upstream"},
     {RefusalReason::kOverloaded, "overloaded"},
     {RefusalReason::kNotExecuted, "not-executed"},
+    {RefusalReason::kResting, "resting"},
     {RefusalReason::kSuspect, "suspect"},
     {RefusalReason::kStopping, "stopping"},
     {RefusalReason::kNoRoute, "no-route"},
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// A whole response, and as much of interim and foreign ones before it.
+constexpr size_t kMostResponses = 2;
+// Longer announcements are cut to this, so that times do not overflow.
+constexpr int64_t kLongestKeepAliveSeconds = 3600;
 constexpr char kTimeoutParameter[] = "timeout=";
 // A reset leaves the peer when the connection reaches it, half a round trip
 // after it stands here.
@@ -26,7 +30,8 @@
   value.remove_prefix(at + sizeof(kTimeoutParameter) - 1);
   int64_t seconds = 0;
   std::from_chars(value.data(), value.data() + value.size(), seconds);
-  return std::chrono::seconds(seconds);
+  return std::chrono::seconds(
+      std::clamp<int64_t>(seconds, 0, kLongestKeepAliveSeconds));
 }
 
 }  // namespace
@@ -45,8 +50,29 @@
   return stream_ != nullptr && !busy() && !spoiled_;
 }
 
+void ExchangeClient::Open(Duration timeout, std::function<void(bool)> done) {
+  CloseStream();
+  lost_while_idle_ = false;
+  request_ = {};
+  on_opened_ = std::move(done);
+  if (Connect(timeout)) return;
+  loop_.timers().Cancel(connect_timeout_);
+  connect_timeout_ =
+      loop_.timers().After(Duration::zero(), [this] { FinishOpening(false); });
+}
+
+void ExchangeClient::FinishOpening(bool connected) {
+  loop_.timers().Cancel(connect_timeout_);
+  connect_timeout_ = 0;
+  if (!connected) CloseStream();
+  idle_since_ = loop_.timers().now();
+  const auto done = std::exchange(on_opened_, nullptr);
+  if (done) done(connected);
+}
+
 void ExchangeClient::Start(ExchangeRequest request, Callback callback) {
-  if (!reusable()) CloseStream();
+  if (!reusable() || request.unused_connection) CloseStream();
+  received_ = 0;
   lost_while_idle_ = false;
   request_ = std::move(request);
   callback_ = std::move(callback);
@@ -57,7 +83,7 @@
                          request_.body);
   request_.body.clear();
   reused_ = stream_ != nullptr;
-  if (!reused_ && !Connect()) {
+  if (!reused_ && !Connect(request_.connect_timeout)) {
     // The callback must not run from within this call.
     loop_.timers().Cancel(timeout_);
     timeout_ = loop_.timers().After(Duration::zero(), [this] {
@@ -73,7 +99,7 @@
   stream_->Write(std::exchange(unsent_, {}));
 }
 
-bool ExchangeClient::Connect() {
+bool ExchangeClient::Connect(Duration timeout) {
   auto stream = TcpStream::Connect(
       loop_, address_,
       TcpStreamHandlers{[this] { OnConnected(); },
@@ -83,15 +109,19 @@
   stream_ = std::move(stream.value());
   connected_ = false;
   connect_began_ = loop_.timers().now();
-  if (request_.connect_timeout > Duration::zero()) {
-    connect_timeout_ = loop_.timers().After(request_.connect_timeout,
-                                            [this] { OnConnectTimeout(); });
+  if (timeout > Duration::zero()) {
+    connect_timeout_ =
+        loop_.timers().After(timeout, [this] { OnConnectTimeout(); });
   }
   return true;
 }
 
 void ExchangeClient::OnConnected() {
   connected_ = true;
+  if (on_opened_) {
+    FinishOpening(true);
+    return;
+  }
   if (!request_.await_acceptance) return;
   const Duration took = loop_.timers().now() - connect_began_;
   const Duration wait = std::min(
@@ -104,14 +134,18 @@
 }
 
 void ExchangeClient::OnData(std::string_view bytes) {
-  input_.append(bytes);
   if (!busy()) {
-    spoiled_ = true;
-    input_.clear();
+    // Nothing is due, and what comes may have no end.
+    CloseStream();
+    lost_while_idle_ = true;
     return;
   }
+  input_.append(bytes);
+  received_ += bytes.size();
   while (busy()) {
-    const ParseState state = parser_->Feed(input_);
+    ParseState state = parser_->Feed(input_);
+    if (state == ParseState::kNeedMore && received_ > MostBytes())
+      state = ParseState::kTooLarge;
     if (state == ParseState::kNeedMore) return;
     if (state != ParseState::kDone) {
       ExchangeResult result;
@@ -129,7 +163,7 @@
                                                    request_.method == "HEAD");
     const bool interim = text.response.status < kFirstFinalStatus;
     const bool foreign =
-        request_.is_answer && !request_.is_answer(text.response);
+        request_.is_answer && !request_.is_answer(text.response, reused_);
     if (!interim && !foreign) {
       Complete(std::move(text));
       return;
@@ -138,6 +172,10 @@
   }
 }
 
+size_t ExchangeClient::MostBytes() const {
+  return kMostResponses * (limits_.max_header_bytes + limits_.max_body_bytes);
+}
+
 void ExchangeClient::Complete(HttpResponseText text) {
   ExchangeResult result;
   result.request_written = true;
@@ -157,6 +195,10 @@
 }
 
 void ExchangeClient::OnEnd(StreamEnd end) {
+  if (on_opened_) {
+    FinishOpening(false);
+    return;
+  }
   if (!busy()) {
     CloseStream();
     lost_while_idle_ = true;
@@ -166,7 +208,7 @@
       parser_->FeedEnd() == ParseState::kDone) {
     HttpResponseText text = parser_->Take();
     text.keep_alive = false;
-    if (!request_.is_answer || request_.is_answer(text.response)) {
+    if (!request_.is_answer || request_.is_answer(text.response, reused_)) {
       Complete(std::move(text));
       return;
     }
@@ -191,6 +233,10 @@
 }
 
 void ExchangeClient::OnConnectTimeout() {
+  if (on_opened_) {
+    FinishOpening(false);
+    return;
+  }
   if (!busy() || connected_) return;
   ExchangeResult result;
   result.failure = ClientFailure::kNotConnected;
@@ -214,6 +260,7 @@
   timeout_ = 0;
   const bool was_busy = busy();
   callback_ = nullptr;
+  on_opened_ = nullptr;
   lost_while_idle_ = false;
   if (was_busy) {
     Discard();
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -33,9 +33,13 @@
   // a peer that resets the connections above its limit gets no request that may
   // or may not have run.
   bool await_acceptance = false;
+  // Not on a connection that was used before: there, a late second copy of an
+  // earlier answer to the same request would be taken for this one's.
+  bool unused_connection = false;
   // Whether a response belongs to this request; without it every one does. A
-  // response that does not is dropped, and the wait goes on.
-  std::function<bool(const HttpResponse&)> is_answer;
+  // response that does not is dropped, and the wait goes on. `reused`: earlier
+  // requests went over the same connection.
+  std::function<bool(const HttpResponse&, bool reused)> is_answer;
 };
 
 struct ExchangeResult {
@@ -69,6 +73,8 @@
   // Whether a connection that had carried an exchange ended, without an
   // announcement by the peer, since the last exchange began.
   bool lost_while_idle() const { return lost_while_idle_; }
+  // Whether any byte of the request in flight may have left this process.
+  bool request_written() const { return RequestWritten(); }
   MonotonicTime idle_since() const { return idle_since_; }
   // How long the peer keeps an idle connection, as it said last; zero if it
   // never did.
@@ -76,6 +82,9 @@
   // Sends a request, over a new connection when none is open. The callback may
   // destroy this object.
   void Start(ExchangeRequest request, Callback callback);
+  // Opens a connection for a request to come, none being open or in flight.
+  // `done` tells whether it stands; it runs later, once.
+  void Open(Duration timeout, std::function<void(bool connected)> done);
   // Closes the connection; the request in flight gets no callback.
   void Abort();
 
@@ -85,7 +94,9 @@
   void OnTimeout();
   void OnConnectTimeout();
   void OnConnected();
-  bool Connect();
+  void FinishOpening(bool connected);
+  bool Connect(Duration timeout);
+  size_t MostBytes() const;
   void Complete(HttpResponseText text);
   void Finish(ExchangeResult result);
   void CloseStream();
@@ -106,6 +117,8 @@
   bool connected_ = false;
   bool reused_ = false;
   MonotonicTime connect_began_ = kNever;
+  std::function<void(bool)> on_opened_;  // Set while Open is under way.
+  size_t received_ = 0;                  // Bytes since the request was sent.
   // Not handed to the connection yet; see ExchangeRequest::await_acceptance.
   std::string unsent_;
   // Bytes arrived, or the peer announced an end, so that the connection must
--- a/source/core/net/exchange_server.cc
+++ b/source/core/net/exchange_server.cc
@@ -32,6 +32,9 @@
   bool client_keeps_alive = true;
   bool continue_sent = false;
   bool closing = false;
+  // More requests are queued than are kept: the next response ends the
+  // connection, and the caller sends them again.
+  bool overrun = false;
   MonotonicTime since = kNever;  // Of the state that the timeouts bound.
 };
 
@@ -55,11 +58,11 @@
   return server;
 }
 
-void ExchangeServer::OnAcceptable() {
+bool ExchangeServer::OnAcceptable() {
   for (int i = 0; i < kMaxAcceptsPerRound; ++i) {
     const int fd = accept4(listener_->fd(), nullptr, nullptr,
                            SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) return;
+    if (fd < 0) return false;
     if (connections_.size() >= limits_.max_connections) {
       close(fd);
       continue;
@@ -75,18 +78,25 @@
             [this, id](StreamEnd) { OnEnd(id); }});
     connections_.emplace(id, std::move(connection));
   }
+  return true;
 }
 
 void ExchangeServer::OnData(uint64_t connection, std::string_view bytes) {
   const auto found = connections_.find(connection);
   if (found == connections_.end() || found->second->closing) return;
-  found->second->input.append(bytes);
-  if (found->second->input.size() >
+  Connection& self = *found->second;
+  if (self.overrun) return;
+  self.input.append(bytes);
+  if (self.exchange == 0) Advance(connection);
+  const auto still = connections_.find(connection);
+  if (still == connections_.end() || still->second->closing) return;
+  // A request that is being read has limits of its own, kept by its parser.
+  if (still->second->input.size() >
       limits_.text.max_header_bytes + limits_.text.max_body_bytes) {
-    Close(connection);
-    return;
+    still->second->overrun = true;
+    still->second->input.clear();
+    if (still->second->exchange == 0) Close(connection);
   }
-  if (found->second->exchange == 0) Advance(connection);
 }
 
 void ExchangeServer::Advance(uint64_t id) {
@@ -142,7 +152,8 @@
   Connection& connection = *connections_.at(connection_id);
   connection.exchange = 0;
   connection.since = loop_.timers().now();
-  const bool close = !keep_alive_ || !connection.client_keeps_alive;
+  const bool close =
+      !keep_alive_ || !connection.client_keeps_alive || connection.overrun;
   connection.stream->Write(
       WriteResponse(response, connection.head_request, close));
   if (close) {
@@ -183,13 +194,20 @@
   handlers_.on_abandoned(exchange);
 }
 
-void ExchangeServer::StopAccepting() { listener_.reset(); }
+void ExchangeServer::StopAccepting() {
+  if (listener_ == nullptr) return;
+  // The kernel would reset the connections that it has established.
+  while (OnAcceptable()) {
+  }
+  listener_.reset();
+}
 
 void ExchangeServer::CloseIdle() {
   std::vector<uint64_t> idle;
   for (const auto& [id, connection] : connections_) {
     if (connection->exchange == 0 && connection->parser == nullptr &&
-        connection->input.empty() && !connection->closing) {
+        connection->input.empty() && !connection->closing &&
+        !connection->stream->HasUnread()) {
       idle.push_back(id);
     }
   }
--- a/source/core/net/exchange_server.h
+++ b/source/core/net/exchange_server.h
@@ -48,9 +48,9 @@
   void Drop(ExchangeId id);
   // From now on each response closes its connection.
   void StopKeepAlive() { keep_alive_ = false; }
-  // Takes no new connections from now on.
+  // Takes no new connections from now on but those that wait already.
   void StopAccepting();
-  // Closes the connections on which no request has begun.
+  // Closes the connections on which no byte of a request has arrived.
   void CloseIdle();
   size_t open_exchanges() const { return exchanges_.size(); }
   size_t connection_count() const { return connections_.size(); }
@@ -60,7 +60,8 @@
 
   ExchangeServer(EventLoop& loop, ExchangeServerLimits limits,
                  HttpServerHandlers handlers);
-  void OnAcceptable();
+  // Returns whether more connections may wait.
+  bool OnAcceptable();
   void OnData(uint64_t connection, std::string_view bytes);
   void OnEnd(uint64_t connection);
   // Parses and hands over the next request on the connection, if it is whole.
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -176,6 +176,12 @@
                          errno != EINTR && errno != ENOTCONN);
 }
 
+bool TcpStream::HasUnread() const {
+  char next = 0;
+  return !ended_ &&
+         recv(watch_->fd(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void TcpStream::End(StreamEnd end) {
   ended_ = true;
   // Kept here, as the handler may destroy the stream and itself with it.
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -57,6 +57,8 @@
   // Whether the peer has ended the connection, with nothing left to read
   // before its end.
   bool PeerHasEnded() const;
+  // Whether bytes have arrived that were not handed over yet.
+  bool HasUnread() const;
   // Sends what is queued and then ends the outgoing direction.
   void FinishWriting();
 
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -165,11 +165,42 @@
       WriteUpstreamRequest(request, milliseconds(450), "i-1");
   HttpResponse response = Response(200);
   response.headers = {{"x-request-id", "other"}};
-  CHECK_FALSE(sent.is_answer(response));
+  CHECK_FALSE(sent.is_answer(response, false));
   response.headers = {{"x-request-id", "9c41"}};
-  CHECK(sent.is_answer(response));
-  CHECK_FALSE(sent.is_answer(Response(200)));
-  CHECK(sent.is_answer(Response(503)));
+  CHECK(sent.is_answer(response, false));
+  CHECK(sent.is_answer(response, true));
+  CHECK_FALSE(sent.is_answer(Response(200), false));
+  CHECK(sent.is_answer(Response(503), false));
+  // It may be the second copy of an earlier request's refusal.
+  CHECK_FALSE(sent.is_answer(Response(503), true));
+}
+
+TEST(PlatformUpstream, OnlyItsOwnWordMakesAnUpstreamLeave) {
+  HttpResponse closing = Response(200);
+  closing.headers = {{"connection", "close"}};
+  CHECK_FALSE(ReadOrderReply(closing).leaving);
+  CHECK_FALSE(ReadAnswer(std::move(closing)).leaving);
+  HttpResponse leaving = Response(200);
+  leaving.headers = {{"server-leaving", "1"}};
+  CHECK(ReadOrderReply(leaving).leaving);
+  const UpstreamAnswer answer = ReadAnswer(std::move(leaving));
+  CHECK(answer.leaving);
+  LONGS_EQUAL(0, answer.response.headers.size());
+}
+
+TEST(PlatformUpstream, ARestIsReadFromRefusalsOnlyAndBounded) {
+  const auto rest_of = [this](int status, const char* seconds, bool not_run) {
+    HttpResponse response = Response(status);
+    response.headers = {{"retry-after", seconds}};
+    if (not_run) response.headers.push_back({"x-not-executed", "1"});
+    return ReadAnswer(std::move(response)).rest;
+  };
+  CHECK(rest_of(503, "1.5", true) == Duration(milliseconds(1500)));
+  CHECK(rest_of(503, "1e300", true) == Duration(seconds(60)));
+  for (const char* wrong : {"", "-1", "0", "soon", "nan"})
+    CHECK_FALSE(rest_of(503, wrong, true).has_value());
+  CHECK_FALSE(rest_of(429, "2", true).has_value());
+  CHECK_FALSE(rest_of(503, "2", false).has_value());
 }
 
 TEST(PlatformUpstream, OnlyTheUpstreamsStatementMeansNotRun) {
@@ -197,7 +228,7 @@
   LONGS_EQUAL(2, answer.response.headers.size());
   LONGS_EQUAL(3, answer.load->running);
   LONGS_EQUAL(8, answer.load->slots);
-  CHECK(answer.leaving);
+  CHECK_FALSE(answer.leaving);
 }
 
 TEST(PlatformUpstream, AnEncodedBodyIsNotTheUpstreams) {
