Feed a returned host every kind at once; prove lives, routes and rests before acting on them

Causes: - leaving-while-cut (DRAIN): a new follower got one kind at once and the others later; the grace for lapsed registrations counted from its own first word, and a lapsed upstream then got a further 0.8 s. DecideFeed is a decision of its own, grace counts from any host's word, and a registration that stays away is gone since it went. - 404s long after the ack (four sightings): nothing showed whether a configuration was the newest.

--- a/source/core/balance/upstream_load.h
+++ b/source/core/balance/upstream_load.h
@@ -19,6 +19,8 @@
   // After failures to connect: no request is sent before then.
   MonotonicTime avoid_until = kNever;
   int connect_failures = 0;
+  // The upstream wants no request from this host before then.
+  MonotonicTime rest_until = kNever;
 };
 
 // Takes in the report that came with an answer.
--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -21,6 +21,8 @@
 // to notice: within the 3 s that the platform allows for connections to
 // recover.
 constexpr Duration kWatchWait = std::chrono::milliseconds(2200);
+// Of the configuration's watch: its answers show that no newer one is in force.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(800);
 // A watch that is this late has lost its connection.
 constexpr Duration kWatchAnswerSlack = std::chrono::milliseconds(600);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(150);
@@ -37,8 +39,10 @@
 constexpr Duration kForgetAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
-KindWatcherTiming Timing(Duration gather) {
-  return {kWatchWait, gather, kFirstRetry, kLongestRetry};
+KindWatcherTiming Timing(ViewKind kind, Duration gather) {
+  const Duration wait =
+      kind == ViewKind::kConfiguration ? kConfigurationWait : kWatchWait;
+  return {wait, gather, kFirstRetry, kLongestRetry};
 }
 
 }  // namespace
@@ -63,7 +67,7 @@
       OnReachable(kind, reachable, reason);
     };
     watchers_.at(static_cast<size_t>(kind)) = std::make_unique<KindWatcher>(
-        loop, store, stored_kind, Timing(gather), std::move(handlers));
+        loop, store, stored_kind, Timing(kind, gather), std::move(handlers));
   };
   make(ViewKind::kConfiguration, protocol.configuration_kind,
        kConfigurationGather, &DeploymentView::OnConfiguration);
@@ -113,6 +117,22 @@
   return watcher(kind).reachable_since();
 }
 
+MonotonicTime DeploymentView::configuration_current_at() const {
+  return std::max(fed_configuration_current_at_,
+                  watcher(ViewKind::kConfiguration).current_at());
+}
+
+void DeploymentView::NoteConfigurationCurrent(MonotonicTime current_at) {
+  fed_configuration_current_at_ =
+      std::max(fed_configuration_current_at_, current_at);
+}
+
+void DeploymentView::NoteStoreBack(MonotonicTime store_back_at) {
+  told_store_back_at_ = store_back_at;
+  told_at_ = loop_.timers().now();
+  directory_.OnStoreBack(store_back_at);
+}
+
 bool DeploymentView::ReadsStore() const {
   const MonotonicTime now = loop_.timers().now();
   return std::all_of(watchers_.begin(), watchers_.end(),
@@ -169,8 +189,14 @@
   const MonotonicTime now = loop_.timers().now();
   if (object.deleted) {
     const KindWatcher& registry = watcher(ViewKind::kRegistry);
-    const bool gone = directory_.Remove(
-        object.name, now, registry.reachable_since(), registry.reachable());
+    // A host that was cut off itself learns from others that the store was not
+    // away.
+    const MonotonicTime back_at =
+        told_at_ >= registry.reachable_since()
+            ? std::min(told_store_back_at_, registry.reachable_since())
+            : registry.reachable_since();
+    const bool gone =
+        directory_.Remove(object.name, now, back_at, registry.reachable());
     log_.Belief("upstream.unregistered",
                 {{"upstream", object.name}, {"gone", gone}});
     return;
@@ -196,6 +222,15 @@
                                       {"revision", object.revision}});
 }
 
+bool DeploymentView::NoteLeaving(const std::string& id, int64_t incarnation) {
+  if (!directory_.MarkLeaving(id, incarnation, loop_.timers().now()))
+    return false;
+  log_.Belief("upstream.leaving",
+              {{"upstream", id}, {"incarnation", incarnation}});
+  Notify();
+  return true;
+}
+
 void DeploymentView::OnTable(const StoredObject& object) {
   if (object.deleted) return;
   const auto read =
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -53,6 +53,14 @@
   KindUpdate Snapshot(ViewKind kind) const;
   std::vector<uint64_t> Revisions() const;
   MonotonicTime store_back_at(ViewKind kind) const;
+  // A time at which this host's configuration was certainly the newest; kNever
+  // if there was none.
+  MonotonicTime configuration_current_at() const;
+  // The host that feeds this one says that its configuration, which is this
+  // host's too, was the newest at `current_at`.
+  void NoteConfigurationCurrent(MonotonicTime current_at);
+  // Another host reads the store, which was back at `store_back_at` already.
+  void NoteStoreBack(MonotonicTime store_back_at);
   // Whether this host's own reading of the store is complete and without fault.
   bool ReadsStore() const;
   // `listener` runs after each change that routing or ownership depends on.
@@ -69,6 +77,10 @@
   MonotonicTime registry_quiet_since() const { return registry_quiet_since_; }
   bool store_reachable() const;
 
+  // That life of the upstream said in an answer that it leaves. Returns whether
+  // this is news.
+  bool NoteLeaving(const std::string& id, int64_t incarnation);
+
   // Takes in a table that this host wrote, or read from the store.
   void TakeTable(const RangeTable& table);
 
@@ -94,6 +106,10 @@
   std::map<std::string, RangeTable> range_tables_;
   std::vector<std::function<void()>> listeners_;
   MonotonicTime registry_quiet_since_ = kNever;
+  MonotonicTime fed_configuration_current_at_ = kNever;
+  // What another host last said of the store's return, and when.
+  MonotonicTime told_store_back_at_ = kNever;
+  MonotonicTime told_at_ = kNever;
   uint64_t timer_ = 0;
   bool notify_posted_ = false;
 };
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -193,6 +193,7 @@
   options.retry_policy = RetryPolicy(bounds_);
   options.crash_policy = kCrashPolicy;
   options.drain = bounds_.drain;
+  options.configuration_apply = bounds_.configuration_apply;
   RequestFlowHandlers handlers;
   handlers.respond = [this](ExchangeId id, const HttpResponse& response) {
     callers_->Respond(id, response);
@@ -200,6 +201,10 @@
   handlers.on_crash = [this](uint64_t fingerprint, const std::string& life) {
     team_->ReportCrash(fingerprint, life);
   };
+  handlers.on_leaving = [this](const std::string& upstream,
+                               int64_t incarnation) {
+    team_->ReportLeaving(upstream, incarnation);
+  };
   handlers.on_load = [this](const std::string& service, int key,
                             Duration busy) {
     team_->AddLoad(service, key, busy);
--- a/source/core/entry/key_order_client.cc
+++ b/source/core/entry/key_order_client.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "net/event_loop.h"
-#include "net/tcp_stream.h"
+#include "ranges/life_proof.h"
 
 namespace mimosadeal {
 namespace {
@@ -26,6 +26,12 @@
   SocketAddress address;
   std::unique_ptr<ExchangeClient> client;
   std::deque<Order> waiting;
+  LifeProof proof;
+  MonotonicTime sent_at = kNever;  // Of the last order.
+  bool opening = false;
+  // The result of an order is still to be told, and may call for changes before
+  // the next order leaves.
+  bool settling = false;
 };
 
 KeyOrderClient::KeyOrderClient(EventLoop& loop,
@@ -71,61 +77,89 @@
     return;
   }
   line->waiting.push_back(std::move(order));
-  if (!line->client->busy()) Next(line_name);
+  Next(line_name);
 }
 
 void KeyOrderClient::Next(const std::string& line_name) {
   const auto found = lines_.find(line_name);
   if (found == lines_.end()) return;
   const std::shared_ptr<Line> line = found->second;
-  if (line->waiting.empty() || line->client->busy()) return;
-  Order order = std::move(line->waiting.front());
-  line->waiting.pop_front();
-  if (line->client->lost_while_idle()) {
-    // Not sent: whoever ordered it must first make sure of the upstream's life.
-    line->client->Abort();
-    OrderResult lost;
-    lost.connection_lost = true;
-    loop_.Post([this, line, line_name, callback = std::move(order.callback),
-                lost] { Finish(line, line_name, callback, lost); });
+  if (line->waiting.empty() || line->client->busy() || line->opening ||
+      line->settling) {
     return;
   }
-  if (order.on_sending && !order.on_sending()) {
-    OrderResult dropped;
-    dropped.dropped = true;
+  Order order = std::move(line->waiting.front());
+  line->waiting.pop_front();
+  if (line->client->lost_while_idle()) OnConnectionBroken(line->proof);
+  OrderResult unsent;
+  unsent.life_unproven = !MaySendOrder(line->proof);
+  unsent.dropped =
+      !unsent.life_unproven && order.on_sending && !order.on_sending();
+  if (unsent.life_unproven || unsent.dropped) {
+    if (unsent.life_unproven) line->client->Abort();
+    line->settling = true;
     loop_.Post([this, line, line_name, callback = std::move(order.callback),
-                dropped] { Finish(line, line_name, callback, dropped); });
+                unsent] { Finish(line, line_name, callback, unsent); });
     return;
   }
   order.request.connect_timeout = kConnectTimeout;
+  line->sent_at = loop_.timers().now();
   line->client->Start(
       std::move(order.request),
       [this, line, line_name,
        callback = std::move(order.callback)](const ExchangeResult& exchange) {
-        OrderResult result;
-        result.answered = exchange.failure == ClientFailure::kNone;
-        // Nothing listens where the upstream did: whatever answers there next
-        // is another life.
-        const bool refused = exchange.end == StreamEnd::kRefused;
-        result.connection_lost =
-            refused || (exchange.failure == ClientFailure::kClosed &&
-                        exchange.request_written);
-        result.written = exchange.request_written;
-        if (result.answered)
-          result.reply = protocol_.read_order_reply(exchange.response);
-        // Outside of the client's own call, which Clear may destroy.
-        loop_.Post([this, line, line_name, callback, result] {
-          Finish(line, line_name, callback, result);
-        });
+        OnExchange(line, line_name, callback, exchange);
       });
 }
 
+void KeyOrderClient::OnExchange(const std::shared_ptr<Line>& line,
+                                const std::string& line_name,
+                                const Callback& callback,
+                                const ExchangeResult& exchange) {
+  OrderResult result;
+  result.answered = exchange.failure == ClientFailure::kNone;
+  result.written = exchange.request_written;
+  if (result.written) OnOrderLeaving(line->proof);
+  if (result.answered) {
+    result.reply = protocol_.read_order_reply(exchange.response);
+  } else {
+    OnConnectionBroken(line->proof);
+    result.life_unproven = !MaySendOrder(line->proof);
+  }
+  const bool reconnect = result.answered && !line->client->reusable() &&
+                         !line_name.starts_with(kReleasePrefix);
+  line->opening = reconnect;
+  line->settling = true;
+  // Outside of the client's own call, which Clear may destroy.
+  loop_.Post([this, line, line_name, callback, result, reconnect] {
+    if (reconnect) Reconnect(line, line_name);
+    Finish(line, line_name, callback, result);
+  });
+}
+
+void KeyOrderClient::Reconnect(const std::shared_ptr<Line>& line,
+                               const std::string& line_name) {
+  const auto current = lines_.find(line_name);
+  if (current == lines_.end() || current->second != line) return;
+  line->client->Open(kConnectTimeout, [this, line, line_name](bool connected) {
+    line->opening = false;
+    if (connected) {
+      OnReconnected(line->proof, line->sent_at, loop_.timers().now());
+    } else {
+      OnConnectionBroken(line->proof);
+    }
+    loop_.Post([this, line_name] { Next(line_name); });
+  });
+}
+
 void KeyOrderClient::Finish(const std::shared_ptr<Line>& line,
                             const std::string& line_name,
                             const Callback& callback,
                             const OrderResult& result) {
   const auto current = lines_.find(line_name);
   if (current == lines_.end() || current->second != line) return;
+  line->settling = false;
+  if (result.life_unproven) Renew(line->proof);
   callback(result);
   if (line->waiting.empty() && line_name.starts_with(kReleasePrefix)) {
     lines_.erase(line_name);
--- a/source/core/entry/key_order_client.h
+++ b/source/core/entry/key_order_client.h
@@ -19,9 +19,9 @@
 
 struct OrderResult {
   bool answered = false;
-  // The connection that earlier orders used has ended without notice: the
-  // upstream may have started anew under the same id.
-  bool connection_lost = false;
+  // Earlier orders may have reached another life of the upstream than the next
+  // ones: every generation that they granted must be replaced.
+  bool life_unproven = false;
   bool written = false;  // The order may take effect.
   bool dropped = false;  // It was not sent, as whoever ordered it wanted.
   OrderReply reply;
@@ -55,6 +55,12 @@
   void Enqueue(const std::string& line_name, const UpstreamRecord& upstream,
                Order order);
   void Next(const std::string& line_name);
+  void OnExchange(const std::shared_ptr<Line>& line,
+                  const std::string& line_name, const Callback& callback,
+                  const ExchangeResult& exchange);
+  // Opens the next connection at once after the peer announced the end of one.
+  void Reconnect(const std::shared_ptr<Line>& line,
+                 const std::string& line_name);
   void Finish(const std::shared_ptr<Line>& line, const std::string& line_name,
               const Callback& callback, const OrderResult& result);
 
--- a/source/core/entry/range_keeper.cc
+++ b/source/core/entry/range_keeper.cc
@@ -393,14 +393,10 @@
       state.silent_since = sent_at;
       log_.Belief("owner.silent", {{"service", name},
                                    {"upstream", life.id},
-                                   {"connection_lost", result.connection_lost},
+                                   {"life_unproven", result.life_unproven},
                                    {"status", result.reply.status}});
     }
-    // Without an answer the connection was given up as well, and only an
-    // unbroken one shows that the same life is still there.
-    const bool may_restart =
-        result.connection_lost || (result.written && !result.answered);
-    if (may_restart)
+    if (result.life_unproven)
       RaiseGenerations(*service, life, "the upstream may have restarted");
     return;
   }
@@ -411,6 +407,7 @@
                  {"silent_ms", loop_.timers().now() - state.silent_since}});
   }
   state = {};
+  if (result.reply.leaving && on_leaving_) on_leaving_(life);
   if (result.reply.outcome == OrderOutcome::kDone) {
     if (found != service->grants.end()) {
       found->second.acknowledged = true;
--- a/source/core/entry/range_keeper.h
+++ b/source/core/entry/range_keeper.h
@@ -53,6 +53,10 @@
   RangeKeeper(const RangeKeeper&) = delete;
   RangeKeeper& operator=(const RangeKeeper&) = delete;
 
+  // `handler` learns of owners that say in a reply that they leave.
+  void SetLeavingHandler(std::function<void(const UpstreamLife&)> handler) {
+    on_leaving_ = std::move(handler);
+  }
   // Begins to act: this host gained the zone's lease.
   void Begin();
   void End();
@@ -116,6 +120,7 @@
   RangeKeeperOptions options_;
   KeyOrderClient orders_;
   HoldTracker holds_;
+  std::function<void(const UpstreamLife&)> on_leaving_;
   bool acting_ = false;
   bool began_before_ = false;     // This process has acted for the zone.
   bool nothing_granted_ = false;  // No host has granted anything in the zone.
--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -9,6 +9,7 @@
 #include "entry/entry_metrics.h"
 #include "entry/request_flow_state.h"
 #include "net/event_loop.h"
+#include "routing/route_denial.h"
 
 namespace mimosadeal {
 namespace {
@@ -89,7 +90,13 @@
   pending.route =
       FindRoute(*pending.routes, pending.request.host, pending.request.path);
   if (pending.route == nullptr) {
-    Refuse(pending, RefusalReason::kNoRoute);
+    if (MayDenyRoute(view_.configuration_current_at(),
+                     options_.configuration_apply, pending.received)) {
+      Refuse(pending, RefusalReason::kNoRoute);
+    } else {
+      Refuse(pending, RefusalReason::kRouteUnconfirmed,
+             kRetryAfterNoConfiguration);
+    }
     return;
   }
   pending.fingerprint =
@@ -169,8 +176,10 @@
   return owner;
 }
 
-const ListedUpstream* RequestFlow::FindAnyUpstream(const Pending& pending) {
+const ListedUpstream* RequestFlow::FindAnyUpstream(const Pending& pending,
+                                                   MonotonicTime& rest_ends) {
   const MonotonicTime now = loop_.timers().now();
+  rest_ends = kForever;
   std::vector<ChoiceCandidate> candidates;
   for (const auto& [id, listed] : view_.directory().all()) {
     if (listed.record.service != pending.service->name ||
@@ -181,6 +190,10 @@
     }
     const UpstreamLoad& load = pool_.Load(listed.record);
     if (load.avoid_until > now) continue;
+    if (load.rest_until > now) {
+      rest_ends = std::min(rest_ends, load.rest_until);
+      continue;
+    }
     candidates.push_back(
         {id, load, listed.record.zone == options_.zone,
          listed.record.warmup_left - (now - listed.standing_since)});
@@ -207,12 +220,21 @@
       return;
     }
     const UpstreamLoad& load = pool_.Load(upstream->record);
+    if (load.rest_until > now) {
+      RefuseForRest(pending, load.rest_until);
+      return;
+    }
     if (load.avoid_until > now) {
       Hold(pending, RefusalReason::kNoOwner, load.avoid_until - now);
       return;
     }
   } else {
-    upstream = FindAnyUpstream(pending);
+    MonotonicTime rest_ends = kForever;
+    upstream = FindAnyUpstream(pending, rest_ends);
+    if (upstream == nullptr && rest_ends != kForever) {
+      RefuseForRest(pending, rest_ends);
+      return;
+    }
     if (upstream == nullptr) {
       Refuse(pending, RefusalReason::kNoUpstream, kRetryAfterNoUpstream);
       return;
@@ -242,13 +264,21 @@
   Send(pending, *upstream);
 }
 
+void RequestFlow::RefuseForRest(Pending& pending, MonotonicTime rest_ends) {
+  const double spread = 1 + kRetryAfterSpread * random_.Unit();
+  const Duration rest = rest_ends - loop_.timers().now();
+  // Longer than callers honour if need be: before, it would be refused again.
+  pending.retry_after = Duration(
+      static_cast<int64_t>(static_cast<double>(rest.count()) * spread));
+  Refuse(pending, RefusalReason::kResting);
+}
+
 void RequestFlow::Send(Pending& pending, const ListedUpstream& upstream) {
   const MonotonicTime now = loop_.timers().now();
   const std::string id = upstream.record.id;
-  if (std::find(pending.tried.begin(), pending.tried.end(), id) ==
-      pending.tried.end()) {
-    pending.tried.push_back(id);
-  }
+  const bool again = std::find(pending.tried.begin(), pending.tried.end(),
+                               id) != pending.tried.end();
+  if (!again) pending.tried.push_back(id);
   ++pending.sends;
   pending.sent_at = now;
   const UpstreamLoad& load = pool_.Load(upstream.record);
@@ -256,7 +286,8 @@
   ExchangeRequest request =
       protocol_.write_request(pending.request, pending.give_up_at - now, id);
   request.timeout = pending.give_up_at - now + std::chrono::seconds(1);
-  request.await_acceptance = !pending.idempotent();
+  request.await_acceptance = true;
+  request.unused_connection = again && !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
   pending.call = pool_.Send(
       upstream.record, std::move(request),
@@ -323,9 +354,13 @@
     Refuse(pending, RefusalReason::kOverloaded);
     return;
   }
-  pool_.Cancel(pending.call);
+  const bool received = pool_.Cancel(pending.call);
   pending.call = 0;
-  Refuse(pending, RefusalReason::kTimeout);
+  if (received) {
+    Refuse(pending, RefusalReason::kTimeout);
+  } else {
+    Refuse(pending, RefusalReason::kOverloaded, kRetryAfterNoUpstream);
+  }
 }
 
 void RequestFlow::OnAbandoned(ExchangeId exchange) {
@@ -376,6 +411,8 @@
   refusal.request_id = pending.request.id;
   if (retry_after > Duration::zero())
     refusal.retry_after = RetryAfter(pending, retry_after);
+  if (pending.retry_after > Duration::zero())
+    refusal.retry_after = pending.retry_after;
   const std::string_view name = NameOf(kRefusalReasonNames, reason);
   metrics_.ObserveRefusal(name);
   const RangeTable* table =
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -33,6 +33,8 @@
   CrashSuspectPolicy crash_policy;
   // How long a leaving upstream may still get requests.
   Duration drain{};
+  // Within which a new configuration must be in force.
+  Duration configuration_apply{};
 };
 
 struct RequestFlowHandlers {
@@ -40,6 +42,9 @@
   // A request was in flight at an upstream that died.
   std::function<void(uint64_t fingerprint, const std::string& upstream_life)>
       on_crash;
+  // An upstream said in an answer that it leaves.
+  std::function<void(const std::string& upstream, int64_t incarnation)>
+      on_leaving;
   // A request for a key was offered that should cost this much slot time.
   std::function<void(const std::string& service, int key, Duration busy)>
       on_load;
@@ -74,7 +79,11 @@
 
   void Try(Pending& pending);
   const ListedUpstream* FindOwner(Pending& pending, const KeyRange** range);
-  const ListedUpstream* FindAnyUpstream(const Pending& pending);
+  // Returns null when none may be used; then `rest_ends` is when the first of
+  // those that only rest may be used again, or kForever.
+  const ListedUpstream* FindAnyUpstream(const Pending& pending,
+                                        MonotonicTime& rest_ends);
+  void RefuseForRest(Pending& pending, MonotonicTime rest_ends);
   bool MayUse(const ListedUpstream& upstream) const;
   void Send(Pending& pending, const ListedUpstream& upstream);
   void Hold(Pending& pending, RefusalReason reason, Duration look_again);
@@ -93,6 +102,8 @@
   void Finish(Pending& pending);
   void NoteServiceTime(const Pending& pending, const UpstreamRecord& upstream,
                        Duration taken);
+  // Spread, so that callers that were refused together don't return together,
+  // and within what callers honour.
   Duration RetryAfter(const Pending& pending, Duration wanted);
 
   EventLoop& loop_;
--- a/source/core/entry/request_flow_answers.cc
+++ b/source/core/entry/request_flow_answers.cc
@@ -35,6 +35,12 @@
   UpstreamLoad* load = pool_.FindLoad(upstream);
   if (load != nullptr && answer.load.has_value())
     OnLoadReport(*load, *answer.load, now);
+  if (load != nullptr && answer.rest.has_value()) {
+    load->rest_until = now + *answer.rest;
+    log_.Belief("upstream.rests",
+                {{"upstream", upstream.id}, {"rest_ms", *answer.rest}});
+  }
+  if (answer.leaving) handlers_.on_leaving(upstream.id, upstream.incarnation);
   switch (answer.kind) {
     case AnswerKind::kAnswer:
       if (load != nullptr)
@@ -69,6 +75,10 @@
       Hold(pending, RefusalReason::kNoOwner, kMisdirectedPause);
       return;
     }
+    if (answer.rest.has_value()) {
+      RefuseForRest(pending, loop_.timers().now() + *answer.rest);
+      return;
+    }
     const ListedUpstream* owner = view_.directory().Find(pending.tried.back());
     const Duration wait =
         owner == nullptr
--- a/source/core/entry/request_flow_state.h
+++ b/source/core/entry/request_flow_state.h
@@ -29,7 +29,8 @@
   bool waiting = false;            // For an owner.
   std::vector<std::string> tried;  // Upstreams that it was sent to.
   int sends = 0;
-  PoolCallId call = 0;  // 0 while none is in flight.
+  Duration retry_after{};  // Exact; zero leaves it to the refusal's own.
+  PoolCallId call = 0;     // 0 while none is in flight.
   MonotonicTime sent_at = kNever;
   int ahead = 0;  // Requests at the upstream when it was sent.
   uint64_t give_up_timer = 0;
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -64,10 +64,10 @@
   return &found->second->load;
 }
 
-std::unique_ptr<ExchangeClient> UpstreamPool::TakeConnection(
-    Upstream& upstream) {
+std::unique_ptr<ExchangeClient> UpstreamPool::TakeConnection(Upstream& upstream,
+                                                             bool unused) {
   const MonotonicTime now = loop_.timers().now();
-  while (!upstream.idle.empty()) {
+  while (!unused && !upstream.idle.empty()) {
     auto client = std::move(upstream.idle.back());
     upstream.idle.pop_back();
     const Duration kept = client->peer_idle_timeout() > Duration::zero()
@@ -91,7 +91,7 @@
   auto call = std::make_unique<Call>();
   call->upstream = record.id;
   call->incarnation = record.incarnation;
-  call->client = TakeConnection(upstream);
+  call->client = TakeConnection(upstream, request.unused_connection);
   call->began = loop_.timers().now();
   if (call->client->reusable())
     call->rested = call->began - call->client->idle_since();
@@ -131,9 +131,9 @@
   if (forgotten) OnIdleLoss(idle_trust_, call.rested, now);
 }
 
-void UpstreamPool::Cancel(PoolCallId id) {
+bool UpstreamPool::Cancel(PoolCallId id) {
   const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
+  if (found == calls_.end()) return false;
   const auto upstream = upstreams_.find(found->second->upstream);
   if (upstream != upstreams_.end() &&
       upstream->second->record.incarnation == found->second->incarnation) {
@@ -142,8 +142,10 @@
   // Destroyed in the next round: the caller may be the client's own callback.
   const std::shared_ptr<Call> cancelled = std::move(found->second);
   calls_.erase(found);
+  const bool received = cancelled->client->request_written();
   cancelled->client->Abort();
   loop_.Post([cancelled] {});
+  return received;
 }
 
 void UpstreamPool::Retain(
--- a/source/core/entry/upstream_pool.h
+++ b/source/core/entry/upstream_pool.h
@@ -42,8 +42,9 @@
   // this call.
   PoolCallId Send(const UpstreamRecord& upstream, ExchangeRequest request,
                   Callback callback);
-  // Closes the connection under a call, which then gets no callback.
-  void Cancel(PoolCallId id);
+  // Closes the connection under a call, which then gets no callback. Returns
+  // whether the upstream may have received the request.
+  bool Cancel(PoolCallId id);
 
   // For an upstream that is about to be used. A record of another life than the
   // one that is held starts anew.
@@ -63,7 +64,8 @@
   struct Call;
 
   Upstream& Find(const UpstreamRecord& record);
-  std::unique_ptr<ExchangeClient> TakeConnection(Upstream& upstream);
+  std::unique_ptr<ExchangeClient> TakeConnection(Upstream& upstream,
+                                                 bool unused);
   void NoteIdleLoss(const Call& call, const ExchangeResult& result);
   void OnResult(PoolCallId id, ExchangeResult result);
   void CloseIdle();
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -160,6 +160,8 @@
     if (hello.home) {
       hello.revisions = view_.Revisions();
       hello.resync = resync_;
+      hello.sent_at_ms =
+          ToMilliseconds(loop_.timers().now().time_since_epoch());
     }
     transport_->SendDatagram(address, hello);
   };
@@ -186,6 +188,9 @@
   ranges.balance_interval = kBalanceInterval;
   self->ranges = std::make_unique<RangeKeeper>(loop_, store_, protocol_, view_,
                                                *self->lease, log_, ranges);
+  self->ranges->SetLeavingHandler([this](const UpstreamLife& life) {
+    ReportLeaving(life.id, life.incarnation);
+  });
   zones_[name] = std::move(zone);
   self->lease->Start();
 }
@@ -238,6 +243,9 @@
     case MessageType::kCrashReport:
       take(CrashReport{}, &ZoneTeam::OnCrashReport);
       return;
+    case MessageType::kLeavingReport:
+      take(LeavingReport{}, &ZoneTeam::OnLeavingReport);
+      return;
     case MessageType::kLoadReport:
       take(LoadReport{}, &ZoneTeam::OnLoadReport);
       return;
@@ -278,6 +286,37 @@
   }
 }
 
+void ZoneTeam::ReportLeaving(const std::string& upstream, int64_t incarnation) {
+  if (!view_.NoteLeaving(upstream, incarnation)) return;
+  const LeavingReport report{upstream, incarnation,
+                             static_cast<uint8_t>(ReportReach::kOtherZones)};
+  if (home().lease->active()) {
+    PassOn(report);
+  } else {
+    transport_->SendDatagram(home().lease->lease().address, report);
+  }
+}
+
+void ZoneTeam::OnLeavingReport(const LeavingReport& report) {
+  if (view_.NoteLeaving(report.upstream, report.incarnation) &&
+      home().lease->active())
+    PassOn(report);
+}
+
+void ZoneTeam::PassOn(LeavingReport report) {
+  const auto reach = static_cast<ReportReach>(report.reach);
+  if (reach == ReportReach::kHost) return;
+  report.reach = static_cast<uint8_t>(ReportReach::kHost);
+  for (const auto& [address, follower] : followers_)
+    transport_->SendDatagram(address, report);
+  if (reach != ReportReach::kOtherZones) return;
+  report.reach = static_cast<uint8_t>(ReportReach::kZone);
+  for (const auto& [name, zone] : zones_) {
+    if (!zone->home && !zone->lease->lease().address.empty())
+      transport_->SendDatagram(zone->lease->lease().address, report);
+  }
+}
+
 void ZoneTeam::AddLoad(const std::string& service, int key, Duration busy) {
   new_load_[service][static_cast<uint16_t>(key / kKeysPerCell)] +=
       static_cast<uint32_t>(ToMilliseconds(busy));
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -60,6 +60,21 @@
   std::array<CopyLag, kViewKinds> lags;  // By ViewKind.
 };
 
+// What a follower's hello calls for.
+struct FeedDecision {
+  std::array<bool, kViewKinds> send_whole{};  // By ViewKind.
+  // What was sent did not arrive: the connection may be dead without a sign.
+  bool reconnect = false;
+};
+
+// Decides which kinds the follower gets whole, from the revisions of its copies
+// and of the newest ones. A new follower gets at once all that it lacks;
+// another only what updates have failed to bring it within `resend_pause`.
+// `resync`: it asks for all that it lacks.
+FeedDecision DecideFeed(Follower& follower, const std::vector<uint64_t>& copies,
+                        const std::vector<uint64_t>& newest, bool resync,
+                        MonotonicTime now, Duration resend_pause);
+
 class ZoneTeam {
  public:
   // Errors: kIo when the inner address cannot be listened on.
@@ -76,6 +91,8 @@
                 Duration expected, Duration taken);
   // Tells the other hosts of a crash that this host saw.
   void ReportCrash(uint64_t fingerprint, const std::string& upstream_life);
+  // Tells the other hosts that an upstream said that it leaves.
+  void ReportLeaving(const std::string& upstream, int64_t incarnation);
   // Gives up all leases, as at a planned stop.
   void Resign();
   int leases_held() const;
@@ -98,6 +115,10 @@
   void OnDatagram(const Frame& frame);
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
+  // What this host, as the one that feeds, can say of its reading.
+  void DescribeFeed(const ZoneHello& hello, ZoneStatus& status) const;
+  // Takes in what the host that feeds this one says of its reading.
+  void TakeEvidence(const ZoneStatus& status);
   // Whether this host's reading may feed the others.
   bool Feeding() const;
   void CheckFeed();
@@ -108,6 +129,9 @@
   ViewUpdate MakeUpdate(ViewKind kind, const KindUpdate& update) const;
   void OnViewUpdate(const ViewUpdate& message);
   void OnCrashReport(const CrashReport& report);
+  void OnLeavingReport(const LeavingReport& report);
+  // Tells the followers, and the other zones if the report goes that far.
+  void PassOn(LeavingReport report);
   void OnLoadReport(const LoadReport& report);
   void ShareLoad();
   void ApplySpeeds();
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -156,27 +156,52 @@
                           hello.revisions.size() == kViewKinds;
   follower.wants_feed = wants_feed;
   status.feeding = wants_feed && Feeding();
-  if (status.feeding) status.revisions = view_.Revisions();
+  if (status.feeding) DescribeFeed(hello, status);
   transport_->SendDatagram(hello.address, status);
   if (!status.feeding) return;
+  const FeedDecision decision =
+      DecideFeed(follower, hello.revisions, status.revisions, hello.resync, now,
+                 kResendPause);
+  if (decision.reconnect)
+    transport_->Disconnect(transport_->ConnectionTo(hello.address));
   for (size_t kind = 0; kind < kViewKinds; ++kind) {
-    CopyLag& lag = follower.lags.at(kind);
-    const bool lags = LagsFor(lag, hello.revisions[kind],
-                              status.revisions[kind], now, kResendPause);
-    const bool first =
-        !follower.sent_any && hello.revisions[kind] < status.revisions[kind];
-    if (!lags && !first && !hello.resync) continue;
-    if (hello.revisions[kind] >= status.revisions[kind]) continue;
-    // What was sent did not arrive: the connection may be dead without a sign.
-    if (lags) transport_->Disconnect(transport_->ConnectionTo(hello.address));
-    lag = {};
-    follower.sent_any = true;
+    if (!decision.send_whole.at(kind)) continue;
     const auto viewed = static_cast<ViewKind>(kind);
     transport_->Send(transport_->ConnectionTo(hello.address),
                      MakeUpdate(viewed, view_.Snapshot(viewed)));
   }
 }
 
+void ZoneTeam::DescribeFeed(const ZoneHello& hello, ZoneStatus& status) const {
+  const MonotonicTime now = loop_.timers().now();
+  status.revisions = view_.Revisions();
+  status.hello_sent_at_ms = hello.sent_at_ms;
+  const MonotonicTime current_at = view_.configuration_current_at();
+  if (current_at != kNever)
+    status.configuration_age_ms = ToMilliseconds(now - current_at);
+  const MonotonicTime back_at = view_.store_back_at(ViewKind::kRegistry);
+  if (back_at != kNever)
+    status.store_back_ms_ago = ToMilliseconds(now - back_at);
+}
+
+FeedDecision DecideFeed(Follower& follower, const std::vector<uint64_t>& copies,
+                        const std::vector<uint64_t>& newest, bool resync,
+                        MonotonicTime now, Duration resend_pause) {
+  FeedDecision decision;
+  const bool first = !follower.sent_any;
+  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+    CopyLag& lag = follower.lags.at(kind);
+    const bool lags =
+        LagsFor(lag, copies[kind], newest[kind], now, resend_pause);
+    if (copies[kind] >= newest[kind] || !(lags || first || resync)) continue;
+    decision.send_whole.at(kind) = true;
+    decision.reconnect |= lags;
+    lag = {};
+    follower.sent_any = true;
+  }
+  return decision;
+}
+
 bool LagsFor(CopyLag& lag, uint64_t copy, uint64_t newest, MonotonicTime now,
              Duration limit) {
   if (copy >= newest) {
@@ -190,6 +215,24 @@
   return now - lag.since > limit;
 }
 
+// Counted from when this host asked: the answer may have waited for either.
+void ZoneTeam::TakeEvidence(const ZoneStatus& status) {
+  const MonotonicTime asked_at(
+      std::chrono::milliseconds(status.hello_sent_at_ms));
+  const size_t kind = static_cast<size_t>(ViewKind::kConfiguration);
+  const std::vector<uint64_t> own = view_.Revisions();
+  if (status.configuration_age_ms >= 0 && status.revisions.size() > kind &&
+      own.at(kind) >= status.revisions[kind]) {
+    view_.NoteConfigurationCurrent(
+        asked_at - std::chrono::milliseconds(status.configuration_age_ms));
+  }
+  view_.NoteStoreBack(
+      status.store_back_ms_ago < 0
+          ? kNever
+          : loop_.timers().now() -
+                std::chrono::milliseconds(status.store_back_ms_ago));
+}
+
 void ZoneTeam::OnStatus(const ZoneStatus& status) {
   const auto zone = zones_.find(status.zone);
   if (zone == zones_.end()) return;
@@ -205,6 +248,7 @@
     }
     // A feed that does not arrive is none.
     fed_at_ = lags ? kNever : now;
+    TakeEvidence(status);
     view_.SetFed(!lags && !home().lease->active());
   } else if (zone->second->home &&
              status.process == zone->second->lease->lease().process) {
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -1,13 +1,18 @@
 #include "fleet/upstream_directory.h"
 
+#include <algorithm>
+
 namespace mimosadeal {
 
 bool UpstreamDirectory::Update(const UpstreamRecord& record,
                                MonotonicTime now) {
-  lapsed_until_.erase(record.id);
-  const auto standing = record.draining ? UpstreamStanding::kDraining
-                                        : UpstreamStanding::kServing;
+  lapses_.erase(record.id);
   ListedUpstream& listed = upstreams_[record.id];
+  if (listed.record.incarnation != record.incarnation)
+    listed.said_leaving = false;
+  const auto standing = record.draining || listed.said_leaving
+                            ? UpstreamStanding::kDraining
+                            : UpstreamStanding::kServing;
   const bool changed = !(listed.record == record) ||
                        listed.standing != standing ||
                        listed.standing_since == kNever;
@@ -20,6 +25,22 @@
   return changed;
 }
 
+bool UpstreamDirectory::MarkLeaving(const std::string& id, int64_t incarnation,
+                                    MonotonicTime now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end() ||
+      found->second.record.incarnation != incarnation ||
+      found->second.said_leaving) {
+    return false;
+  }
+  ListedUpstream& listed = found->second;
+  listed.said_leaving = true;
+  if (listed.standing != UpstreamStanding::kServing) return false;
+  listed.standing = UpstreamStanding::kDraining;
+  listed.standing_since = now;
+  return true;
+}
+
 bool UpstreamDirectory::Remove(const std::string& id, MonotonicTime now,
                                MonotonicTime store_back_at,
                                bool store_reachable) {
@@ -29,7 +50,8 @@
       !store_reachable ||
       (store_back_at != kNever && now - store_back_at < lapse_grace_);
   if (around_outage && found->second.standing == UpstreamStanding::kServing) {
-    lapsed_until_[id] = (store_reachable ? store_back_at : now) + lapse_grace_;
+    lapses_.try_emplace(
+        id, Lapse{now, (store_reachable ? store_back_at : now) + lapse_grace_});
     return false;
   }
   if (found->second.standing == UpstreamStanding::kMissing) return false;
@@ -40,15 +62,16 @@
 
 bool UpstreamDirectory::Advance(MonotonicTime now, Duration forget_after) {
   bool changed = false;
-  for (auto at = lapsed_until_.begin(); at != lapsed_until_.end();) {
-    if (at->second > now) {
+  for (auto at = lapses_.begin(); at != lapses_.end();) {
+    if (at->second.until > now) {
       ++at;
       continue;
     }
     ListedUpstream& listed = upstreams_[at->first];
     listed.standing = UpstreamStanding::kMissing;
-    listed.standing_since = now;
-    at = lapsed_until_.erase(at);
+    // Since it went: it has had its time, and gets none besides.
+    listed.standing_since = at->second.since;
+    at = lapses_.erase(at);
     changed = true;
   }
   for (auto at = upstreams_.begin(); at != upstreams_.end();) {
@@ -59,6 +82,11 @@
   return changed;
 }
 
+void UpstreamDirectory::OnStoreBack(MonotonicTime store_back_at) {
+  for (auto& [id, lapse] : lapses_)
+    lapse.until = std::min(lapse.until, store_back_at + lapse_grace_);
+}
+
 const ListedUpstream* UpstreamDirectory::Find(const std::string& id) const {
   const auto found = upstreams_.find(id);
   return found == upstreams_.end() ? nullptr : &found->second;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -23,6 +23,8 @@
   UpstreamRecord record;
   UpstreamStanding standing = UpstreamStanding::kServing;
   MonotonicTime standing_since = kNever;  // On this host's clock.
+  // This life said in an answer that it leaves, whatever its registration says.
+  bool said_leaving = false;
 };
 
 class UpstreamDirectory {
@@ -36,9 +38,14 @@
   bool Update(const UpstreamRecord& record, MonotonicTime now);
   bool Remove(const std::string& id, MonotonicTime now,
               MonotonicTime store_back_at, bool store_reachable);
+  // That life of the upstream said in an answer that it leaves.
+  bool MarkLeaving(const std::string& id, int64_t incarnation,
+                   MonotonicTime now);
   // Turns lapsed registrations whose grace has passed into missing ones, and
   // forgets upstreams that have been missing for `forget_after`.
   bool Advance(MonotonicTime now, Duration forget_after);
+  // The store was back at `store_back_at` already; kNever if it never was away.
+  void OnStoreBack(MonotonicTime store_back_at);
 
   const ListedUpstream* Find(const std::string& id) const;
   const std::map<std::string, ListedUpstream>& all() const {
@@ -48,10 +55,15 @@
   std::vector<std::string> Serving(const std::string& service) const;
 
  private:
+  struct Lapse {
+    MonotonicTime since = kNever;  // When the registration was seen to be gone.
+    MonotonicTime until = kNever;  // It may be back until then.
+  };
+
   Duration lapse_grace_;
   std::map<std::string, ListedUpstream> upstreams_;
-  // Registrations that went missing around an outage, and until when they may.
-  std::map<std::string, MonotonicTime> lapsed_until_;
+  // Registrations that went missing around an outage.
+  std::map<std::string, Lapse> lapses_;
 };
 
 }  // namespace mimosadeal
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -30,9 +30,10 @@
   kCrashReport = 18,
   kLoadReport = 19,
   kViewUpdate = 20,
+  kLeavingReport = 21,
 };
 
-inline constexpr EnumNames<MessageType, 20> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 21> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -53,6 +54,7 @@
     {MessageType::kCrashReport, "crash-report"},
     {MessageType::kLoadReport, "load-report"},
     {MessageType::kViewUpdate, "view-update"},
+    {MessageType::kLeavingReport, "leaving-report"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -53,6 +53,8 @@
       return Check<LoadReport>(body);
     case MessageType::kViewUpdate:
       return Check<ViewUpdate>(body);
+    case MessageType::kLeavingReport:
+      return Check<LeavingReport>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -25,10 +25,12 @@
   bool resync = false;  // The sender needs whole updates.
   // By how much the sender lets faster hosts come first for a free lease.
   uint32_t takeover_delay_ms = 0;
+  int64_t sent_at_ms = 0;  // The sender's clock; echoed.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(zone, host, address, home, revisions, resync, takeover_delay_ms);
+    archive(zone, host, address, home, revisions, resync, takeover_delay_ms,
+            sent_at_ms);
   }
 };
 
@@ -45,10 +47,18 @@
   bool feeding = false;
   // Revisions of the sender's copies, by ViewKind, while it feeds.
   std::vector<uint64_t> revisions;
+  int64_t hello_sent_at_ms = 0;  // Echo of ZoneHello::sent_at_ms.
+  // How old the sender's proof is that its configuration is the newest; -1 if
+  // it has none.
+  int64_t configuration_age_ms = -1;
+  // How long ago the store answered the sender again after a failure; -1 if it
+  // never failed.
+  int64_t store_back_ms_ago = -1;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(zone, process, term, active, lease_revision, feeding, revisions);
+    archive(zone, process, term, active, lease_revision, feeding, revisions,
+            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago);
   }
 };
 
@@ -101,6 +111,27 @@
   }
 };
 
+// How far a report still travels.
+enum class ReportReach : uint8_t {
+  kHost,        // To the receiver only.
+  kZone,        // To the receiver and the hosts of its zone.
+  kOtherZones,  // And to the holders of the other zones' leases.
+};
+
+// An upstream that said in an answer that it leaves.
+struct LeavingReport {
+  static constexpr MessageType kType = MessageType::kLeavingReport;
+
+  std::string upstream;
+  int64_t incarnation = 0;
+  uint8_t reach = 0;  // ReportReach.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(upstream, incarnation, reach);
+  }
+};
+
 // The busy time that keys of one service cost since the last report.
 struct LoadReport {
   static constexpr MessageType kType = MessageType::kLoadReport;
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -323,6 +323,7 @@
     case MessageType::kCrashReport:
     case MessageType::kLoadReport:
     case MessageType::kViewUpdate:
+    case MessageType::kLeavingReport:
       return;  // Of hosts on another kind of deployment.
   }
 }
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -39,6 +39,7 @@
   if (!paused_) return;
   paused_ = false;
   answered_at_ = kNever;
+  current_at_ = kNever;
   loop_.timers().Cancel(timer_);
   if (revision_ == 0) {
     List();
@@ -86,6 +87,7 @@
 
 void KindWatcher::List() {
   const uint64_t round = ++round_;
+  asked_at_ = loop_.timers().now();
   store_.List(kind_, [this, round](Result<ObjectPage> page) {
     if (round == round_) OnList(std::move(page));
   });
@@ -93,6 +95,7 @@
 
 void KindWatcher::Watch() {
   const uint64_t round = ++round_;
+  asked_at_ = loop_.timers().now();
   // Without an answer yet, asks for what there is, so that a call that hangs
   // does not hide the store's return.
   store_.Watch(kind_, revision_, reachable_ ? timing_.wait : Duration::zero(),
@@ -106,7 +109,7 @@
     OnFailure(page.error());
     return;
   }
-  OnSuccess();
+  OnSuccess(Duration::zero());
   history_lost_ = false;
   ReplaceAll(page.value().objects);
   revision_ = std::max<uint64_t>({1, revision_, page.value().store_revision});
@@ -143,11 +146,12 @@
     OnFailure(changes.error());
     return;
   }
-  OnSuccess();
+  const bool any = !changes.value().changes.empty();
+  // Without a change the store has waited for as long as it was asked to.
+  OnSuccess(any || !reachable_ ? Duration::zero() : timing_.wait);
   KindUpdate update;
   update.base = content_revision_;
   update.objects = std::move(changes.value().changes);
-  const bool any = !update.objects.empty();
   for (const StoredObject& object : update.objects) Apply(object);
   revision_ = std::max(revision_, changes.value().store_revision);
   if (any) {
@@ -172,9 +176,11 @@
   if (handlers_.on_change) handlers_.on_change(object);
 }
 
-void KindWatcher::OnSuccess() {
+void KindWatcher::OnSuccess(Duration waited) {
   retry_ = timing_.first_retry;
   answered_at_ = loop_.timers().now();
+  // Not when the answer arrived: it may have waited for this process.
+  current_at_ = std::min(answered_at_, asked_at_ + waited);
   if (reachable_) return;
   reachable_ = true;
   reachable_since_ = loop_.timers().now();
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -72,6 +72,9 @@
   bool reachable() const { return reachable_; }
   // When the store last answered since Start; kNever before it does.
   MonotonicTime answered_at() const { return answered_at_; }
+  // A time at which this copy was certainly the newest, by the store's last
+  // answer since Start; kNever before there is one.
+  MonotonicTime current_at() const { return current_at_; }
   uint64_t revision() const { return revision_; }
   // Since when the store answers again after a failure; kNever if it always
   // did.
@@ -88,7 +91,8 @@
   void OnChanges(Result<ObjectChanges> changes);
   void Apply(const StoredObject& object);
   void OnFailure(const Error& error);
-  void OnSuccess();
+  // `waited`: how long the store certainly held the call back.
+  void OnSuccess(Duration waited);
   void Schedule(Duration delay, std::function<void()> next);
 
   EventLoop& loop_;
@@ -101,6 +105,8 @@
   uint64_t content_revision_ = 0;  // Invariant: not above revision_.
   bool paused_ = true;
   MonotonicTime answered_at_ = kNever;
+  MonotonicTime current_at_ = kNever;  // Invariant: not after answered_at_.
+  MonotonicTime asked_at_ = kNever;    // When the last call was sent.
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
   bool history_lost_ = false;
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -99,6 +99,7 @@
       {"x-server-load", std::to_string(running_) + "," +
                             std::to_string(waiting_.size()) + "," +
                             std::to_string(options_.slots)});
+  if (faults_.say_leaving) response.headers.push_back({"server-leaving", "1"});
   response.body = std::move(body);
   server_->Respond(id, response);
 }
@@ -196,6 +197,14 @@
   const std::string request_id(FindHeader(request.headers, "x-request-id"));
   const int key =
       static_cast<int>(ToNumber(FindHeader(request.headers, "x-shard-key")));
+  if (!faults_.rest_seconds.empty()) {
+    ++turned_away_;
+    Respond(id, 503,
+            {{"x-not-executed", "1"},
+             {"retry-after", faults_.rest_seconds},
+             {"x-request-id", request_id}});
+    return;
+  }
   if (options_.keyed && !Holds(key)) {
     Respond(id, 421, {{"x-not-executed", "1"}, {"x-request-id", request_id}});
     return;
--- a/source/unit_tests/balance/balance_test.cc
+++ b/source/unit_tests/balance/balance_test.cc
@@ -107,6 +107,18 @@
     LONGS_EQUAL(1, ChooseUpstream(candidates, 0.5, i, now));
 }
 
+// Load pattern: calm. One that has just joined must not wait until the others
+// are as slow as an assumed time.
+TEST(UpstreamChoice, ANewUpstreamIsTriedLikeAMeanOne) {
+  for (ChoiceCandidate& candidate : candidates)
+    candidate.load.service_seconds = 0.02;
+  candidates[0].load.service_seconds = 0;
+  std::map<int, int> chosen;
+  for (uint64_t i = 0; i < 60; ++i)
+    ++chosen[ChooseUpstream(candidates, 0.5, i, now)];
+  CHECK(chosen[0] > 0);
+}
+
 TEST_GROUP(RetryBudget) {
   RetryBudgetPolicy policy{0.1, 0.15, 3};
   RetryBudget budget;
--- a/source/unit_tests/entry/zone_team_test.cc
+++ b/source/unit_tests/entry/zone_team_test.cc
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 namespace mimosadeal {
 namespace {
 
@@ -40,5 +42,46 @@
   CHECK(Hello(11, 12));
 }
 
+TEST_GROUP(FeedDecision) {
+  Follower follower;
+  MonotonicTime now{std::chrono::seconds(10)};
+
+  int Sent(const FeedDecision& decision) {
+    return static_cast<int>(std::count(decision.send_whole.begin(),
+                                       decision.send_whole.end(), true));
+  }
+};
+
+// Load pattern: a host that was cut off for longer than it is remembered comes
+// back and lacks a configuration, registrations and tables. What came later
+// than the first kind had it use an upstream that had left.
+TEST(FeedDecision, ANewFollowerGetsEveryKindThatItLacksAtOnce) {
+  const FeedDecision decision =
+      DecideFeed(follower, {1, 2, 9}, {4, 5, 9}, false, now, kLimit);
+  CHECK(decision.send_whole[0]);
+  CHECK(decision.send_whole[1]);
+  CHECK_FALSE(decision.send_whole[2]);
+  CHECK_FALSE(decision.reconnect);
+}
+
+TEST(FeedDecision, WhatWasJustSentIsNotSentAgain) {
+  DecideFeed(follower, {1, 2, 9}, {4, 5, 9}, false, now, kLimit);
+  LONGS_EQUAL(0, Sent(DecideFeed(follower, {1, 2, 9}, {4, 5, 9}, false,
+                                 now + milliseconds(100), kLimit)));
+  const FeedDecision late = DecideFeed(follower, {1, 2, 9}, {4, 5, 9}, false,
+                                       now + milliseconds(400), kLimit);
+  LONGS_EQUAL(2, Sent(late));
+  CHECK(late.reconnect);
+}
+
+TEST(FeedDecision, AFollowerThatAsksGetsOnlyWhatItLacks) {
+  DecideFeed(follower, {4, 5, 9}, {4, 5, 9}, false, now, kLimit);
+  follower.sent_any = true;
+  LONGS_EQUAL(
+      0, Sent(DecideFeed(follower, {4, 5, 9}, {4, 5, 9}, true, now, kLimit)));
+  LONGS_EQUAL(
+      1, Sent(DecideFeed(follower, {4, 4, 9}, {4, 5, 9}, true, now, kLimit)));
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -59,6 +59,47 @@
   LONGS_EQUAL(0, directory.Serving("yard").size());
 }
 
+// It has had its grace; a further one would let requests reach it for longer
+// than is allowed.
+TEST(UpstreamDirectory, ALapsedRegistrationThatStaysAwayIsGoneSinceItWent) {
+  directory.Update(Record(), now);
+  directory.Remove("u1", now + milliseconds(10), now, true);
+  directory.Advance(now + milliseconds(2400), seconds(60));
+  CHECK(directory.Find("u1")->standing == UpstreamStanding::kMissing);
+  CHECK(directory.Find("u1")->standing_since == now + milliseconds(10));
+}
+
+// Load pattern: a host is back from a cut, and reads later than another host
+// that the store had come back; it first reads of an upstream that left during
+// the cut.
+TEST(UpstreamDirectory, AnEarlierReturnOfTheStoreShortensTheGrace) {
+  directory.Update(Record(), now);
+  CHECK_FALSE(directory.Remove("u1", now, now - milliseconds(100), true));
+  directory.OnStoreBack(kNever);
+  CHECK(directory.Advance(now + milliseconds(1), seconds(60)));
+  CHECK(directory.Find("u1")->standing == UpstreamStanding::kMissing);
+}
+
+TEST(UpstreamDirectory, AnUpstreamThatSaidThatItLeavesStaysLeaving) {
+  directory.Update(Record(), now);
+  CHECK(directory.MarkLeaving("u1", 1, now));
+  LONGS_EQUAL(0, directory.Serving("yard").size());
+  // Its registration does not say so yet.
+  directory.Update(Record(), now + seconds(1));
+  LONGS_EQUAL(0, directory.Serving("yard").size());
+  CHECK(directory.Find("u1")->standing_since == now);
+  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(1)));
+}
+
+TEST(UpstreamDirectory, ANewLifeDoesNotLeaveByTheWordOfTheLast) {
+  directory.Update(Record(1), now);
+  CHECK_FALSE(directory.MarkLeaving("u1", 2, now));
+  CHECK(directory.MarkLeaving("u1", 1, now));
+  directory.Update(Record(2), now + seconds(1));
+  LONGS_EQUAL(1, directory.Serving("yard").size());
+  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(2)));
+}
+
 TEST(UpstreamDirectory, AnotherLifeUnderTheSameIdIsAChange) {
   directory.Update(Record(1), now);
   CHECK(directory.Update(Record(2), now + seconds(1)));
