Ask the store once a host, announce leases, and take tables' steps without whole copies

By reading: with the store away each host ran three retrying watches and a reading of the lease; a holder that stopped had each follower read the lease, write it and read again; each change of a table made each follower apply it range by range with a copy of the whole, encode the whole as JSON and decode it.

Changed: the registry's watch alone looks for a store that is away; a follower takes a lease over by what the holder last said of it, spread over the zone's hosts, and a new holder announces itself to them; the first reading of a lease may be old; steps are applied in one pass. An upstream is chosen among 24 at most, and the directory keeps who serves.

Ruled out: renewals of registrations as the cost (the store changes an entry only when more than its count changes).

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -66,6 +66,9 @@
                                          const std::string& reason) {
       OnReachable(kind, reachable, reason);
     };
+    // The registry's watch alone looks for a store that is away.
+    if (kind != ViewKind::kRegistry)
+      handlers.may_retry = [this] { return store_reachable(); };
     watchers_.at(static_cast<size_t>(kind)) = std::make_unique<KindWatcher>(
         loop, store, stored_kind, Timing(kind, gather), std::move(handlers));
   };
@@ -103,7 +106,16 @@
 }
 
 KindUpdate DeploymentView::Snapshot(ViewKind kind) const {
-  return watcher(kind).Snapshot();
+  KindUpdate update = watcher(kind).Snapshot();
+  if (kind != ViewKind::kRangeTables) return update;
+  // A copy that was fed holds the last steps only.
+  for (StoredObject& object : update.objects) {
+    const RangeTable* held = table(object.name);
+    if (held == nullptr || !StepBase(object.content).has_value()) continue;
+    object.revision = held->revision;
+    object.content = EncodeRangeTable(*held);
+  }
+  return update;
 }
 
 std::vector<uint64_t> DeploymentView::Revisions() const {
@@ -233,25 +245,37 @@
 
 void DeploymentView::OnTable(const StoredObject& object) {
   if (object.deleted) return;
-  const auto read =
-      DecodeRangeTable(object.name, object.revision, object.content);
+  auto read = ReadTable(object);
   if (!read.has_value()) {
     log_.Belief("range-table.unreadable", {{"service", object.name},
                                            {"revision", object.revision},
                                            {"reason", read.error().message}});
     return;
   }
-  TakeTable(read.value());
+  TakeTable(std::move(read.value()));
+}
+
+Result<RangeTable> DeploymentView::ReadTable(const StoredObject& object) const {
+  const auto base = StepBase(object.content);
+  if (!base.has_value())
+    return DecodeRangeTable(object.name, object.revision, object.content);
+  const RangeTable* before = table(object.name);
+  if (before == nullptr || before->revision != *base) {
+    return MakeError(ErrorCode::kMalformed,
+                     "the table that a step starts from is not here");
+  }
+  BOOST_OUTCOME_TRY(step, DecodeRangeTableStep(object.content));
+  return ApplyStep(*before, step, object.revision);
 }
 
-void DeploymentView::TakeTable(const RangeTable& table) {
+void DeploymentView::TakeTable(RangeTable table) {
   RangeTable& held = range_tables_[table.service];
   if (held.revision >= table.revision) return;
-  held = table;
+  held = std::move(table);
   log_.Belief("range-table.in-force",
-              {{"service", table.service},
-               {"revision", table.revision},
-               {"ranges", static_cast<uint64_t>(table.ranges.size())}});
+              {{"service", held.service},
+               {"revision", held.revision},
+               {"ranges", static_cast<uint64_t>(held.ranges.size())}});
   Notify();
 }
 
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -82,12 +82,14 @@
   bool NoteLeaving(const std::string& id, int64_t incarnation);
 
   // Takes in a table that this host wrote, or read from the store.
-  void TakeTable(const RangeTable& table);
+  void TakeTable(RangeTable table);
 
  private:
   void OnConfiguration(const StoredObject& object);
   void OnRegistration(const StoredObject& object);
   void OnTable(const StoredObject& object);
+  // Errors: kMalformed, also for a step whose base is not here.
+  Result<RangeTable> ReadTable(const StoredObject& object) const;
   KindWatcher& watcher(ViewKind kind) const {
     return *watchers_.at(static_cast<size_t>(kind));
   }
--- a/source/core/entry/lease_keeper.cc
+++ b/source/core/entry/lease_keeper.cc
@@ -21,6 +21,8 @@
 constexpr Duration kGiveWayPause = std::chrono::seconds(20);
 // The hosts of a zone take its lease within about a second of their start.
 constexpr Duration kFirstForeignRead = std::chrono::milliseconds(1500);
+// For a rival's notice to arrive before the next one tries.
+constexpr Duration kSpreadPerRival = std::chrono::milliseconds(20);
 // Silences between attempts while the store does not answer, at most.
 constexpr int kMostBackoffSteps = 2;
 
@@ -58,8 +60,11 @@
 }
 
 Duration LeaseKeeper::Spread() {
-  return Duration(static_cast<int64_t>(
-      random_.Unit() * static_cast<double>(options_.attempt_spread.count())));
+  const Duration longest =
+      std::max(options_.attempt_spread,
+               kSpreadPerRival * static_cast<int64_t>(handlers_.rivals()));
+  return Duration(static_cast<int64_t>(random_.Unit() *
+                                       static_cast<double>(longest.count())));
 }
 
 bool LeaseKeeper::active() const {
@@ -85,12 +90,28 @@
     free_since_ = kNever;
     return;
   }
-  if (free_since_ == kNever) free_since_ = now;
-  if (now < next_attempt_at_ || now - free_since_ < options_.attempt_delay)
-    return;
+  if (free_since_ == kNever) {
+    free_since_ = now;
+    next_attempt_at_ =
+        std::max(next_attempt_at_, now + options_.attempt_delay + Spread());
+  }
+  if (now < next_attempt_at_ || !handlers_.store_reachable()) return;
   next_attempt_at_ =
       now + NextAttemptDelay(now) + options_.attempt_delay + Spread() / 2;
-  ReadLease();
+  Attempt();
+}
+
+void LeaseKeeper::Attempt() {
+  // What the holder last said of its lease tells as much as the store does.
+  const bool observed = options_.home && read_failures_ == 0 &&
+                        lease_.revision != 0 &&
+                        observation_.revision == lease_.revision;
+  if (!observed) {
+    ReadLease();
+  } else if (holder_stopped_ || LeaseExpired(observation_, options_.timing,
+                                             loop_.timers().now())) {
+    TakeOver();
+  }
 }
 
 Duration LeaseKeeper::NextAttemptDelay(MonotonicTime now) const {
@@ -176,10 +197,15 @@
 void LeaseKeeper::ReadLease() {
   if (read_pending_ || write_pending_) return;
   read_pending_ = true;
-  store_.Get(kZoneLeaseKind, options_.zone, [this](Result<StoredObject> read) {
-    read_pending_ = false;
-    OnRead(std::move(read));
-  });
+  // The first only tells whom to ask.
+  const ReadAge age = known_ ? ReadAge::kNewest : ReadAge::kMayBeOld;
+  store_.Get(
+      kZoneLeaseKind, options_.zone,
+      [this](Result<StoredObject> read) {
+        read_pending_ = false;
+        OnRead(std::move(read));
+      },
+      age);
 }
 
 void LeaseKeeper::OnRead(Result<StoredObject> read) {
@@ -221,15 +247,26 @@
     lease_.revision = object.revision;
     return;
   }
-  if (decoded.value().process != lease_.process) {
+  Adopt(decoded.value());
+}
+
+void LeaseKeeper::OnNotice(const ZoneLease& lease) {
+  if (resigned_ || holds() || lease.revision <= lease_.revision) return;
+  ObserveLease(observation_, lease.revision, loop_.timers().now());
+  Adopt(lease);
+  AskHolder();
+}
+
+void LeaseKeeper::Adopt(const ZoneLease& lease) {
+  if (lease.process != lease_.process) {
     log_.Belief("lease.holder", {{"zone", options_.zone},
-                                 {"holder", decoded.value().holder},
-                                 {"term", decoded.value().term},
-                                 {"revision", object.revision}});
+                                 {"holder", lease.holder},
+                                 {"term", lease.term},
+                                 {"revision", lease.revision}});
     last_status_at_ = loop_.timers().now();
     holder_stopped_ = false;
   }
-  lease_ = decoded.value();
+  lease_ = lease;
   // This host's earlier process held it, and has ended.
   if (lease_.holder == options_.host && lease_.process != options_.process)
     holder_stopped_ = true;
@@ -248,6 +285,7 @@
 }
 
 void LeaseKeeper::TakeOver() {
+  if (write_pending_ || read_pending_) return;
   ZoneLease next = lease_;
   next.holder = options_.host;
   next.process = options_.process;
@@ -286,7 +324,10 @@
     if (written.error().code != ErrorCode::kConflict) {
       LogFailure("lease.not-written", written.error());
       next_renewal_at_ = now + kRenewalRetry;
-      next_attempt_at_ = now + kRenewalRetry;
+      if (takeover) {
+        ++read_failures_;
+        next_attempt_at_ = now + NextAttemptDelay(now) + Spread();
+      }
       return;
     }
     // Somebody changed it: another host, or an earlier write of this process
--- a/source/core/entry/lease_keeper.h
+++ b/source/core/entry/lease_keeper.h
@@ -41,6 +41,11 @@
 
 struct LeaseKeeperHandlers {
   std::function<void(const std::string& address, const ZoneHello&)> send_hello;
+  // Whether the store answered this host last time; one that is away is looked
+  // for elsewhere.
+  std::function<bool()> store_reachable;
+  // How many hosts may notice the same silence.
+  std::function<size_t()> rivals;
   // This host became the holder.
   std::function<void()> on_gained;
   std::function<void()> on_lost;
@@ -60,6 +65,8 @@
   // Asks the holder whether it lives; also done at intervals.
   void AskHolder();
   void OnStatus(const ZoneStatus& status);
+  // A host says that it has become the holder.
+  void OnNotice(const ZoneLease& lease);
   // Answers a follower's question. A foreign holder gives the lease up to a
   // host of the zone, and a slow one to a much faster host.
   ZoneStatus OnHello(const ZoneHello& hello);
@@ -81,6 +88,8 @@
   void NoteHolderStopped();
   void OnRead(Result<StoredObject> read);
   void Follow(const StoredObject& object);
+  void Adopt(const ZoneLease& lease);
+  void Attempt();
   void ConsiderTakeover();
   void TakeOver();
   void Renew();
--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -42,6 +42,9 @@
 // Weight of a new answer in a route's mean service time.
 constexpr double kServiceTimeWeight = 0.05;
 constexpr double kNanoseconds = 1e9;  // In a second.
+// Upstreams among which a request's is chosen: more cost time and improve the
+// choice little.
+constexpr size_t kMostCandidates = 24;
 // Part of the drain bound in which a leaving upstream still gets requests.
 constexpr double kDrainShare = 0.4;
 
@@ -180,12 +183,16 @@
                                                    MonotonicTime& rest_ends) {
   const MonotonicTime now = loop_.timers().now();
   rest_ends = kForever;
+  const auto& serving = view_.directory().ServingNow(pending.service->name);
+  const size_t looked_at = std::min(serving.size(), kMostCandidates);
+  const size_t from = serving.empty() ? 0 : random_.Below(serving.size());
+  const size_t step = std::max<size_t>(1, serving.size() / kMostCandidates);
   std::vector<ChoiceCandidate> candidates;
-  for (const auto& [id, listed] : view_.directory().all()) {
-    if (listed.record.service != pending.service->name ||
-        listed.standing != UpstreamStanding::kServing ||
-        std::find(pending.tried.begin(), pending.tried.end(), id) !=
-            pending.tried.end()) {
+  for (size_t i = 0; i < looked_at; ++i) {
+    const ListedUpstream& listed = *serving[(from + i * step) % serving.size()];
+    const std::string& id = listed.record.id;
+    if (std::find(pending.tried.begin(), pending.tried.end(), id) !=
+        pending.tried.end()) {
       continue;
     }
     const UpstreamLoad& load = pool_.Load(listed.record);
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -165,8 +165,11 @@
     }
     transport_->SendDatagram(address, hello);
   };
+  handlers.store_reachable = [this] { return view_.store_reachable(); };
+  handlers.rivals = [this, self] { return self->home ? peers_.size() : 0; };
   handlers.on_gained = [this, self] {
     if (self->home) view_.SetFed(false);
+    if (self->home) AnnounceLease();
     self->ranges->Begin();
     if (self->home) AddForeignZones();
   };
@@ -243,6 +246,9 @@
     case MessageType::kCrashReport:
       take(CrashReport{}, &ZoneTeam::OnCrashReport);
       return;
+    case MessageType::kLeaseNotice:
+      take(LeaseNotice{}, &ZoneTeam::OnLeaseNotice);
+      return;
     case MessageType::kLeavingReport:
       take(LeavingReport{}, &ZoneTeam::OnLeavingReport);
       return;
@@ -257,6 +263,29 @@
   }
 }
 
+void ZoneTeam::AnnounceLease() {
+  const ZoneLease& lease = home().lease->lease();
+  const LeaseNotice notice{lease.zone,    lease.revision, lease.holder,
+                           lease.process, lease.address,  lease.term};
+  for (const std::string& address : peers_) {
+    if (address != options_.inner_address)
+      transport_->SendDatagram(address, notice);
+  }
+}
+
+void ZoneTeam::OnLeaseNotice(const LeaseNotice& notice) {
+  const auto zone = zones_.find(notice.zone);
+  if (zone == zones_.end()) return;
+  ZoneLease lease;
+  lease.zone = notice.zone;
+  lease.revision = notice.revision;
+  lease.holder = notice.holder;
+  lease.process = notice.process;
+  lease.address = notice.address;
+  lease.term = notice.term;
+  zone->second->lease->OnNotice(lease);
+}
+
 void ZoneTeam::ReportCrash(uint64_t fingerprint,
                            const std::string& upstream_life) {
   const CrashReport report{options_.host, options_.inner_address, fingerprint,
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -57,6 +58,7 @@
   MonotonicTime seen_at = kNever;
   bool wants_feed = false;
   bool sent_any = false;
+  int hellos = 0;
   std::array<CopyLag, kViewKinds> lags;  // By ViewKind.
 };
 
@@ -115,6 +117,9 @@
   void OnDatagram(const Frame& frame);
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
+  void OnLeaseNotice(const LeaseNotice& notice);
+  // Tells the zone's other hosts that this one holds the lease.
+  void AnnounceLease();
   // What this host, as the one that feeds, can say of its reading.
   void DescribeFeed(const ZoneHello& hello, ZoneStatus& status) const;
   // Takes in what the host that feeds this one says of its reading.
@@ -124,8 +129,8 @@
   void CheckFeed();
   void OnOwnUpdate(ViewKind kind, const KindUpdate& update);
   KindUpdate Compact(ViewKind kind, const KindUpdate& update);
-  // Undoes Compact. Returns false when the table it starts from is not here.
-  bool Expand(KindUpdate& update) const;
+  // Whether the tables are here that the update's steps start from.
+  bool HasBases(const KindUpdate& update) const;
   ViewUpdate MakeUpdate(ViewKind kind, const KindUpdate& update) const;
   void OnViewUpdate(const ViewUpdate& message);
   void OnCrashReport(const CrashReport& report);
@@ -156,6 +161,8 @@
   // By service, the tables as the followers that had every update have them.
   std::map<std::string, RangeTable> sent_tables_;
   std::map<std::string, Follower> followers_;  // By inner address.
+  // Inner addresses of the zone's hosts, as the holder last told them.
+  std::set<std::string> peers_;
   MonotonicTime started_at_ = kNever;
   MonotonicTime fed_at_ = kNever;  // When the holder last said that it feeds.
   // Milliseconds of busy time since the last report.
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -19,10 +19,16 @@
 // older than this does not feed.
 constexpr Duration kFeedSilence = std::chrono::milliseconds(900);
 constexpr Duration kFeedAge = std::chrono::milliseconds(1300);
+constexpr Duration kSuccessorWait = std::chrono::milliseconds(500);
 // A host that starts waits this long for a feed.
 constexpr Duration kFirstFeedWait = std::chrono::milliseconds(900);
 // An update that was just sent may still be on its way.
 constexpr Duration kResendPause = std::chrono::milliseconds(500);
+// Of a follower, to one that is answered with the list of the zone's hosts: one
+// in about 5 s.
+constexpr int kHellosPerPeerList = 16;
+// A list of more does not fit a datagram of ordinary size.
+constexpr size_t kMostPeersTold = 70;
 
 }  // namespace
 
@@ -90,19 +96,14 @@
   return message;
 }
 
-bool ZoneTeam::Expand(KindUpdate& update) const {
-  for (StoredObject& object : update.objects) {
-    if (object.deleted || !object.content.contains("changed")) continue;
-    const auto step = DecodeRangeTableStep(object.content);
-    const RangeTable* table = view_.table(object.name);
-    if (!step.has_value() || table == nullptr ||
-        table->revision != step.value().base) {
-      return false;
-    }
-    object.content =
-        EncodeRangeTable(ApplyStep(*table, step.value(), object.revision));
-  }
-  return true;
+bool ZoneTeam::HasBases(const KindUpdate& update) const {
+  return std::all_of(update.objects.begin(), update.objects.end(),
+                     [this](const StoredObject& object) {
+                       const auto base = StepBase(object.content);
+                       const RangeTable* table = view_.table(object.name);
+                       return object.deleted || !base.has_value() ||
+                              (table != nullptr && table->revision == *base);
+                     });
 }
 
 void ZoneTeam::OnViewUpdate(const ViewUpdate& message) {
@@ -135,7 +136,7 @@
           ? kNever
           : loop_.timers().now() -
                 std::chrono::milliseconds(message.store_back_ms_ago);
-  const bool whole = kind != ViewKind::kRangeTables || Expand(update);
+  const bool whole = kind != ViewKind::kRangeTables || HasBases(update);
   if (whole && view_.ApplyFed(kind, update, back_at)) return;
   // A step is missing: asks for the whole.
   resync_ = true;
@@ -157,6 +158,13 @@
   follower.wants_feed = wants_feed;
   status.feeding = wants_feed && Feeding();
   if (status.feeding) DescribeFeed(hello, status);
+  if (wants_feed && follower.hellos++ % kHellosPerPeerList == 0) {
+    for (const auto& [address, peer] : followers_) {
+      if (peer.wants_feed && status.peers.size() < kMostPeersTold)
+        status.peers.push_back(address);
+    }
+    status.peers.push_back(options_.inner_address);
+  }
   transport_->SendDatagram(hello.address, status);
   if (!status.feeding) return;
   const FeedDecision decision =
@@ -236,6 +244,8 @@
 void ZoneTeam::OnStatus(const ZoneStatus& status) {
   const auto zone = zones_.find(status.zone);
   if (zone == zones_.end()) return;
+  if (zone->second->home && !status.peers.empty())
+    peers_ = {status.peers.begin(), status.peers.end()};
   if (zone->second->home && status.active && status.feeding &&
       status.process == zone->second->lease->lease().process) {
     const MonotonicTime now = loop_.timers().now();
@@ -252,8 +262,10 @@
     view_.SetFed(!lags && !home().lease->active());
   } else if (zone->second->home &&
              status.process == zone->second->lease->lease().process) {
-    // Does not wait for silence when the holder itself says that it cannot.
-    fed_at_ = kNever;
+    // Waits for less than for silence when the holder itself says that it
+    // cannot, but long enough for another holder to announce itself.
+    fed_at_ =
+        std::min(fed_at_, loop_.timers().now() - kFeedSilence + kSuccessorWait);
     CheckFeed();
   }
   zone->second->lease->OnStatus(status);
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -22,6 +22,7 @@
   }
   listed.record = record;
   listed.standing = standing;
+  if (changed) serving_.clear();
   return changed;
 }
 
@@ -38,6 +39,7 @@
   if (listed.standing != UpstreamStanding::kServing) return false;
   listed.standing = UpstreamStanding::kDraining;
   listed.standing_since = now;
+  serving_.clear();
   return true;
 }
 
@@ -57,6 +59,8 @@
   if (found->second.standing == UpstreamStanding::kMissing) return false;
   found->second.standing = UpstreamStanding::kMissing;
   found->second.standing_since = now;
+  missing_.push_back(id);
+  serving_.clear();
   return true;
 }
 
@@ -71,14 +75,21 @@
     listed.standing = UpstreamStanding::kMissing;
     // Since it went: it has had its time, and gets none besides.
     listed.standing_since = at->second.since;
+    missing_.push_back(at->first);
     at = lapses_.erase(at);
     changed = true;
   }
-  for (auto at = upstreams_.begin(); at != upstreams_.end();) {
-    const bool forget = at->second.standing == UpstreamStanding::kMissing &&
-                        now - at->second.standing_since > forget_after;
-    at = forget ? upstreams_.erase(at) : std::next(at);
-  }
+  std::erase_if(missing_, [&](const std::string& id) {
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end() ||
+        found->second.standing != UpstreamStanding::kMissing) {
+      return true;  // It is back.
+    }
+    if (now - found->second.standing_since <= forget_after) return false;
+    upstreams_.erase(found);
+    return true;
+  });
+  if (changed) serving_.clear();
   return changed;
 }
 
@@ -95,13 +106,20 @@
 std::vector<std::string> UpstreamDirectory::Serving(
     const std::string& service) const {
   std::vector<std::string> ids;
-  for (const auto& [id, listed] : upstreams_) {
-    if (listed.record.service == service &&
-        listed.standing == UpstreamStanding::kServing) {
-      ids.push_back(id);
+  for (const ListedUpstream* listed : ServingNow(service))
+    ids.push_back(listed->record.id);
+  return ids;
+}
+
+const std::vector<const ListedUpstream*>& UpstreamDirectory::ServingNow(
+    const std::string& service) const {
+  if (serving_.empty()) {
+    for (const auto& [id, listed] : upstreams_) {
+      if (listed.standing == UpstreamStanding::kServing)
+        serving_[listed.record.service].push_back(&listed);
     }
   }
-  return ids;
+  return serving_[service];
 }
 
 }  // namespace mimosadeal
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -53,6 +53,9 @@
   }
   // Returns the ids of the upstreams of `service` that take new requests.
   std::vector<std::string> Serving(const std::string& service) const;
+  // The same as records, valid until the next change.
+  const std::vector<const ListedUpstream*>& ServingNow(
+      const std::string& service) const;
 
  private:
   struct Lapse {
@@ -62,6 +65,10 @@
 
   Duration lapse_grace_;
   std::map<std::string, ListedUpstream> upstreams_;
+  // By service; made anew after a change.
+  mutable std::map<std::string, std::vector<const ListedUpstream*>> serving_;
+  // Missing upstreams, to be forgotten.
+  std::vector<std::string> missing_;
   // Registrations that went missing around an outage.
   std::map<std::string, Lapse> lapses_;
 };
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -31,9 +31,10 @@
   kLoadReport = 19,
   kViewUpdate = 20,
   kLeavingReport = 21,
+  kLeaseNotice = 22,
 };
 
-inline constexpr EnumNames<MessageType, 21> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 22> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -55,6 +56,7 @@
     {MessageType::kLoadReport, "load-report"},
     {MessageType::kViewUpdate, "view-update"},
     {MessageType::kLeavingReport, "leaving-report"},
+    {MessageType::kLeaseNotice, "lease-notice"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -55,6 +55,8 @@
       return Check<ViewUpdate>(body);
     case MessageType::kLeavingReport:
       return Check<LeavingReport>(body);
+    case MessageType::kLeaseNotice:
+      return Check<LeaseNotice>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -54,11 +54,32 @@
   // How long ago the store answered the sender again after a failure; -1 if it
   // never failed.
   int64_t store_back_ms_ago = -1;
+  // Inner addresses of the zone's hosts that the sender hears from; empty in
+  // most answers.
+  std::vector<std::string> peers;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(zone, process, term, active, lease_revision, feeding, revisions,
-            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago);
+            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago, peers);
+  }
+};
+
+// The new holder of a zone's lease tells the zone's hosts, so that they need
+// not ask the store.
+struct LeaseNotice {
+  static constexpr MessageType kType = MessageType::kLeaseNotice;
+
+  std::string zone;
+  uint64_t revision = 0;  // Of the lease in the store.
+  std::string holder;
+  std::string process;
+  std::string address;
+  uint64_t term = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone, revision, holder, process, address, term);
   }
 };
 
--- a/source/core/ranges/range_table.cc
+++ b/source/core/ranges/range_table.cc
@@ -143,15 +143,49 @@
   return step;
 }
 
-RangeTable ApplyStep(const RangeTable& before, const RangeTableStep& step,
-                     uint64_t revision) {
-  RangeTable after = before;
+Result<RangeTable> ApplyStep(const RangeTable& before,
+                             const RangeTableStep& step, uint64_t revision) {
+  RangeTable after;
+  after.service = before.service;
   after.revision = revision;
   after.last_generation = step.last_generation;
-  for (const KeyRange& range : step.changed) AssignPart(after, range);
+  after.ranges.reserve(before.ranges.size() + step.changed.size());
+  auto old = before.ranges.begin();
+  int next = kFirstKey;  // The first key without a range yet.
+  const auto keep_until = [&](int end) {
+    for (; next < end && old != before.ranges.end() && old->first < end;
+         ++old) {
+      if (old->last < next) continue;
+      after.ranges.push_back(*old);
+      KeyRange& kept = after.ranges.back();
+      kept.first = std::max(kept.first, next);
+      kept.last = std::min(kept.last, end - 1);
+      next = kept.last + 1;
+      if (old->last >= end) break;
+    }
+  };
+  for (const KeyRange& range : step.changed) {
+    if (range.first < next || range.last < range.first ||
+        range.last > kLastKey) {
+      return MakeError(ErrorCode::kMalformed,
+                       "the step of a range table is out of order");
+    }
+    keep_until(range.first);
+    after.ranges.push_back(range);
+    next = range.last + 1;
+  }
+  keep_until(kLastKey + 1);
   return after;
 }
 
+std::optional<uint64_t> StepBase(const nlohmann::json& content) {
+  if (!content.is_object() || !content.contains("changed") ||
+      !content.contains("base") || !content["base"].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return content["base"].get<uint64_t>();
+}
+
 nlohmann::json EncodeRangeTableStep(const RangeTableStep& step) {
   return {{"base", step.base},
           {"last_generation", step.last_generation},
--- a/source/core/ranges/range_table.h
+++ b/source/core/ranges/range_table.h
@@ -72,9 +72,13 @@
 
 RangeTableStep StepBetween(const RangeTable& before, const RangeTable& after);
 // Returns the table that the step leads to from `before`, with `revision`.
-RangeTable ApplyStep(const RangeTable& before, const RangeTableStep& step,
-                     uint64_t revision);
+// Errors: kMalformed when its ranges are not in order or out of range.
+Result<RangeTable> ApplyStep(const RangeTable& before,
+                             const RangeTableStep& step, uint64_t revision);
 
+// Returns the revision that an encoded step starts from; nothing for an encoded
+// table.
+std::optional<uint64_t> StepBase(const nlohmann::json& content);
 nlohmann::json EncodeRangeTableStep(const RangeTableStep& step);
 // Errors: kMalformed when a field is missing.
 Result<RangeTableStep> DecodeRangeTableStep(const nlohmann::json& content);
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -324,6 +324,7 @@
     case MessageType::kLoadReport:
     case MessageType::kViewUpdate:
     case MessageType::kLeavingReport:
+    case MessageType::kLeaseNotice:
       return;  // Of hosts on another kind of deployment.
   }
 }
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kBackoffFactor = 2;
+// Between looks at whether another watcher has found the store.
+constexpr Duration kRetryCheck = std::chrono::milliseconds(50);
 
 // Returns a delay between half of `delay` and all of it, so that hosts that
 // failed together do not retry together.
@@ -193,14 +195,18 @@
     if (handlers_.on_reachable)
       handlers_.on_reachable(false, DescribeError(error));
   }
-  Schedule(Spread(retry_), [this] {
-    if (revision_ == 0 || history_lost_) {
-      List();
-    } else {
-      Watch();
-    }
-  });
+  Schedule(Spread(retry_), [this] { Retry(); });
   retry_ = std::min(retry_ * kBackoffFactor, timing_.longest_retry);
 }
 
+void KindWatcher::Retry() {
+  if (handlers_.may_retry && !handlers_.may_retry()) {
+    Schedule(kRetryCheck, [this] { Retry(); });
+  } else if (revision_ == 0 || history_lost_) {
+    List();
+  } else {
+    Watch();
+  }
+}
+
 }  // namespace mimosadeal
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -35,6 +35,8 @@
   std::function<void(const KindUpdate&)> on_update;
   // The store stopped answering, or answers again.
   std::function<void(bool reachable, const std::string& reason)> on_reachable;
+  // Whether to ask a store that has just not answered; empty for always.
+  std::function<bool()> may_retry;
 };
 
 struct KindWatcherTiming {
@@ -91,6 +93,7 @@
   void OnChanges(Result<ObjectChanges> changes);
   void Apply(const StoredObject& object);
   void OnFailure(const Error& error);
+  void Retry();
   // `waited`: how long the store certainly held the call back.
   void OnSuccess(Duration waited);
   void Schedule(Duration delay, std::function<void()> next);
--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -118,9 +118,10 @@
 }
 
 void ObjectStore::Get(const std::string& kind, const std::string& name,
-                      Callback<StoredObject> callback) {
+                      Callback<StoredObject> callback, ReadAge age) {
   ++counts_.reads;
-  ExchangeRequest request = protocol_.get(kind, name);
+  ExchangeRequest request =
+      protocol_.get(kind, name, age == ReadAge::kMayBeOld);
   request.timeout = call_timeout_;
   Start(std::move(request), false,
         [this, callback = std::move(callback)](const ExchangeResult& result) {
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -22,6 +22,11 @@
   uint64_t failures = 0;
 };
 
+enum class ReadAge : uint8_t {
+  kNewest,
+  kMayBeOld,  // Seconds old; costs the platform less.
+};
+
 class ObjectStore {
  public:
   template <typename T>
@@ -36,7 +41,7 @@
   // Lists all objects of a kind, page by page.
   void List(const std::string& kind, Callback<ObjectPage> callback);
   void Get(const std::string& kind, const std::string& name,
-           Callback<StoredObject> callback);
+           Callback<StoredObject> callback, ReadAge age = ReadAge::kNewest);
   // Errors: kConflict; kUnavailable when nothing was done; kUnknownOutcome when
   // the write may still take effect.
   void Write(ObjectWrite write, Callback<StoredObject> callback);
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr uint64_t kSeed = 20261204;
-constexpr int kMutations = 20000;
+constexpr int kMutations = 100000;
 
 struct Sample {
   MessageType type;
@@ -44,7 +44,26 @@
   fetch.shards = {{"yard", 1}, {"yard", 2}};
   LedgerEntries entries;
   entries.records.resize(2);
-  return {MakeSample(Hello{"h"}),
+  ZoneHello hello;
+  hello.zone = "north";
+  hello.revisions = {1, 2, 3};
+  ZoneStatus status;
+  status.revisions = {1, 2, 3};
+  status.peers = {"10.1.0.10:7720", "10.1.0.11:7720"};
+  LoadReport load;
+  load.cells = {1, 2};
+  load.busy_ms = {10, 20};
+  load.upstreams = {"u1"};
+  ViewUpdate view;
+  view.objects = {{"u1", 7, false, "{}"}};
+  return {MakeSample(hello),
+          MakeSample(status),
+          MakeSample(load),
+          MakeSample(view),
+          MakeSample(CrashReport{}),
+          MakeSample(LeavingReport{"u1", 1, 2}),
+          MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
+          MakeSample(Hello{"h"}),
           MakeSample(lease),
           MakeSample(LeaseReply{}),
           MakeSample(ControllerNotice{}),
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -346,12 +346,19 @@
 }
 return text;
 }
+
+static HttpHeader MutatedHeader(const std::string& line, Random& random) {
+  const std::string text = random.Below(2) == 0 ? line : Mutate(line, random);
+  const size_t colon = std::min(text.find(": "), text.size());
+  return {text.substr(0, colon),
+          colon == text.size() ? "" : text.substr(colon + 2)};
+}
 }
 ;
 
 TEST(PlatformMutations, DecodersBearAnyBytes) {
   constexpr uint64_t seed = 20261204;
-  constexpr int rounds = 20000;
+  constexpr int rounds = 100000;
   Random random(seed);
   const StoreProtocol store = MakeStoreProtocol();
   int accepted = 0;
@@ -373,6 +380,26 @@
     const auto changes =
         store.read_changes(Response(200, Mutate(kChanges, random)));
     if (changes.has_value()) CHECK(changes.value().changes.size() <= 2);
+    HttpResponse answer = Response(random.Below(2) == 0 ? 503 : 200);
+    for (const char* header :
+         {"x-not-executed: 1", "x-server-load: 3,1,8", "retry-after: 1.5",
+          "server-leaving: 1", "content-encoding: gzip", "x-request-id: 9c41"})
+      answer.headers.push_back(MutatedHeader(header, random));
+    ReadOrderReply(answer);
+    const UpstreamAnswer read = ReadAnswer(std::move(answer));
+    if (read.rest.has_value()) {
+      CHECK(*read.rest > Duration::zero() && *read.rest <= seconds(60));
+    }
+    HttpRequest request;
+    request.method = "GET";
+    request.target = Mutate("/a/1?x=%2F", random);
+    for (const char* header : {"host: lots.example", "x-request-id: 9c41",
+                               "x-request-deadline-ms: 500",
+                               "x-shard-key: 65535", "connection: close"})
+      request.headers.push_back(MutatedHeader(header, random));
+    const auto caller = ReadCallerRequest(std::move(request));
+    if (caller.has_value() && caller.value().key.has_value())
+      CHECK(*caller.value().key >= 0 && *caller.value().key <= 65535);
     ReadBounds(Mutate("drain=2000ms,grace=6s,budgetSlack=141", random))
         .has_value();
   }
--- a/source/unit_tests/ranges/range_table_test.cc
+++ b/source/unit_tests/ranges/range_table_test.cc
@@ -112,7 +112,8 @@
         DecodeRangeTableStep(EncodeRangeTableStep(StepBetween(table, after)));
     CHECK(read.has_value());
     LONGS_EQUAL(table.revision, read.value().base);
-    const RangeTable led_to = ApplyStep(table, read.value(), after.revision);
+    const RangeTable led_to =
+        ApplyStep(table, read.value(), after.revision).value();
     CHECK(led_to.ranges == after.ranges);
     LONGS_EQUAL(after.last_generation, led_to.last_generation);
     LONGS_EQUAL(after.revision, led_to.revision);
@@ -138,6 +139,21 @@
   CHECK_FALSE(DecodeRangeTableStep(step).has_value());
 }
 
+TEST(RangeTable, AStepOutOfOrderIsRejected) {
+  for (const auto& [first, last] : std::vector<std::pair<int, int>>{
+           {5, 9}, {30, 20}, {40, kLastKey + 1}, {-1, 3}}) {
+    RangeTableStep step;
+    step.changed = {MakeRange(0, 10, "a", 7), MakeRange(first, last, "b", 8)};
+    CHECK_FALSE(ApplyStep(table, step, 2).has_value());
+  }
+}
+
+TEST(RangeTable, OnlyAStepHasABase) {
+  CHECK_FALSE(StepBase(EncodeRangeTable(table)).has_value());
+  table.revision = 12;
+  LONGS_EQUAL(12, *StepBase(EncodeRangeTableStep(StepBetween(table, table))));
+}
+
 TEST(RangeTable, WithoutPartsLeavesTheRest) {
   const auto left = WithoutParts({0, 100}, {{50, 60}, {0, 9}, {90, 200}});
   LONGS_EQUAL(2, left.size());
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -25,7 +25,7 @@
                       {[this](const StoredObject& object) {
                          if (object.deleted) removed.push_back(object.name);
                        },
-                       nullptr, nullptr, nullptr}};
+                       nullptr, nullptr, nullptr, nullptr}};
 
   StoredObject Object(const std::string& name, uint64_t revision,
                       bool deleted = false) {
