Tell of tables by their writers, prefer a few upstreams, gather changes where one reads alone

A host without a feed asked once for each change, like a holder.

Changed: writers tell followers and the other holders of the step at once and the tables' watch gathers for 400 ms; steps hold for every version on their way (test extended); hosts that read alone gather for 400 ms; a host prefers 16 upstreams of a service without keys, by the hash of both names, and looks further when none has room.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -31,7 +31,11 @@
 // one call. All stay well within the 2 s in which a change must be in force.
 constexpr Duration kRegistryGather = std::chrono::milliseconds(150);
 constexpr Duration kConfigurationGather = std::chrono::milliseconds(100);
-constexpr Duration kTableGather = std::chrono::milliseconds(20);
+// Tables are told of by those who write them; the watch brings what was lost.
+constexpr Duration kTableGather = std::chrono::milliseconds(400);
+// The same for hosts that read for themselves alone, of which there may be
+// many: each change would cost a call of each.
+constexpr Duration kLoneGather = std::chrono::milliseconds(400);
 // The platform says that lapsed registrations are back within about two
 // seconds of the store's return.
 constexpr Duration kLapseGrace = std::chrono::milliseconds(2300);
@@ -39,10 +43,22 @@
 constexpr Duration kForgetAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
-KindWatcherTiming Timing(ViewKind kind, Duration gather) {
+constexpr Duration GatherOf(ViewKind kind) {
+  switch (kind) {
+    case ViewKind::kConfiguration:
+      return kConfigurationGather;
+    case ViewKind::kRegistry:
+      return kRegistryGather;
+    case ViewKind::kRangeTables:
+      return kTableGather;
+  }
+  return kLoneGather;
+}
+
+KindWatcherTiming Timing(ViewKind kind) {
   const Duration wait =
       kind == ViewKind::kConfiguration ? kConfigurationWait : kWatchWait;
-  return {wait, gather, kFirstRetry, kLongestRetry};
+  return {wait, GatherOf(kind), kFirstRetry, kLongestRetry};
 }
 
 }  // namespace
@@ -52,7 +68,6 @@
                                EventLog& log)
     : loop_(loop), protocol_(protocol), log_(log), directory_(kLapseGrace) {
   const auto make = [&](ViewKind kind, const std::string& stored_kind,
-                        Duration gather,
                         void (DeploymentView::*take)(const StoredObject&)) {
     KindWatcherHandlers handlers;
     handlers.on_change = [this, take](const StoredObject& object) {
@@ -70,14 +85,13 @@
     if (kind != ViewKind::kRegistry)
       handlers.may_retry = [this] { return store_reachable(); };
     watchers_.at(static_cast<size_t>(kind)) = std::make_unique<KindWatcher>(
-        loop, store, stored_kind, Timing(kind, gather), std::move(handlers));
+        loop, store, stored_kind, Timing(kind), std::move(handlers));
   };
   make(ViewKind::kConfiguration, protocol.configuration_kind,
-       kConfigurationGather, &DeploymentView::OnConfiguration);
-  make(ViewKind::kRegistry, protocol.registry_kind, kRegistryGather,
+       &DeploymentView::OnConfiguration);
+  make(ViewKind::kRegistry, protocol.registry_kind,
        &DeploymentView::OnRegistration);
-  make(ViewKind::kRangeTables, kRangeTableKind, kTableGather,
-       &DeploymentView::OnTable);
+  make(ViewKind::kRangeTables, kRangeTableKind, &DeploymentView::OnTable);
 }
 
 DeploymentView::~DeploymentView() { loop_.timers().Cancel(timer_); }
@@ -99,6 +113,13 @@
   }
 }
 
+void DeploymentView::SetFeeds(bool feeds) {
+  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+    watchers_.at(kind)->SetGather(feeds ? GatherOf(static_cast<ViewKind>(kind))
+                                        : kLoneGather);
+  }
+}
+
 bool DeploymentView::ApplyFed(ViewKind kind, const KindUpdate& update,
                               MonotonicTime store_back_at) {
   if (!fed_) return true;
@@ -244,7 +265,9 @@
 }
 
 void DeploymentView::OnTable(const StoredObject& object) {
-  if (object.deleted) return;
+  const RangeTable* held = table(object.name);
+  if (object.deleted || (held != nullptr && held->revision >= object.revision))
+    return;
   auto read = ReadTable(object);
   if (!read.has_value()) {
     log_.Belief("range-table.unreadable", {{"service", object.name},
@@ -260,7 +283,7 @@
   if (!base.has_value())
     return DecodeRangeTable(object.name, object.revision, object.content);
   const RangeTable* before = table(object.name);
-  if (before == nullptr || before->revision != *base) {
+  if (before == nullptr || before->revision < *base) {
     return MakeError(ErrorCode::kMalformed,
                      "the table that a step starts from is not here");
   }
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -42,6 +42,9 @@
   // While fed, this host asks the store for nothing; see ApplyFed.
   void SetFed(bool fed);
   bool fed() const { return fed_; }
+  // Whether this host's reading feeds others: then it is quick, else it makes
+  // few calls.
+  void SetFeeds(bool feeds);
   // Takes in what another host read. Returns false when a step is missing.
   bool ApplyFed(ViewKind kind, const KindUpdate& update,
                 MonotonicTime store_back_at);
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -189,6 +189,7 @@
   limits.assumed_idle_timeout = kAssumedIdleTimeout;
   pool_ = std::make_unique<UpstreamPool>(loop_, limits);
   RequestFlowOptions options;
+  options.host = settings_.host_id;
   options.zone = settings_.zone;
   options.retry_policy = RetryPolicy(bounds_);
   options.crash_policy = kCrashPolicy;
--- a/source/core/entry/range_keeper.cc
+++ b/source/core/entry/range_keeper.cc
@@ -198,6 +198,7 @@
   const auto table = ReadTable(written.value());
   if (!table.has_value()) return;
   service->claimed = true;
+  if (on_table_written_) on_table_written_(*table);
   view_.TakeTable(*table);
   Tick();
 }
--- a/source/core/entry/range_keeper.h
+++ b/source/core/entry/range_keeper.h
@@ -57,6 +57,10 @@
   void SetLeavingHandler(std::function<void(const UpstreamLife&)> handler) {
     on_leaving_ = std::move(handler);
   }
+  // `handler` learns of each table that the store took, before the view does.
+  void SetTableHandler(std::function<void(const RangeTable&)> handler) {
+    on_table_written_ = std::move(handler);
+  }
   // Begins to act: this host gained the zone's lease.
   void Begin();
   void End();
@@ -121,6 +125,7 @@
   KeyOrderClient orders_;
   HoldTracker holds_;
   std::function<void(const UpstreamLife&)> on_leaving_;
+  std::function<void(const RangeTable&)> on_table_written_;
   bool acting_ = false;
   bool began_before_ = false;     // This process has acted for the zone.
   bool nothing_granted_ = false;  // No host has granted anything in the zone.
--- a/source/core/entry/range_keeper_moves.cc
+++ b/source/core/entry/range_keeper_moves.cc
@@ -182,6 +182,7 @@
                  {"revision", table->revision},
                  {"took_ms", loop_.timers().now() - move->started_at}});
   }
+  if (on_table_written_) on_table_written_(*table);
   view_.TakeTable(*table);
   RenewGrants(*service);
 }
--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "balance/upstream_choice.h"
+#include "balance/upstream_preference.h"
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
@@ -42,8 +43,8 @@
 // Weight of a new answer in a route's mean service time.
 constexpr double kServiceTimeWeight = 0.05;
 constexpr double kNanoseconds = 1e9;  // In a second.
-// Upstreams among which a request's is chosen: more cost time and improve the
-// choice little.
+// Upstreams looked at when the preferred ones are busy: more cost time and
+// improve the choice little.
 constexpr size_t kMostCandidates = 24;
 // Part of the drain bound in which a leaving upstream still gets requests.
 constexpr double kDrainShare = 0.4;
@@ -179,34 +180,70 @@
   return owner;
 }
 
-const ListedUpstream* RequestFlow::FindAnyUpstream(const Pending& pending,
-                                                   MonotonicTime& rest_ends) {
-  const MonotonicTime now = loop_.timers().now();
-  rest_ends = kForever;
-  const auto& serving = view_.directory().ServingNow(pending.service->name);
-  const size_t looked_at = std::min(serving.size(), kMostCandidates);
-  const size_t from = serving.empty() ? 0 : random_.Below(serving.size());
+const std::vector<const ListedUpstream*>& RequestFlow::Preferred(
+    const std::string& service) {
+  const UpstreamDirectory& directory = view_.directory();
+  if (preferred_version_ != directory.serving_version()) {
+    preferred_version_ = directory.serving_version();
+    preferred_.clear();
+  }
+  const auto known = preferred_.find(service);
+  if (known != preferred_.end()) return known->second;
+  return preferred_[service] = PreferredUpstreams(directory.ServingNow(service),
+                                                  options_.host, options_.zone);
+}
+
+std::vector<const ListedUpstream*> RequestFlow::SomeOf(
+    const std::vector<const ListedUpstream*>& serving) {
+  std::vector<const ListedUpstream*> some;
+  if (serving.empty()) return some;
   const size_t step = std::max<size_t>(1, serving.size() / kMostCandidates);
-  std::vector<ChoiceCandidate> candidates;
-  for (size_t i = 0; i < looked_at; ++i) {
-    const ListedUpstream& listed = *serving[(from + i * step) % serving.size()];
-    const std::string& id = listed.record.id;
-    if (std::find(pending.tried.begin(), pending.tried.end(), id) !=
+  const size_t from = random_.Below(serving.size());
+  for (size_t i = 0; i < std::min(serving.size(), kMostCandidates); ++i)
+    some.push_back(serving[(from + i * step) % serving.size()]);
+  return some;
+}
+
+void RequestFlow::AddCandidates(
+    const Pending& pending, const std::vector<const ListedUpstream*>& upstreams,
+    std::vector<ChoiceCandidate>& candidates, MonotonicTime& rest_ends) {
+  const MonotonicTime now = loop_.timers().now();
+  for (const ListedUpstream* listed : upstreams) {
+    const UpstreamRecord& record = listed->record;
+    if (std::find(pending.tried.begin(), pending.tried.end(), record.id) !=
         pending.tried.end()) {
       continue;
     }
-    const UpstreamLoad& load = pool_.Load(listed.record);
+    const UpstreamLoad& load = pool_.Load(record);
     if (load.avoid_until > now) continue;
     if (load.rest_until > now) {
       rest_ends = std::min(rest_ends, load.rest_until);
       continue;
     }
-    candidates.push_back(
-        {id, load, listed.record.zone == options_.zone,
-         listed.record.warmup_left - (now - listed.standing_since)});
+    candidates.push_back({record.id, load, record.zone == options_.zone,
+                          record.warmup_left - (now - listed->standing_since)});
+  }
+}
+
+const ListedUpstream* RequestFlow::FindAnyUpstream(const Pending& pending,
+                                                   MonotonicTime& rest_ends) {
+  const MonotonicTime now = loop_.timers().now();
+  rest_ends = kForever;
+  std::vector<ChoiceCandidate> candidates;
+  AddCandidates(pending, Preferred(pending.service->name), candidates,
+                rest_ends);
+  const auto choose = [&] {
+    return ChooseUpstream(candidates, kZonePreference, random_.Next(), now);
+  };
+  int chosen = choose();
+  // None of the preferred ones has room at once.
+  if (chosen < 0 || ExpectedWait(candidates[static_cast<size_t>(chosen)].load,
+                                 now) > Duration::zero()) {
+    AddCandidates(pending,
+                  SomeOf(view_.directory().ServingNow(pending.service->name)),
+                  candidates, rest_ends);
+    chosen = choose();
   }
-  const int chosen =
-      ChooseUpstream(candidates, kZonePreference, random_.Next(), now);
   if (chosen < 0) return nullptr;
   return view_.directory().Find(candidates[static_cast<size_t>(chosen)].id);
 }
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -24,10 +24,12 @@
 class EntryMetrics;
 class EventLog;
 class EventLoop;
+struct ChoiceCandidate;
 struct KeyRange;
 struct ListedUpstream;
 
 struct RequestFlowOptions {
+  std::string host;
   std::string zone;
   RetryBudgetPolicy retry_policy;
   CrashSuspectPolicy crash_policy;
@@ -83,6 +85,16 @@
   // those that only rest may be used again, or kForever.
   const ListedUpstream* FindAnyUpstream(const Pending& pending,
                                         MonotonicTime& rest_ends);
+  // Adds those that may be used now; see FindAnyUpstream for `rest_ends`.
+  void AddCandidates(const Pending& pending,
+                     const std::vector<const ListedUpstream*>& upstreams,
+                     std::vector<ChoiceCandidate>& candidates,
+                     MonotonicTime& rest_ends);
+  const std::vector<const ListedUpstream*>& Preferred(
+      const std::string& service);
+  // As many as are looked at beside the preferred ones.
+  std::vector<const ListedUpstream*> SomeOf(
+      const std::vector<const ListedUpstream*>& serving);
   void RefuseForRest(Pending& pending, MonotonicTime rest_ends);
   bool MayUse(const ListedUpstream& upstream) const;
   void Send(Pending& pending, const ListedUpstream& upstream);
@@ -123,6 +135,9 @@
   // By route name, for the configuration version below.
   std::map<std::string, ShareCredit> share_credit_;
   uint64_t share_version_ = 0;
+  // By service, for the directory's version below.
+  std::map<std::string, std::vector<const ListedUpstream*>> preferred_;
+  uint64_t preferred_version_ = 0;
   std::map<ExchangeId, std::unique_ptr<Pending>> pending_;
 };
 
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -168,7 +168,7 @@
   handlers.store_reachable = [this] { return view_.store_reachable(); };
   handlers.rivals = [this, self] { return self->home ? peers_.size() : 0; };
   handlers.on_gained = [this, self] {
-    if (self->home) view_.SetFed(false);
+    if (self->home) CheckFeed();
     if (self->home) AnnounceLease();
     self->ranges->Begin();
     if (self->home) AddForeignZones();
@@ -194,6 +194,8 @@
   self->ranges->SetLeavingHandler([this](const UpstreamLife& life) {
     ReportLeaving(life.id, life.incarnation);
   });
+  self->ranges->SetTableHandler(
+      [this](const RangeTable& written) { TellOfTable(written); });
   zones_[name] = std::move(zone);
   self->lease->Start();
 }
@@ -246,6 +248,9 @@
     case MessageType::kCrashReport:
       take(CrashReport{}, &ZoneTeam::OnCrashReport);
       return;
+    case MessageType::kTableStepNotice:
+      take(TableStepNotice{}, &ZoneTeam::OnTableStepNotice);
+      return;
     case MessageType::kLeaseNotice:
       take(LeaseNotice{}, &ZoneTeam::OnLeaseNotice);
       return;
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -118,6 +118,10 @@
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
   void OnLeaseNotice(const LeaseNotice& notice);
+  void OnTableStepNotice(const TableStepNotice& notice);
+  // Tells of a table that this host wrote, as a step from the one it has.
+  void TellOfTable(const RangeTable& written);
+  void PassOn(TableStepNotice notice);
   // Tells the zone's other hosts that this one holds the lease.
   void AnnounceLease();
   // What this host, as the one that feeds, can say of its reading.
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -30,6 +30,16 @@
 // A list of more does not fit a datagram of ordinary size.
 constexpr size_t kMostPeersTold = 70;
 
+// Drops earlier versions of objects that are there more than once.
+void KeepLatest(std::vector<StoredObject>& objects) {
+  std::map<std::string, uint64_t> latest;
+  for (const StoredObject& object : objects)
+    latest[object.name] = std::max(latest[object.name], object.revision);
+  std::erase_if(objects, [&latest](const StoredObject& object) {
+    return object.revision < latest[object.name];
+  });
+}
+
 }  // namespace
 
 bool ZoneTeam::Feeding() const {
@@ -40,6 +50,7 @@
 
 void ZoneTeam::CheckFeed() {
   const MonotonicTime now = loop_.timers().now();
+  view_.SetFeeds(home().lease->active());
   if (home().lease->active()) {
     view_.SetFed(false);
     return;
@@ -61,11 +72,61 @@
     transport_->SendToAll(addresses, MakeUpdate(kind, sent));
 }
 
+void ZoneTeam::TellOfTable(const RangeTable& written) {
+  const RangeTable* before = view_.table(written.service);
+  if (before == nullptr) return;
+  PassOn(TableStepNotice{
+      written.service, written.revision,
+      EncodeRangeTableStep(StepBetween(*before, written)).dump(),
+      static_cast<uint8_t>(ReportReach::kOtherZones)});
+}
+
+void ZoneTeam::OnTableStepNotice(const TableStepNotice& notice) {
+  const RangeTable* before = view_.table(notice.service);
+  if (before == nullptr || before->revision >= notice.revision) return;
+  const auto content = nlohmann::json::parse(notice.step, nullptr, false);
+  const auto base = StepBase(content);
+  if (!base.has_value() || *base > before->revision) return;
+  const auto step = DecodeRangeTableStep(content);
+  if (!step.has_value()) return;
+  auto after = ApplyStep(*before, step.value(), notice.revision);
+  if (!after.has_value()) {
+    log_.Belief("range-table.unreadable",
+                {{"service", notice.service},
+                 {"revision", notice.revision},
+                 {"reason", DescribeError(after.error())}});
+    return;
+  }
+  view_.TakeTable(std::move(after.value()));
+  if (home().lease->active()) PassOn(notice);
+}
+
+void ZoneTeam::PassOn(TableStepNotice notice) {
+  const auto reach = static_cast<ReportReach>(notice.reach);
+  if (reach == ReportReach::kHost) return;
+  notice.reach = static_cast<uint8_t>(ReportReach::kHost);
+  std::vector<std::string> addresses;
+  for (const auto& [address, follower] : followers_) {
+    if (follower.wants_feed) addresses.push_back(address);
+  }
+  transport_->SendToAll(addresses, notice);
+  if (reach != ReportReach::kOtherZones) return;
+  notice.reach = static_cast<uint8_t>(ReportReach::kZone);
+  addresses.clear();
+  for (const auto& [name, zone] : zones_) {
+    const std::string& address = zone->lease->lease().address;
+    if (!zone->home && !address.empty() && address != options_.inner_address)
+      addresses.push_back(address);
+  }
+  transport_->SendToAll(addresses, notice);
+}
+
 // A table of hundreds of ranges changes by a few: followers that have the one
 // before need only these.
 KindUpdate ZoneTeam::Compact(ViewKind kind, const KindUpdate& update) {
   if (kind != ViewKind::kRangeTables) return update;
   KindUpdate compact = update;
+  KeepLatest(compact.objects);
   for (StoredObject& object : compact.objects) {
     if (object.deleted) continue;
     auto read = DecodeRangeTable(object.name, object.revision, object.content);
@@ -100,9 +161,11 @@
   return std::all_of(update.objects.begin(), update.objects.end(),
                      [this](const StoredObject& object) {
                        const auto base = StepBase(object.content);
+                       if (object.deleted || !base.has_value()) return true;
                        const RangeTable* table = view_.table(object.name);
-                       return object.deleted || !base.has_value() ||
-                              (table != nullptr && table->revision == *base);
+                       // A step holds for each version on its way; its writer
+                       // may have told of some of them already.
+                       return table != nullptr && table->revision >= *base;
                      });
 }
 
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -22,7 +22,7 @@
   }
   listed.record = record;
   listed.standing = standing;
-  if (changed) serving_.clear();
+  if (changed) OnServingChanged();
   return changed;
 }
 
@@ -39,7 +39,7 @@
   if (listed.standing != UpstreamStanding::kServing) return false;
   listed.standing = UpstreamStanding::kDraining;
   listed.standing_since = now;
-  serving_.clear();
+  OnServingChanged();
   return true;
 }
 
@@ -60,7 +60,7 @@
   found->second.standing = UpstreamStanding::kMissing;
   found->second.standing_since = now;
   missing_.push_back(id);
-  serving_.clear();
+  OnServingChanged();
   return true;
 }
 
@@ -89,10 +89,15 @@
     upstreams_.erase(found);
     return true;
   });
-  if (changed) serving_.clear();
+  if (changed) OnServingChanged();
   return changed;
 }
 
+void UpstreamDirectory::OnServingChanged() {
+  ++serving_version_;
+  serving_.clear();
+}
+
 void UpstreamDirectory::OnStoreBack(MonotonicTime store_back_at) {
   for (auto& [id, lapse] : lapses_)
     lapse.until = std::min(lapse.until, store_back_at + lapse_grace_);
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -53,11 +53,15 @@
   }
   // Returns the ids of the upstreams of `service` that take new requests.
   std::vector<std::string> Serving(const std::string& service) const;
+  // Changes whenever the upstreams that serve do.
+  uint64_t serving_version() const { return serving_version_; }
   // The same as records, valid until the next change.
   const std::vector<const ListedUpstream*>& ServingNow(
       const std::string& service) const;
 
  private:
+  void OnServingChanged();
+
   struct Lapse {
     MonotonicTime since = kNever;  // When the registration was seen to be gone.
     MonotonicTime until = kNever;  // It may be back until then.
@@ -67,6 +71,7 @@
   std::map<std::string, ListedUpstream> upstreams_;
   // By service; made anew after a change.
   mutable std::map<std::string, std::vector<const ListedUpstream*>> serving_;
+  uint64_t serving_version_ = 0;
   // Missing upstreams, to be forgotten.
   std::vector<std::string> missing_;
   // Registrations that went missing around an outage.
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -32,9 +32,10 @@
   kViewUpdate = 20,
   kLeavingReport = 21,
   kLeaseNotice = 22,
+  kTableStepNotice = 23,
 };
 
-inline constexpr EnumNames<MessageType, 22> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 23> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -57,6 +58,7 @@
     {MessageType::kViewUpdate, "view-update"},
     {MessageType::kLeavingReport, "leaving-report"},
     {MessageType::kLeaseNotice, "lease-notice"},
+    {MessageType::kTableStepNotice, "table-step-notice"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -57,6 +57,8 @@
       return Check<LeavingReport>(body);
     case MessageType::kLeaseNotice:
       return Check<LeaseNotice>(body);
+    case MessageType::kTableStepNotice:
+      return Check<TableStepNotice>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -65,6 +65,13 @@
   }
 };
 
+// How far a report still travels.
+enum class ReportReach : uint8_t {
+  kHost,        // To the receiver only.
+  kZone,        // To the receiver and the hosts of its zone.
+  kOtherZones,  // And to the holders of the other zones' leases.
+};
+
 // The new holder of a zone's lease tells the zone's hosts, so that they need
 // not ask the store.
 struct LeaseNotice {
@@ -132,11 +139,20 @@
   }
 };
 
-// How far a report still travels.
-enum class ReportReach : uint8_t {
-  kHost,        // To the receiver only.
-  kZone,        // To the receiver and the hosts of its zone.
-  kOtherZones,  // And to the holders of the other zones' leases.
+// A range table that the holder of a lease has just written, told before the
+// store's watches do. By TCP; who lacks its base waits for the watch.
+struct TableStepNotice {
+  static constexpr MessageType kType = MessageType::kTableStepNotice;
+
+  std::string service;
+  uint64_t revision = 0;  // Of the table in the store.
+  std::string step;       // EncodeRangeTableStep of package ranges, as text.
+  uint8_t reach = 0;      // ReportReach.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, revision, step, reach);
+  }
 };
 
 // An upstream that said in an answer that it leaves.
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -325,6 +325,7 @@
     case MessageType::kViewUpdate:
     case MessageType::kLeavingReport:
     case MessageType::kLeaseNotice:
+    case MessageType::kTableStepNotice:
       return;  // Of hosts on another kind of deployment.
   }
 }
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -61,6 +61,8 @@
   // Asks the store for nothing more until Start; another host feeds this copy.
   void Pause();
   bool paused() const { return paused_; }
+  // See KindWatcherTiming::gather.
+  void SetGather(Duration gather) { timing_.gather = gather; }
   // Takes in another host's update. `store_back_at`: see reachable_since.
   // Returns false when a step is missing before it.
   bool ApplyFed(const KindUpdate& update, MonotonicTime store_back_at);
--- /dev/null
+++ b/source/unit_tests/balance/upstream_preference_test.cc
@@ -0,0 +1,88 @@
+// Tests of which upstreams hosts prefer.
+#include "balance/upstream_preference.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <set>
+
+namespace mimosadeal {
+namespace {
+
+constexpr int kHosts = 295;
+constexpr int kUpstreams = 150;
+constexpr int kZones = 5;
+
+TEST_GROUP(UpstreamPreference) {
+  std::list<ListedUpstream> listed;
+  std::vector<const ListedUpstream*> serving;
+
+  void Add(const std::string& id, const std::string& zone) {
+    ListedUpstream upstream;
+    upstream.record.id = id;
+    upstream.record.zone = zone;
+    listed.push_back(upstream);
+    serving.push_back(&listed.back());
+  }
+
+  void AddMany() {
+    for (int i = 0; i < kUpstreams; ++i)
+      Add("u" + std::to_string(i), "zone-" + std::to_string(i % kZones));
+  }
+
+  std::set<std::string> Of(int host) {
+    std::set<std::string> ids;
+    for (const ListedUpstream* upstream :
+         PreferredUpstreams(serving, "host-" + std::to_string(host),
+                            "zone-" + std::to_string(host % kZones)))
+      ids.insert(upstream->record.id);
+    return ids;
+  }
+};
+
+TEST(UpstreamPreference, AFewUpstreamsAreAllPreferred) {
+  for (int i = 0; i < 7; ++i) Add("u" + std::to_string(i), "zone-0");
+  Add("far", "zone-1");
+  LONGS_EQUAL(8, Of(0).size());
+}
+
+// Load pattern: 295 hosts, each with a few requests a second to a service of
+// 150 upstreams. Each host should meet the same ones again, and no upstream
+// should be met by many more hosts than another.
+TEST(UpstreamPreference, ManyHostsSpreadOverManyUpstreams) {
+  AddMany();
+  std::map<std::string, int> hosts_of;
+  for (int host = 0; host < kHosts; ++host) {
+    const std::set<std::string> preferred = Of(host);
+    LONGS_EQUAL(kPreferredInZone + kPreferredElsewhere, preferred.size());
+    CHECK(preferred == Of(host));
+    for (const std::string& id : preferred) ++hosts_of[id];
+  }
+  LONGS_EQUAL(kUpstreams, hosts_of.size());
+  constexpr double mean = static_cast<double>(kHosts) *
+                          (kPreferredInZone + kPreferredElsewhere) / kUpstreams;
+  for (const auto& [id, hosts] : hosts_of) {
+    CHECK(hosts > mean / 2);
+    CHECK(hosts < mean * 2);
+  }
+}
+
+TEST(UpstreamPreference, AnUpstreamThatLeavesChangesLittle) {
+  AddMany();
+  std::vector<std::set<std::string>> before;
+  for (int host = 0; host < kHosts; ++host) before.push_back(Of(host));
+  const std::string gone = serving.back()->record.id;
+  serving.pop_back();
+  for (int host = 0; host < kHosts; ++host) {
+    const std::set<std::string> after = Of(host);
+    std::set<std::string>& old = before[static_cast<size_t>(host)];
+    const size_t changed = old.erase(gone);
+    CHECK(std::includes(after.begin(), after.end(), old.begin(), old.end()));
+    LONGS_EQUAL(old.size() + changed, after.size());
+  }
+}
+
+}  // namespace
+}  // namespace mimosadeal
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -63,6 +63,7 @@
           MakeSample(CrashReport{}),
           MakeSample(LeavingReport{"u1", 1, 2}),
           MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
+          MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
           MakeSample(Hello{"h"}),
           MakeSample(lease),
           MakeSample(LeaseReply{}),
--- a/source/unit_tests/ranges/range_table_test.cc
+++ b/source/unit_tests/ranges/range_table_test.cc
@@ -93,6 +93,7 @@
 // Hosts that are fed steps must have the table that the store has.
 TEST(RangeTable, StepsLeadToTheSameTableAsReadingIt) {
   Random random(7);
+  RangeTable earlier;
   constexpr int kSteps = 300;
   for (int i = 0; i < kSteps; ++i) {
     RangeTable after = table;
@@ -117,6 +118,13 @@
     CHECK(led_to.ranges == after.ranges);
     LONGS_EQUAL(after.last_generation, led_to.last_generation);
     LONGS_EQUAL(after.revision, led_to.revision);
+    // From the version before too, on the way to this one.
+    if (!earlier.ranges.empty()) {
+      CHECK(ApplyStep(table, StepBetween(earlier, after), after.revision)
+                .value()
+                .ranges == after.ranges);
+    }
+    earlier = table;
     table = after;
   }
 }
