--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "balance/upstream_choice.h"
-#include "balance/upstream_preference.h"
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
@@ -35,19 +33,11 @@
 constexpr int kRetryAfterShare = 3;
 // Spreads the return of callers that were refused together.
 constexpr double kRetryAfterSpread = 0.3;
-// A request to another zone costs bytes between zones: the upstream there must
-// be better by this share of a service time.
-constexpr double kZonePreference = 0.5;
 // Until an answer on a route was seen.
 constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
 // Weight of a new answer in a route's mean service time.
 constexpr double kServiceTimeWeight = 0.05;
 constexpr double kNanoseconds = 1e9;  // In a second.
-// Upstreams looked at when the preferred ones are busy: more cost time and
-// improve the choice little.
-constexpr size_t kMostCandidates = 24;
-// Part of the drain bound in which a leaving upstream still gets requests.
-constexpr double kDrainShare = 0.4;
 
 }  // namespace
 
@@ -158,96 +148,6 @@
       before + kServiceTimeWeight * (seconds - before);
 }
 
-bool RequestFlow::MayUse(const ListedUpstream& upstream) const {
-  if (upstream.standing == UpstreamStanding::kServing) return true;
-  const auto allowed = Duration(static_cast<int64_t>(
-      static_cast<double>(options_.drain.count()) * kDrainShare));
-  return loop_.timers().now() - upstream.standing_since < allowed;
-}
-
-const ListedUpstream* RequestFlow::FindOwner(Pending& pending,
-                                             const KeyRange** range) {
-  const RangeTable* table = view_.table(pending.service->name);
-  if (table == nullptr || !pending.request.key.has_value()) return nullptr;
-  *range = FindRange(*table, *pending.request.key);
-  if (*range == nullptr) return nullptr;
-  const ListedUpstream* owner = view_.directory().Find((*range)->owner);
-  if (owner == nullptr ||
-      owner->record.incarnation != (*range)->owner_incarnation ||
-      !MayUse(*owner)) {
-    return nullptr;
-  }
-  return owner;
-}
-
-const std::vector<const ListedUpstream*>& RequestFlow::Preferred(
-    const std::string& service) {
-  const UpstreamDirectory& directory = view_.directory();
-  if (preferred_version_ != directory.serving_version()) {
-    preferred_version_ = directory.serving_version();
-    preferred_.clear();
-  }
-  const auto known = preferred_.find(service);
-  if (known != preferred_.end()) return known->second;
-  return preferred_[service] = PreferredUpstreams(directory.ServingNow(service),
-                                                  options_.host, options_.zone);
-}
-
-std::vector<const ListedUpstream*> RequestFlow::SomeOf(
-    const std::vector<const ListedUpstream*>& serving) {
-  std::vector<const ListedUpstream*> some;
-  if (serving.empty()) return some;
-  const size_t step = std::max<size_t>(1, serving.size() / kMostCandidates);
-  const size_t from = random_.Below(serving.size());
-  for (size_t i = 0; i < std::min(serving.size(), kMostCandidates); ++i)
-    some.push_back(serving[(from + i * step) % serving.size()]);
-  return some;
-}
-
-void RequestFlow::AddCandidates(
-    const Pending& pending, const std::vector<const ListedUpstream*>& upstreams,
-    std::vector<ChoiceCandidate>& candidates, MonotonicTime& rest_ends) {
-  const MonotonicTime now = loop_.timers().now();
-  for (const ListedUpstream* listed : upstreams) {
-    const UpstreamRecord& record = listed->record;
-    if (std::find(pending.tried.begin(), pending.tried.end(), record.id) !=
-        pending.tried.end()) {
-      continue;
-    }
-    const UpstreamLoad& load = pool_.Load(record);
-    if (load.avoid_until > now) continue;
-    if (load.rest_until > now) {
-      rest_ends = std::min(rest_ends, load.rest_until);
-      continue;
-    }
-    candidates.push_back({record.id, load, record.zone == options_.zone,
-                          record.warmup_left - (now - listed->standing_since)});
-  }
-}
-
-const ListedUpstream* RequestFlow::FindAnyUpstream(const Pending& pending,
-                                                   MonotonicTime& rest_ends) {
-  const MonotonicTime now = loop_.timers().now();
-  rest_ends = kForever;
-  std::vector<ChoiceCandidate> candidates;
-  AddCandidates(pending, Preferred(pending.service->name), candidates,
-                rest_ends);
-  const auto choose = [&] {
-    return ChooseUpstream(candidates, kZonePreference, random_.Next(), now);
-  };
-  int chosen = choose();
-  // None of the preferred ones has room at once.
-  if (chosen < 0 || ExpectedWait(candidates[static_cast<size_t>(chosen)].load,
-                                 now) > Duration::zero()) {
-    AddCandidates(pending,
-                  SomeOf(view_.directory().ServingNow(pending.service->name)),
-                  candidates, rest_ends);
-    chosen = choose();
-  }
-  if (chosen < 0) return nullptr;
-  return view_.directory().Find(candidates[static_cast<size_t>(chosen)].id);
-}
-
 void RequestFlow::Try(Pending& pending) {
   pending.waiting = false;
   const MonotonicTime now = loop_.timers().now();
--- a/source/core/entry/zone_team_state.h
+++ b/source/core/entry/zone_team_state.h
@@ -10,6 +10,10 @@
 
 namespace mimosadeal {
 
+// Hot keys change within seconds: load is shared and ranges are balanced twice
+// a second.
+inline constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
+
 struct ZoneTeam::Zone {
   std::string name;
   bool home = false;
