Use an upstream whose registration lapsed for 1.3 s only, and announce new holders to other zones

A lapsed upstream now gets requests for 1.3 s (the host hears of the store at most 1.3 s after a cut: retries are 0.9 s apart instead of 1.2 s), and keeps its keys for the whole grace.

Ruled out: the feed of one kind (mended before), and an outage of the store (it was stable from 11.3 s).

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -26,19 +26,22 @@
 // A watch that is this late has lost its connection.
 constexpr Duration kWatchAnswerSlack = std::chrono::milliseconds(600);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(150);
-constexpr Duration kLongestRetry = std::chrono::milliseconds(1200);
+constexpr Duration kLongestRetry = std::chrono::milliseconds(900);
 // Pauses before the next watch, so that changes that follow one another cost
 // one call. All stay well within the 2 s in which a change must be in force.
 constexpr Duration kRegistryGather = std::chrono::milliseconds(150);
 constexpr Duration kConfigurationGather = std::chrono::milliseconds(100);
 // Tables are told of by those who write them; the watch brings what was lost.
-constexpr Duration kTableGather = std::chrono::milliseconds(400);
+constexpr Duration kTableGather = std::chrono::milliseconds(150);
 // The same for hosts that read for themselves alone, of which there may be
 // many: each change would cost a call of each.
 constexpr Duration kLoneGather = std::chrono::milliseconds(400);
 // The platform says that lapsed registrations are back within about two
 // seconds of the store's return.
 constexpr Duration kLapseGrace = std::chrono::milliseconds(2300);
+// A host is held to its bounds again 3 s after the end of a cut, and may hear
+// of the store only kLongestRetry and a connection's time-out after it.
+constexpr Duration kLapseUse = std::chrono::milliseconds(1300);
 // How long an upstream that has gone is remembered, to release its keys.
 constexpr Duration kForgetAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
@@ -66,7 +69,10 @@
 DeploymentView::DeploymentView(EventLoop& loop, ObjectStore& store,
                                const DeploymentProtocol& protocol,
                                EventLog& log)
-    : loop_(loop), protocol_(protocol), log_(log), directory_(kLapseGrace) {
+    : loop_(loop),
+      protocol_(protocol),
+      log_(log),
+      directory_(kLapseGrace, kLapseUse) {
   const auto make = [&](ViewKind kind, const std::string& stored_kind,
                         void (DeploymentView::*take)(const StoredObject&)) {
     KindWatcherHandlers handlers;
--- a/source/core/entry/request_flow_choice.cc
+++ b/source/core/entry/request_flow_choice.cc
@@ -26,6 +26,7 @@
 
 bool RequestFlow::MayUse(const ListedUpstream& upstream) const {
   if (upstream.standing == UpstreamStanding::kServing) return true;
+  if (upstream.standing == UpstreamStanding::kLapsed) return false;
   const auto allowed = Duration(static_cast<int64_t>(
       static_cast<double>(options_.drain.count()) * kDrainShare));
   return loop_.timers().now() - upstream.standing_since < allowed;
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -252,6 +252,8 @@
     if (address != options_.inner_address)
       transport_->SendDatagram(address, notice);
   }
+  for (const std::string& address : other_holders_)
+    transport_->SendDatagram(address, notice);
 }
 
 void ZoneTeam::OnLeaseNotice(const LeaseNotice& notice) {
--- a/source/core/entry/zone_team.h
+++ b/source/core/entry/zone_team.h
@@ -122,7 +122,8 @@
   // Tells of a table that this host wrote, as a step from the one it has.
   void TellOfTable(const RangeTable& written);
   void PassOn(TableStepNotice notice);
-  // Tells the zone's other hosts that this one holds the lease.
+  // Tells the zone's other hosts and the other zones' holders that this one
+  // holds the lease.
   void AnnounceLease();
   // What this host, as the one that feeds, can say of its reading.
   void DescribeFeed(const ZoneHello& hello, ZoneStatus& status) const;
@@ -167,6 +168,8 @@
   std::map<std::string, Follower> followers_;  // By inner address.
   // Inner addresses of the zone's hosts, as the holder last told them.
   std::set<std::string> peers_;
+  // And those of the other zones' holders.
+  std::set<std::string> other_holders_;
   MonotonicTime started_at_ = kNever;
   MonotonicTime fed_at_ = kNever;  // When the holder last said that it feeds.
   // Milliseconds of busy time since the last report.
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -200,7 +200,11 @@
           : loop_.timers().now() -
                 std::chrono::milliseconds(message.store_back_ms_ago);
   const bool whole = kind != ViewKind::kRangeTables || HasBases(update);
-  if (whole && view_.ApplyFed(kind, update, back_at)) return;
+  if (whole && view_.ApplyFed(kind, update, back_at)) {
+    // The proof that it is the newest comes with an answer to a question only.
+    if (kind == ViewKind::kConfiguration) home().lease->AskHolder();
+    return;
+  }
   // A step is missing: asks for the whole.
   resync_ = true;
   home().lease->AskHolder();
@@ -227,6 +231,11 @@
         status.peers.push_back(address);
     }
     status.peers.push_back(options_.inner_address);
+    for (const auto& [name, other] : zones_) {
+      const std::string& address = other->lease->lease().address;
+      if (!other->home && !address.empty())
+        status.other_holders.push_back(address);
+    }
   }
   transport_->SendDatagram(hello.address, status);
   if (!status.feeding) return;
@@ -307,8 +316,10 @@
 void ZoneTeam::OnStatus(const ZoneStatus& status) {
   const auto zone = zones_.find(status.zone);
   if (zone == zones_.end()) return;
-  if (zone->second->home && !status.peers.empty())
+  if (zone->second->home && !status.peers.empty()) {
     peers_ = {status.peers.begin(), status.peers.end()};
+    other_holders_ = {status.other_holders.begin(), status.other_holders.end()};
+  }
   if (zone->second->home && status.active && status.feeding &&
       status.process == zone->second->lease->lease().process) {
     const MonotonicTime now = loop_.timers().now();
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -67,11 +67,16 @@
 bool UpstreamDirectory::Advance(MonotonicTime now, Duration forget_after) {
   bool changed = false;
   for (auto at = lapses_.begin(); at != lapses_.end();) {
+    ListedUpstream& listed = upstreams_[at->first];
     if (at->second.until > now) {
+      if (listed.standing == UpstreamStanding::kServing &&
+          now - at->second.since >= lapse_use_) {
+        listed.standing = UpstreamStanding::kLapsed;
+        changed = true;
+      }
       ++at;
       continue;
     }
-    ListedUpstream& listed = upstreams_[at->first];
     listed.standing = UpstreamStanding::kMissing;
     // Since it went: it has had its time, and gets none besides.
     listed.standing_since = at->second.since;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -16,7 +16,10 @@
 enum class UpstreamStanding : uint8_t {
   kServing,
   kDraining,  // Says that it leaves.
-  kMissing,   // Its registration is gone.
+  // Its registration went around an outage and may be back: it gets nothing
+  // new, and keeps its keys.
+  kLapsed,
+  kMissing,  // Its registration is gone.
 };
 
 struct ListedUpstream {
@@ -30,9 +33,11 @@
 class UpstreamDirectory {
  public:
   // `lapse_grace`: how long after the store's return a registration may stay
-  // missing before its upstream counts as gone.
-  explicit UpstreamDirectory(Duration lapse_grace)
-      : lapse_grace_(lapse_grace) {}
+  // missing before its upstream counts as gone. `lapse_use`: how long it still
+  // gets requests; a host that was cut off itself takes its own return for the
+  // store's, and must not use for long what left meanwhile.
+  UpstreamDirectory(Duration lapse_grace, Duration lapse_use)
+      : lapse_grace_(lapse_grace), lapse_use_(lapse_use) {}
 
   // Return whether anything changed that routing or ownership depends on.
   bool Update(const UpstreamRecord& record, MonotonicTime now);
@@ -68,6 +73,7 @@
   };
 
   Duration lapse_grace_;
+  Duration lapse_use_;
   std::map<std::string, ListedUpstream> upstreams_;
   // By service; made anew after a change.
   mutable std::map<std::string, std::vector<const ListedUpstream*>> serving_;
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -57,11 +57,14 @@
   // Inner addresses of the zone's hosts that the sender hears from; empty in
   // most answers.
   std::vector<std::string> peers;
+  // With them, those of the other zones' holders.
+  std::vector<std::string> other_holders;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(zone, process, term, active, lease_revision, feeding, revisions,
-            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago, peers);
+            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago, peers,
+            other_holders);
   }
 };
 
