Read a silent holder's lease once, and don't wait for the successor of one that lives

In the first test's logs host-3 gained the lease 4 s after host-1's loss, and two requests came to an owner whose grants had lapsed. A holder that renews just before it dies has told nobody: the successor's write by the last revision it knew conflicts at the expiry, and the wait for the new revision's expiry starts again (2.2 s). Since the lease was not read before; now each follower reads it once when the holder falls silent. In the second test a holder that lives and cannot feed made its followers wait 0.5 s more, meant for the successor of one that has stopped; with the lease's age of 1.3 s and a hello that passed the bound of 2 s. It counts for stopped ones only now.

Ruled out: the machine's load as the cause; it only took up the slack that the two waits had left.

--- a/source/core/entry/lease_keeper.cc
+++ b/source/core/entry/lease_keeper.cc
@@ -88,6 +88,7 @@
   const bool silent = now - last_status_at_ >= options_.silence;
   if (!silent && !holder_stopped_) {
     free_since_ = kNever;
+    asked_store_ = false;
     return;
   }
   if (free_since_ == kNever) {
@@ -102,11 +103,14 @@
 }
 
 void LeaseKeeper::Attempt() {
-  // What the holder last said of its lease tells as much as the store does.
+  // What the holder last said of its lease tells as much as the store does,
+  // but for a renewal that a holder made just before it fell silent.
   const bool observed = options_.home && read_failures_ == 0 &&
                         lease_.revision != 0 &&
-                        observation_.revision == lease_.revision;
+                        observation_.revision == lease_.revision &&
+                        (holder_stopped_ || asked_store_);
   if (!observed) {
+    asked_store_ = true;
     ReadLease();
   } else if (holder_stopped_ || LeaseExpired(observation_, options_.timing,
                                              loop_.timers().now())) {
--- a/source/core/entry/lease_keeper.h
+++ b/source/core/entry/lease_keeper.h
@@ -122,6 +122,7 @@
   MonotonicTime gave_way_at_ = kNever;
   // Since when the holder is silent or has stopped; kNever while it lives.
   MonotonicTime free_since_ = kNever;
+  bool asked_store_ = false;  // For the lease, since then.
   MonotonicTime next_renewal_at_ = kNever;
   uint64_t timer_ = 0;
   uint64_t first_read_timer_ = 0;
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -336,10 +336,12 @@
     view_.SetFed(!lags && !home().lease->active());
   } else if (zone->second->home &&
              status.process == zone->second->lease->lease().process) {
-    // Waits for less than for silence when the holder itself says that it
-    // cannot, but long enough for another holder to announce itself.
-    fed_at_ =
-        std::min(fed_at_, loop_.timers().now() - kFeedSilence + kSuccessorWait);
+    // Does not wait for silence when the holder itself says that it cannot. One
+    // that has stopped has a successor soon, who announces itself.
+    fed_at_ = status.active
+                  ? kNever
+                  : std::min(fed_at_, loop_.timers().now() - kFeedSilence +
+                                          kSuccessorWait);
     CheckFeed();
   }
   zone->second->lease->OnStatus(status);
