Tell what a host knew of a leaving upstream that it sent a request to, and why a feed began or ended

A request that is sent to an upstream known to leave now makes a line with both times and the registry's revision, and counts in a histogram; no line means that the host did not know. view.source tells its reason and the revisions of the copies.

No decision changes.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -58,6 +58,11 @@
   return kLoneGather;
 }
 
+bool DifferInWarmupOnly(UpstreamRecord before, const UpstreamRecord& after) {
+  before.warmup_left = after.warmup_left;
+  return before == after;
+}
+
 KindWatcherTiming Timing(ViewKind kind) {
   const Duration wait =
       kind == ViewKind::kConfiguration ? kConfigurationWait : kWatchWait;
@@ -106,10 +111,15 @@
   timer_ = loop_.timers().Every(kAdvanceInterval, [this] { Advance(); });
 }
 
-void DeploymentView::SetFed(bool fed) {
+void DeploymentView::SetFed(bool fed, std::string_view reason) {
   if (fed_ == fed) return;
   fed_ = fed;
-  log_.Belief("view.source", {{"fed", fed}});
+  log_.Belief("view.source",
+              {{"fed", fed},
+               {"reason", reason},
+               {"configuration", watcher(ViewKind::kConfiguration).revision()},
+               {"registry", watcher(ViewKind::kRegistry).revision()},
+               {"tables", watcher(ViewKind::kRangeTables).revision()}});
   for (const auto& watcher : watchers_) {
     if (fed) {
       watcher->Pause();
@@ -248,9 +258,14 @@
     return;
   }
   const UpstreamRecord& record = read.value();
-  const bool known = directory_.Find(record.id) != nullptr;
+  const ListedUpstream* listed = directory_.Find(record.id);
+  const bool known = listed != nullptr;
+  const bool only_warmer = known &&
+                           listed->standing == UpstreamStanding::kServing &&
+                           DifferInWarmupOnly(listed->record, record);
   if (!directory_.Update(record, now)) return;
   if (!known) registry_quiet_since_ = now;
+  if (only_warmer) return;
   log_.Belief("upstream.registered", {{"upstream", record.id},
                                       {"service", record.service},
                                       {"address", record.address.ToString()},
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fleet/upstream_directory.h"
@@ -39,8 +40,9 @@
   DeploymentView& operator=(const DeploymentView&) = delete;
 
   void Start();
-  // While fed, this host asks the store for nothing; see ApplyFed.
-  void SetFed(bool fed);
+  // While fed, this host asks the store for nothing; see ApplyFed. `reason` is
+  // for the log.
+  void SetFed(bool fed, std::string_view reason);
   bool fed() const { return fed_; }
   // Whether this host's reading feeds others: then it is quick, else it makes
   // few calls.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -47,7 +47,14 @@
       seconds_(prometheus::BuildHistogram()
                    .Name("mimosadeal_request_seconds")
                    .Help("Time from a request's arrival to its answer")
-                   .Register(*registry_)) {
+                   .Register(*registry_)),
+      sent_to_leaving_seconds_(
+          prometheus::BuildHistogram()
+              .Name("mimosadeal_sent_to_leaving_seconds")
+              .Help("Time from hearing that an upstream leaves to a request "
+                    "that is sent to it all the same")
+              .Register(*registry_)
+              .Add({}, Buckets())) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -84,6 +91,10 @@
 
 void EntryMetrics::ObserveAbandoned() { ObserveRefusal("abandoned"); }
 
+void EntryMetrics::ObserveSentToLeaving(Duration after) {
+  sent_to_leaving_seconds_.Observe(ToSeconds(after));
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -49,6 +49,8 @@
   // This host gave the final answer itself.
   void ObserveRefusal(std::string_view reason);
   void ObserveAbandoned();
+  // A request was sent to an upstream `after` this host heard that it leaves.
+  void ObserveSentToLeaving(Duration after);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -61,6 +63,7 @@
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Histogram>& seconds_;
+  prometheus::Histogram& sent_to_leaving_seconds_;
   // Found once for each label set.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*> seconds_cache_;
--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -233,9 +233,18 @@
   request.await_acceptance = true;
   request.unused_connection = again && !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
+  const MonotonicTime heard_at = upstream.standing == UpstreamStanding::kServing
+                                     ? kNever
+                                     : upstream.standing_since;
   pending.call = pool_.Send(
       upstream.record, std::move(request),
-      [this, exchange, record = upstream.record](ExchangeResult result) {
+      [this, exchange, heard_at, chosen_at = now,
+       record = upstream.record](ExchangeResult result) {
+        const auto found = pending_.find(exchange);
+        if (heard_at != kNever && found != pending_.end()) {
+          LogSentToLeaving(*found->second, record.id, heard_at, chosen_at,
+                           result);
+        }
         UpstreamLoad* known = pool_.FindLoad(record);
         if (known != nullptr && result.failure == ClientFailure::kNone) {
           OnConnected(*known);
@@ -248,6 +257,23 @@
       });
 }
 
+void RequestFlow::LogSentToLeaving(const Pending& pending,
+                                   const std::string& upstream,
+                                   MonotonicTime heard_at,
+                                   MonotonicTime chosen_at,
+                                   const ExchangeResult& result) {
+  if (result.sent_at == kNever) return;
+  metrics_.ObserveSentToLeaving(result.sent_at - heard_at);
+  log_.Request("request.sent-to-leaving",
+               {{"id", pending.request.id},
+                {"upstream", upstream},
+                {"heard_ms_before", result.sent_at - heard_at},
+                {"chosen_ms_before", result.sent_at - chosen_at},
+                {"sent_ms_ago", loop_.timers().now() - result.sent_at},
+                {"registry", view_.Revisions().at(
+                                 static_cast<size_t>(ViewKind::kRegistry))}});
+}
+
 void RequestFlow::Hold(Pending& pending, RefusalReason reason,
                        Duration look_again) {
   const MonotonicTime now = loop_.timers().now();
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -52,11 +52,13 @@
   const MonotonicTime now = loop_.timers().now();
   view_.SetFeeds(home().lease->active());
   if (home().lease->active()) {
-    view_.SetFed(false);
+    view_.SetFed(false, "this host holds the lease");
     return;
   }
   const bool starting = now - started_at_ < kFirstFeedWait;
-  view_.SetFed(starting || now - fed_at_ < kFeedSilence);
+  view_.SetFed(starting || now - fed_at_ < kFeedSilence,
+               fed_at_ == kNever ? "the holder does not feed"
+                                 : "the holder's last word");
 }
 
 void ZoneTeam::OnOwnUpdate(ViewKind kind, const KindUpdate& update) {
@@ -333,7 +335,8 @@
     // A feed that does not arrive is none.
     fed_at_ = lags ? kNever : now;
     TakeEvidence(status);
-    view_.SetFed(!lags && !home().lease->active());
+    view_.SetFed(!lags && !home().lease->active(),
+                 lags ? "changes do not arrive" : "the holder feeds");
   } else if (zone->second->home &&
              status.process == zone->second->lease->lease().process) {
     // Does not wait for silence when the holder itself says that it cannot. One
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -73,6 +73,7 @@
 void ExchangeClient::Start(ExchangeRequest request, Callback callback) {
   if (!reusable() || request.unused_connection) CloseStream();
   received_ = 0;
+  sent_at_ = kNever;
   lost_while_idle_ = false;
   request_ = std::move(request);
   callback_ = std::move(callback);
@@ -96,6 +97,11 @@
   }
   sent_before_ = stream_->bytes_sent();
   if (!reused_ && request_.await_acceptance) return;
+  SendRequest();
+}
+
+void ExchangeClient::SendRequest() {
+  sent_at_ = loop_.timers().now();
   stream_->Write(std::exchange(unsent_, {}));
 }
 
@@ -128,8 +134,7 @@
       took * kAcceptanceRoundTrips + kAcceptanceSlack, kLongestAcceptance);
   acceptance_timer_ = loop_.timers().After(wait, [this] {
     acceptance_timer_ = 0;
-    if (busy() && stream_ != nullptr)
-      stream_->Write(std::exchange(unsent_, {}));
+    if (busy() && stream_ != nullptr) SendRequest();
   });
 }
 
@@ -249,6 +254,7 @@
   loop_.timers().Cancel(timeout_);
   loop_.timers().Cancel(connect_timeout_);
   result.reused = reused_;
+  result.sent_at = sent_at_;
   timeout_ = 0;
   Callback callback = std::exchange(callback_, nullptr);
   if (callback) callback(std::move(result));
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -49,6 +49,8 @@
   // False only when it is certain that no byte of the request left this
   // process.
   bool request_written = false;
+  // When the request was handed to the connection; kNever if it was not.
+  MonotonicTime sent_at = kNever;
   // A response had begun to arrive when the exchange failed.
   bool response_started = false;
   // Set when the request was sent on a connection that an earlier one had used.
@@ -101,6 +103,7 @@
   void Finish(ExchangeResult result);
   void CloseStream();
   void Discard();
+  void SendRequest();
   bool RequestWritten() const;
 
   EventLoop& loop_;
@@ -121,6 +124,7 @@
   size_t received_ = 0;                  // Bytes since the request was sent.
   // Not handed to the connection yet; see ExchangeRequest::await_acceptance.
   std::string unsent_;
+  MonotonicTime sent_at_ = kNever;  // See ExchangeResult::sent_at.
   // Bytes arrived, or the peer announced an end, so that the connection must
   // not carry another request.
   bool spoiled_ = false;
