--- /dev/null
+++ b/source/integration_tests/entry_leaving_test.cc
@@ -0,0 +1,86 @@
+// Entry hosts on an object-store deployment that hear late that an upstream
+// leaves.
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "entry_fixture.h"
+
+namespace mimosadeal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The bound in the fixture's settings.
+constexpr Duration kDrainBound = seconds(2);
+
+class EntryLeavingTest : public EntryTest {
+ public:
+  // Waits until the holder of the north's lease has renewed it, and knows.
+  void AwaitRenewal() {
+    const auto revision = [this] {
+      return (*fixture.store->Find("zone-leases", "north"))["metadata"]["rev"];
+    };
+    const nlohmann::json before = revision();
+    CHECK(fixture.RunUntil([&] { return revision() != before; }, seconds(2)));
+    fixture.RunFor(milliseconds(20));
+  }
+
+  // Answers the watches of registry and tables, so that their holder goes on
+  // feeding for as long as it may when it is cut off now.
+  void AnswerWatches() {
+    fixture.AddUpstream("desk-3", "desk", "north", 7);
+    nlohmann::json table =
+        (*fixture.store->Find("range-tables", "yard"))["spec"];
+    table["last_generation"] = table["last_generation"].get<int>() + 1;
+    fixture.store->Put("range-tables", "yard", table);
+    fixture.RunFor(milliseconds(30));
+  }
+
+  // Sends a request for the key to the host every 10 ms; returns how long after
+  // `left` the last one began to run at the upstream.
+  Duration LastRunAfter(MonotonicTime left, const EntryProcess& host, int key,
+                        const std::string& upstream, Duration time) {
+    const size_t before = fixture.record.runs.size();
+    const MonotonicTime end = fixture.loop.timers().now() + time;
+    while (fixture.loop.timers().now() < end) {
+      fixture.Start(host, "GET", "/lookup/a", key);
+      fixture.RunFor(milliseconds(10));
+    }
+    Duration last{};
+    for (size_t i = before; i < fixture.record.runs.size(); ++i) {
+      const UpstreamRun& run = fixture.record.runs[i];
+      if (run.upstream == upstream && run.began_at != kNever)
+        last = std::max(last, run.began_at - left);
+    }
+    return last;
+  }
+};
+
+TEST_GROUP_BASE(EntryLeaving, EntryLeavingTest){};
+
+// DRAIN on goalha-gw-grown: the zone's lease holder loses the store as an owner
+// leaves, so the other hosts hear of it late and the keys do not move.
+TEST(EntryLeaving, AnOwnerGetsNothingAfterTheBoundFromAHostThatHearsLate) {
+  fixture.StartUsual(4);
+  for (const auto& [name, upstream] : fixture.upstreams)
+    upstream->SetWork(milliseconds(5));
+  const int key = OwnedKey("yard-1");
+  const std::string holder = fixture.LeaseHolder("north");
+  const std::string other = holder == "host-1" ? "host-3" : "host-1";
+  AwaitRenewal();
+  AnswerWatches();
+  fixture.CutStoreOff(holder, true);
+  fixture.upstreams.at("yard-1")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  const Duration last = LastRunAfter(left, *fixture.hosts.at(other), key,
+                                     "yard-1", milliseconds(3500));
+  CHECK_TEXT(last <= kDrainBound,
+             ("reached after " + std::to_string(ToMilliseconds(last)) + " ms")
+                 .c_str());
+  fixture.CheckRecord();
+}
+
+}  // namespace
+}  // namespace mimosadeal
