--- a/source/integration_tests/entry_leaving_test.cc
+++ b/source/integration_tests/entry_leaving_test.cc
@@ -1,5 +1,5 @@
-// Entry hosts on an object-store deployment that hear late that an upstream
-// leaves.
+// Entry hosts on an object-store deployment and upstreams that leave: how long
+// requests still reach them.
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -60,7 +60,28 @@
 
 TEST_GROUP_BASE(EntryLeaving, EntryLeavingTest){};
 
-// DRAIN on goalha-gw-grown: the zone's lease holder loses the store as an owner
+// DRAIN on goalha-gw-grown: an owner's registration goes while its keys cannot
+// be moved; it got requests anew, as if it had only begun to leave.
+TEST(EntryLeaving, AnOwnerThatLeftGetsNothingNewAsItsRegistrationGoes) {
+  fixture.StartUsual(4);
+  const int key = OwnedKey("yard-1");
+  DeploymentUpstream& owner = *fixture.upstreams.at("yard-1");
+  owner.SetWork(milliseconds(5));
+  owner.faults().ignore_releases = true;
+  owner.Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  CHECK(LastRunAfter(left, Host(1), key, "yard-1", milliseconds(2100)) <=
+        kDrainBound);
+  fixture.store->Remove("servers", "yard-1");
+  const Duration last =
+      LastRunAfter(left, Host(1), key, "yard-1", milliseconds(900));
+  CHECK_TEXT(last <= kDrainBound,
+             ("reached after " + std::to_string(ToMilliseconds(last)) + " ms")
+                 .c_str());
+  fixture.CheckRecord();
+}
+
+// The zone's lease holder loses the store as an owner
 // leaves, so the other hosts hear of it late and the keys do not move.
 TEST(EntryLeaving, AnOwnerGetsNothingAfterTheBoundFromAHostThatHearsLate) {
   fixture.StartUsual(4);
