Let an upstream's departure begin once: the end of its registration gives it no new requests

Cause: a host may send requests for keys to their owner for 0.4 of the bound after it has heard that the owner leaves, while the keys move. That time was counted from the start of the upstream's standing, and an upstream that was draining gets another standing when its registration goes: the time began anew. An upstream's registration goes 2.5 s and a little after it left, so requests reached it then wherever its keys had not moved, as in a zone whose lease holder could not act. The same held for a registration that came back with draining, and for one that followed the upstream's own word. Class: a limit in time that each piece of news of one event starts anew.

The directory keeps since when it knows that a life leaves, over all standings of one departure; a life that serves again, or another one, begins anew. How long an upstream that has gone is remembered still counts from its end.

Looked for elsewhere: lapsed registrations count from when they went already; a rest that an upstream asks for may be lengthened by its own word only; the silence of an owner counts from its first unanswered grant. The time for which a suspect request is refused counts from the latest report, and a report may repeat an earlier crash; reports are made at a crash only, so it is left as it is.

--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -233,9 +233,7 @@
   request.await_acceptance = true;
   request.unused_connection = again && !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
-  const MonotonicTime heard_at = upstream.standing == UpstreamStanding::kServing
-                                     ? kNever
-                                     : upstream.standing_since;
+  const MonotonicTime heard_at = upstream.leaving_since;
   pending.call = pool_.Send(
       upstream.record, std::move(request),
       [this, exchange, heard_at, chosen_at = now,
--- a/source/core/entry/request_flow_choice.cc
+++ b/source/core/entry/request_flow_choice.cc
@@ -29,7 +29,7 @@
   if (upstream.standing == UpstreamStanding::kLapsed) return false;
   const auto allowed = Duration(static_cast<int64_t>(
       static_cast<double>(options_.drain.count()) * kDrainShare));
-  return loop_.timers().now() - upstream.standing_since < allowed;
+  return loop_.timers().now() - upstream.leaving_since < allowed;
 }
 
 const ListedUpstream* RequestFlow::FindOwner(Pending& pending,
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -8,8 +8,10 @@
                                MonotonicTime now) {
   lapses_.erase(record.id);
   ListedUpstream& listed = upstreams_[record.id];
-  if (listed.record.incarnation != record.incarnation)
+  if (listed.record.incarnation != record.incarnation) {
     listed.said_leaving = false;
+    listed.leaving_since = kNever;
+  }
   const auto standing = record.draining || listed.said_leaving
                             ? UpstreamStanding::kDraining
                             : UpstreamStanding::kServing;
@@ -22,6 +24,11 @@
   }
   listed.record = record;
   listed.standing = standing;
+  if (standing == UpstreamStanding::kServing) {
+    listed.leaving_since = kNever;
+  } else if (listed.leaving_since == kNever) {
+    listed.leaving_since = now;
+  }
   if (changed) OnServingChanged();
   return changed;
 }
@@ -36,6 +43,7 @@
   }
   ListedUpstream& listed = found->second;
   listed.said_leaving = true;
+  if (listed.leaving_since == kNever) listed.leaving_since = now;
   if (listed.standing != UpstreamStanding::kServing) return false;
   listed.standing = UpstreamStanding::kDraining;
   listed.standing_since = now;
@@ -59,6 +67,7 @@
   if (found->second.standing == UpstreamStanding::kMissing) return false;
   found->second.standing = UpstreamStanding::kMissing;
   found->second.standing_since = now;
+  if (found->second.leaving_since == kNever) found->second.leaving_since = now;
   missing_.push_back(id);
   OnServingChanged();
   return true;
@@ -80,6 +89,7 @@
     listed.standing = UpstreamStanding::kMissing;
     // Since it went: it has had its time, and gets none besides.
     listed.standing_since = at->second.since;
+    if (listed.leaving_since == kNever) listed.leaving_since = at->second.since;
     missing_.push_back(at->first);
     at = lapses_.erase(at);
     changed = true;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -26,6 +26,9 @@
   UpstreamRecord record;
   UpstreamStanding standing = UpstreamStanding::kServing;
   MonotonicTime standing_since = kNever;  // On this host's clock.
+  // Since when this host knows that this life leaves or is gone; kNever while
+  // it serves. A later standing of the same departure does not change it.
+  MonotonicTime leaving_since = kNever;
   // This life said in an answer that it leaves, whatever its registration says.
   bool said_leaving = false;
 };
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -118,6 +118,36 @@
   CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(2)));
 }
 
+// Each of these was taken for a departure of its own.
+TEST(UpstreamDirectory, ADepartureBeginsOnceHoweverItGoesOn) {
+  directory.Update(Record(), now);
+  CHECK(directory.Find("u1")->leaving_since == kNever);
+  CHECK(directory.MarkLeaving("u1", 1, now + seconds(1)));
+  directory.Update(Record(1, true), now + seconds(2));
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
+  CHECK(directory.Remove("u1", now + seconds(3), kNever, true));
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
+  directory.Update(Record(1, true), now + seconds(4));
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
+}
+
+TEST(UpstreamDirectory, AnUpstreamThatServesAgainOrAnewDoesNotLeave) {
+  directory.Update(Record(1, true), now);
+  directory.Update(Record(1), now + seconds(1));
+  CHECK(directory.Find("u1")->leaving_since == kNever);
+  directory.Update(Record(1, true), now + seconds(2));
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(2));
+  directory.Update(Record(2, true), now + seconds(3));
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(3));
+}
+
+TEST(UpstreamDirectory, AnUpstreamIsRememberedFromItsEndNotFromItsNotice) {
+  directory.Update(Record(1, true), now);
+  CHECK(directory.Remove("u1", now + seconds(70), kNever, true));
+  directory.Advance(now + seconds(71), seconds(60));
+  CHECK(directory.Find("u1") != nullptr);
+}
+
 TEST(UpstreamDirectory, AnotherLifeUnderTheSameIdIsAChange) {
   directory.Update(Record(1), now);
   CHECK(directory.Update(Record(2), now + seconds(1)));
