Count the time that a leaving upstream still gets requests from when it may have left, not only from when a host heard

Cause: the 0.4 of the bound counted from this host's hearing, however old the news was. A zone's holder that has lost the store goes on feeding for up to 1.3 s, and a host asks it each 0.3 s: its followers hear up to 1.6 s late, and used the owner until 2.4 s where the bound is 2 s. Class: a limit in time counted from the receipt of news whose age is not known.

A departure now has a time before which it cannot have happened: the registry's copy was the newest then, by the store's answers or the feeding host's proof, or a write with a lower revision was sent then. Such a host uses the owner until 0.8 of the bound after that, and not at all without such a time. The proof that a 404 needs is the same one for another kind, so the status carries the ages of all kinds.

Tried and not kept: a registry watch of 0.8 s.

Changed tests: the directory's calls have one more argument, their checks are as before.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -58,6 +58,12 @@
   return kLoneGather;
 }
 
+// How old the news of a change may be; -1 ms when that is unknown.
+Duration AgeOrUnknown(MonotonicTime now, MonotonicTime changed_after) {
+  return changed_after == kNever ? Duration(std::chrono::milliseconds(-1))
+                                 : now - changed_after;
+}
+
 bool DifferInWarmupOnly(UpstreamRecord before, const UpstreamRecord& after) {
   before.warmup_left = after.warmup_left;
   return before == after;
@@ -79,11 +85,9 @@
       log_(log),
       directory_(kLapseGrace, kLapseUse) {
   const auto make = [&](ViewKind kind, const std::string& stored_kind,
-                        void (DeploymentView::*take)(const StoredObject&)) {
+                        auto take) {
     KindWatcherHandlers handlers;
-    handlers.on_change = [this, take](const StoredObject& object) {
-      (this->*take)(object);
-    };
+    handlers.on_change = std::move(take);
     handlers.on_synced = [this] { Notify(); };
     handlers.on_update = [this, kind](const KindUpdate& update) {
       if (on_update_) on_update_(kind, update);
@@ -99,10 +103,17 @@
         loop, store, stored_kind, Timing(kind), std::move(handlers));
   };
   make(ViewKind::kConfiguration, protocol.configuration_kind,
-       &DeploymentView::OnConfiguration);
+       [this](const StoredObject& object, const ChangeBound&) {
+         OnConfiguration(object);
+       });
   make(ViewKind::kRegistry, protocol.registry_kind,
-       &DeploymentView::OnRegistration);
-  make(ViewKind::kRangeTables, kRangeTableKind, &DeploymentView::OnTable);
+       [this](const StoredObject& object, const ChangeBound& bound) {
+         OnRegistration(object, bound);
+       });
+  make(ViewKind::kRangeTables, kRangeTableKind,
+       [this](const StoredObject& object, const ChangeBound&) {
+         OnTable(object);
+       });
 }
 
 DeploymentView::~DeploymentView() { loop_.timers().Cancel(timer_); }
@@ -166,14 +177,16 @@
   return watcher(kind).reachable_since();
 }
 
-MonotonicTime DeploymentView::configuration_current_at() const {
-  return std::max(fed_configuration_current_at_,
-                  watcher(ViewKind::kConfiguration).current_at());
+MonotonicTime DeploymentView::current_at(ViewKind kind) const {
+  return watcher(kind).current_at();
+}
+
+void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
+  watcher(kind).NoteCurrent(current_at);
 }
 
-void DeploymentView::NoteConfigurationCurrent(MonotonicTime current_at) {
-  fed_configuration_current_at_ =
-      std::max(fed_configuration_current_at_, current_at);
+void DeploymentView::NoteWrite(uint64_t revision, MonotonicTime sent_at) {
+  revision_clock_.Note(revision, sent_at);
 }
 
 void DeploymentView::NoteStoreBack(MonotonicTime store_back_at) {
@@ -234,8 +247,11 @@
                                          {"before", current}});
 }
 
-void DeploymentView::OnRegistration(const StoredObject& object) {
+void DeploymentView::OnRegistration(const StoredObject& object,
+                                    const ChangeBound& bound) {
   const MonotonicTime now = loop_.timers().now();
+  const MonotonicTime changed_after =
+      std::max(bound.after, revision_clock_.Before(bound.after_revision + 1));
   if (object.deleted) {
     const KindWatcher& registry = watcher(ViewKind::kRegistry);
     // A host that was cut off itself learns from others that the store was not
@@ -244,10 +260,12 @@
         told_at_ >= registry.reachable_since()
             ? std::min(told_store_back_at_, registry.reachable_since())
             : registry.reachable_since();
-    const bool gone =
-        directory_.Remove(object.name, now, back_at, registry.reachable());
+    const bool gone = directory_.Remove(object.name, now, changed_after,
+                                        back_at, registry.reachable());
     log_.Belief("upstream.unregistered",
-                {{"upstream", object.name}, {"gone", gone}});
+                {{"upstream", object.name},
+                 {"gone", gone},
+                 {"age_ms", AgeOrUnknown(now, changed_after)}});
     return;
   }
   const Result<UpstreamRecord> read = protocol_.read_registration(object);
@@ -263,21 +281,24 @@
   const bool only_warmer = known &&
                            listed->standing == UpstreamStanding::kServing &&
                            DifferInWarmupOnly(listed->record, record);
-  if (!directory_.Update(record, now)) return;
+  if (!directory_.Update(record, now, changed_after)) return;
   if (!known) registry_quiet_since_ = now;
   if (only_warmer) return;
-  log_.Belief("upstream.registered", {{"upstream", record.id},
-                                      {"service", record.service},
-                                      {"address", record.address.ToString()},
-                                      {"zone", record.zone},
-                                      {"incarnation", record.incarnation},
-                                      {"draining", record.draining},
-                                      {"warmup_left_ms", record.warmup_left},
-                                      {"revision", object.revision}});
+  log_.Belief("upstream.registered",
+              {{"upstream", record.id},
+               {"service", record.service},
+               {"address", record.address.ToString()},
+               {"zone", record.zone},
+               {"incarnation", record.incarnation},
+               {"draining", record.draining},
+               {"warmup_left_ms", record.warmup_left},
+               {"revision", object.revision},
+               {"age_ms", AgeOrUnknown(now, changed_after)}});
 }
 
 bool DeploymentView::NoteLeaving(const std::string& id, int64_t incarnation) {
-  if (!directory_.MarkLeaving(id, incarnation, loop_.timers().now()))
+  if (!directory_.MarkLeaving(id, incarnation, loop_.timers().now(),
+                              current_at(ViewKind::kRegistry)))
     return false;
   log_.Belief("upstream.leaving",
               {{"upstream", id}, {"incarnation", incarnation}});
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -17,6 +17,7 @@
 #include "ranges/range_table.h"
 #include "routing/route_table.h"
 #include "store/kind_watcher.h"
+#include "store/revision_clock.h"
 
 namespace mimosadeal {
 
@@ -58,12 +59,14 @@
   KindUpdate Snapshot(ViewKind kind) const;
   std::vector<uint64_t> Revisions() const;
   MonotonicTime store_back_at(ViewKind kind) const;
-  // A time at which this host's configuration was certainly the newest; kNever
-  // if there was none.
-  MonotonicTime configuration_current_at() const;
-  // The host that feeds this one says that its configuration, which is this
-  // host's too, was the newest at `current_at`.
-  void NoteConfigurationCurrent(MonotonicTime current_at);
+  // A time at which this host's copy of the kind was certainly the newest;
+  // kNever if there was none.
+  MonotonicTime current_at(ViewKind kind) const;
+  // The host that feeds this one says that its copy, which is this host's too,
+  // was the newest at `current_at`.
+  void NoteCurrent(ViewKind kind, MonotonicTime current_at);
+  // The store took a write with that revision, sent at `sent_at` or later.
+  void NoteWrite(uint64_t revision, MonotonicTime sent_at);
   // Another host reads the store, which was back at `store_back_at` already.
   void NoteStoreBack(MonotonicTime store_back_at);
   // Whether this host's own reading of the store is complete and without fault.
@@ -91,7 +94,7 @@
 
  private:
   void OnConfiguration(const StoredObject& object);
-  void OnRegistration(const StoredObject& object);
+  void OnRegistration(const StoredObject& object, const ChangeBound& bound);
   void OnTable(const StoredObject& object);
   // Errors: kMalformed, also for a step whose base is not here.
   Result<RangeTable> ReadTable(const StoredObject& object) const;
@@ -110,10 +113,10 @@
   bool fed_ = true;
   std::shared_ptr<const RouteTable> routes_;
   UpstreamDirectory directory_;
+  RevisionClock revision_clock_;
   std::map<std::string, RangeTable> range_tables_;
   std::vector<std::function<void()>> listeners_;
   MonotonicTime registry_quiet_since_ = kNever;
-  MonotonicTime fed_configuration_current_at_ = kNever;
   // What another host last said of the store's return, and when.
   MonotonicTime told_store_back_at_ = kNever;
   MonotonicTime told_at_ = kNever;
--- a/source/core/entry/lease_keeper.cc
+++ b/source/core/entry/lease_keeper.cc
@@ -187,6 +187,8 @@
   status.term = holds() ? lease_.term : 0;
   status.active = active();
   status.lease_revision = lease_.revision;
+  if (holds() && confirmed_at_ != kNever)
+    status.lease_age_ms = ToMilliseconds(now - confirmed_at_);
   return status;
 }
 
@@ -350,6 +352,7 @@
   Follow(written.value());
   if (!holds()) return;
   confirmed_at_ = sent_at;
+  handlers_.on_written(lease_.revision, sent_at);
   next_renewal_at_ = sent_at + options_.timing.renew;
   if (!gained_) {
     gained_ = true;
--- a/source/core/entry/lease_keeper.h
+++ b/source/core/entry/lease_keeper.h
@@ -48,6 +48,8 @@
   std::function<size_t()> rivals;
   // This host became the holder.
   std::function<void()> on_gained;
+  // The store took this host's write of the lease with that revision.
+  std::function<void(uint64_t revision, MonotonicTime sent_at)> on_written;
   std::function<void()> on_lost;
 };
 
--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -1,6 +1,7 @@
 #include "entry/request_flow.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "common/event_log.h"
@@ -84,7 +85,7 @@
   pending.route =
       FindRoute(*pending.routes, pending.request.host, pending.request.path);
   if (pending.route == nullptr) {
-    if (MayDenyRoute(view_.configuration_current_at(),
+    if (MayDenyRoute(view_.current_at(ViewKind::kConfiguration),
                      options_.configuration_apply, pending.received)) {
       Refuse(pending, RefusalReason::kNoRoute);
     } else {
@@ -233,16 +234,15 @@
   request.await_acceptance = true;
   request.unused_connection = again && !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
-  const MonotonicTime heard_at = upstream.leaving_since;
+  std::optional<ListedUpstream> leaving;
+  if (upstream.leaving_since != kNever) leaving = upstream;
   pending.call = pool_.Send(
       upstream.record, std::move(request),
-      [this, exchange, heard_at, chosen_at = now,
+      [this, exchange, leaving, chosen_at = now,
        record = upstream.record](ExchangeResult result) {
         const auto found = pending_.find(exchange);
-        if (heard_at != kNever && found != pending_.end()) {
-          LogSentToLeaving(*found->second, record.id, heard_at, chosen_at,
-                           result);
-        }
+        if (leaving.has_value() && found != pending_.end())
+          LogSentToLeaving(*found->second, *leaving, chosen_at, result);
         UpstreamLoad* known = pool_.FindLoad(record);
         if (known != nullptr && result.failure == ClientFailure::kNone) {
           OnConnected(*known);
@@ -256,20 +256,21 @@
 }
 
 void RequestFlow::LogSentToLeaving(const Pending& pending,
-                                   const std::string& upstream,
-                                   MonotonicTime heard_at,
+                                   const ListedUpstream& upstream,
                                    MonotonicTime chosen_at,
                                    const ExchangeResult& result) {
   if (result.sent_at == kNever) return;
-  metrics_.ObserveSentToLeaving(result.sent_at - heard_at);
-  log_.Request("request.sent-to-leaving",
-               {{"id", pending.request.id},
-                {"upstream", upstream},
-                {"heard_ms_before", result.sent_at - heard_at},
-                {"chosen_ms_before", result.sent_at - chosen_at},
-                {"sent_ms_ago", loop_.timers().now() - result.sent_at},
-                {"registry", view_.Revisions().at(
-                                 static_cast<size_t>(ViewKind::kRegistry))}});
+  metrics_.ObserveSentToLeaving(result.sent_at - upstream.leaving_since);
+  log_.Request(
+      "request.sent-to-leaving",
+      {{"id", pending.request.id},
+       {"upstream", upstream.record.id},
+       {"left_ms_before_at_most", result.sent_at - upstream.left_after},
+       {"heard_ms_before", result.sent_at - upstream.leaving_since},
+       {"chosen_ms_before", result.sent_at - chosen_at},
+       {"sent_ms_ago", loop_.timers().now() - result.sent_at},
+       {"registry",
+        view_.Revisions().at(static_cast<size_t>(ViewKind::kRegistry))}});
 }
 
 void RequestFlow::Hold(Pending& pending, RefusalReason reason,
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -98,11 +98,10 @@
   void RefuseForRest(Pending& pending, MonotonicTime rest_ends);
   bool MayUse(const ListedUpstream& upstream) const;
   void Send(Pending& pending, const ListedUpstream& upstream);
-  // Logs a request that was sent to an upstream known to leave; `heard_at` and
-  // `chosen_at` are when this host heard that, and chose the upstream.
-  void LogSentToLeaving(const Pending& pending, const std::string& upstream,
-                        MonotonicTime heard_at, MonotonicTime chosen_at,
-                        const ExchangeResult& result);
+  // Logs a request that was sent to an upstream known to leave, as it was
+  // listed when this host chose it at `chosen_at`.
+  void LogSentToLeaving(const Pending& pending, const ListedUpstream& upstream,
+                        MonotonicTime chosen_at, const ExchangeResult& result);
   void Hold(Pending& pending, RefusalReason reason, Duration look_again);
   void OnResult(ExchangeId exchange, const UpstreamRecord& upstream,
                 ExchangeResult result);
--- a/source/core/entry/request_flow_choice.cc
+++ b/source/core/entry/request_flow_choice.cc
@@ -19,17 +19,25 @@
 // Upstreams looked at when the preferred ones are busy: more cost time and
 // improve the choice little.
 constexpr size_t kMostCandidates = 24;
-// Part of the drain bound in which a leaving upstream still gets requests.
+// Parts of the drain bound in which a leaving upstream still gets requests for
+// its keys: from when this host heard of it, and from when it may have left.
+// The rest is for the request's way to the upstream.
 constexpr double kDrainShare = 0.4;
+constexpr double kDrainLimit = 0.8;
 
 }  // namespace
 
 bool RequestFlow::MayUse(const ListedUpstream& upstream) const {
   if (upstream.standing == UpstreamStanding::kServing) return true;
   if (upstream.standing == UpstreamStanding::kLapsed) return false;
-  const auto allowed = Duration(static_cast<int64_t>(
-      static_cast<double>(options_.drain.count()) * kDrainShare));
-  return loop_.timers().now() - upstream.leaving_since < allowed;
+  if (upstream.left_after == kNever) return false;
+  const auto part_of_drain = [this](double part) {
+    return Duration(static_cast<int64_t>(
+        static_cast<double>(options_.drain.count()) * part));
+  };
+  const MonotonicTime now = loop_.timers().now();
+  return now < upstream.leaving_since + part_of_drain(kDrainShare) &&
+         now < upstream.left_after + part_of_drain(kDrainLimit);
 }
 
 const ListedUpstream* RequestFlow::FindOwner(Pending& pending,
--- a/source/core/entry/zone_team.cc
+++ b/source/core/entry/zone_team.cc
@@ -143,6 +143,9 @@
   };
   handlers.store_reachable = [this] { return view_.store_reachable(); };
   handlers.rivals = [this, self] { return self->home ? peers_.size() : 0; };
+  handlers.on_written = [this](uint64_t revision, MonotonicTime sent_at) {
+    view_.NoteWrite(revision, sent_at);
+  };
   handlers.on_gained = [this, self] {
     if (self->home) CheckFeed();
     if (self->home) AnnounceLease();
--- a/source/core/entry/zone_team_feed.cc
+++ b/source/core/entry/zone_team_feed.cc
@@ -258,9 +258,12 @@
   const MonotonicTime now = loop_.timers().now();
   status.revisions = view_.Revisions();
   status.hello_sent_at_ms = hello.sent_at_ms;
-  const MonotonicTime current_at = view_.configuration_current_at();
-  if (current_at != kNever)
-    status.configuration_age_ms = ToMilliseconds(now - current_at);
+  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+    const MonotonicTime current_at =
+        view_.current_at(static_cast<ViewKind>(kind));
+    status.ages_ms.push_back(
+        current_at == kNever ? -1 : ToMilliseconds(now - current_at));
+  }
   const MonotonicTime back_at = view_.store_back_at(ViewKind::kRegistry);
   if (back_at != kNever)
     status.store_back_ms_ago = ToMilliseconds(now - back_at);
@@ -301,12 +304,19 @@
 void ZoneTeam::TakeEvidence(const ZoneStatus& status) {
   const MonotonicTime asked_at(
       std::chrono::milliseconds(status.hello_sent_at_ms));
-  const size_t kind = static_cast<size_t>(ViewKind::kConfiguration);
   const std::vector<uint64_t> own = view_.Revisions();
-  if (status.configuration_age_ms >= 0 && status.revisions.size() > kind &&
-      own.at(kind) >= status.revisions[kind]) {
-    view_.NoteConfigurationCurrent(
-        asked_at - std::chrono::milliseconds(status.configuration_age_ms));
+  const size_t kinds =
+      std::min({own.size(), status.revisions.size(), status.ages_ms.size()});
+  for (size_t kind = 0; kind < kinds; ++kind) {
+    if (status.ages_ms[kind] < 0 || own[kind] < status.revisions[kind])
+      continue;
+    view_.NoteCurrent(
+        static_cast<ViewKind>(kind),
+        asked_at - std::chrono::milliseconds(status.ages_ms[kind]));
+  }
+  if (status.lease_age_ms >= 0) {
+    view_.NoteWrite(status.lease_revision,
+                    asked_at - std::chrono::milliseconds(status.lease_age_ms));
   }
   view_.NoteStoreBack(
       status.store_back_ms_ago < 0
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -4,13 +4,30 @@
 
 namespace mimosadeal {
 
-bool UpstreamDirectory::Update(const UpstreamRecord& record,
-                               MonotonicTime now) {
+namespace {
+
+// Takes in that the upstream leaves, unless that is known already.
+void BeginDeparture(ListedUpstream& listed, MonotonicTime now,
+                    MonotonicTime changed_after) {
+  if (listed.leaving_since != kNever) return;
+  listed.leaving_since = now;
+  listed.left_after = changed_after;
+}
+
+void EndDeparture(ListedUpstream& listed) {
+  listed.leaving_since = kNever;
+  listed.left_after = kNever;
+}
+
+}  // namespace
+
+bool UpstreamDirectory::Update(const UpstreamRecord& record, MonotonicTime now,
+                               MonotonicTime changed_after) {
   lapses_.erase(record.id);
   ListedUpstream& listed = upstreams_[record.id];
   if (listed.record.incarnation != record.incarnation) {
     listed.said_leaving = false;
-    listed.leaving_since = kNever;
+    EndDeparture(listed);
   }
   const auto standing = record.draining || listed.said_leaving
                             ? UpstreamStanding::kDraining
@@ -25,16 +42,17 @@
   listed.record = record;
   listed.standing = standing;
   if (standing == UpstreamStanding::kServing) {
-    listed.leaving_since = kNever;
-  } else if (listed.leaving_since == kNever) {
-    listed.leaving_since = now;
+    EndDeparture(listed);
+  } else {
+    BeginDeparture(listed, now, changed_after);
   }
   if (changed) OnServingChanged();
   return changed;
 }
 
 bool UpstreamDirectory::MarkLeaving(const std::string& id, int64_t incarnation,
-                                    MonotonicTime now) {
+                                    MonotonicTime now,
+                                    MonotonicTime changed_after) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end() ||
       found->second.record.incarnation != incarnation ||
@@ -43,7 +61,7 @@
   }
   ListedUpstream& listed = found->second;
   listed.said_leaving = true;
-  if (listed.leaving_since == kNever) listed.leaving_since = now;
+  BeginDeparture(listed, now, changed_after);
   if (listed.standing != UpstreamStanding::kServing) return false;
   listed.standing = UpstreamStanding::kDraining;
   listed.standing_since = now;
@@ -52,6 +70,7 @@
 }
 
 bool UpstreamDirectory::Remove(const std::string& id, MonotonicTime now,
+                               MonotonicTime changed_after,
                                MonotonicTime store_back_at,
                                bool store_reachable) {
   const auto found = upstreams_.find(id);
@@ -61,13 +80,14 @@
       (store_back_at != kNever && now - store_back_at < lapse_grace_);
   if (around_outage && found->second.standing == UpstreamStanding::kServing) {
     lapses_.try_emplace(
-        id, Lapse{now, (store_reachable ? store_back_at : now) + lapse_grace_});
+        id, Lapse{now, (store_reachable ? store_back_at : now) + lapse_grace_,
+                  changed_after});
     return false;
   }
   if (found->second.standing == UpstreamStanding::kMissing) return false;
   found->second.standing = UpstreamStanding::kMissing;
   found->second.standing_since = now;
-  if (found->second.leaving_since == kNever) found->second.leaving_since = now;
+  BeginDeparture(found->second, now, changed_after);
   missing_.push_back(id);
   OnServingChanged();
   return true;
@@ -89,7 +109,7 @@
     listed.standing = UpstreamStanding::kMissing;
     // Since it went: it has had its time, and gets none besides.
     listed.standing_since = at->second.since;
-    if (listed.leaving_since == kNever) listed.leaving_since = at->second.since;
+    BeginDeparture(listed, at->second.since, at->second.changed_after);
     missing_.push_back(at->first);
     at = lapses_.erase(at);
     changed = true;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -29,6 +29,9 @@
   // Since when this host knows that this life leaves or is gone; kNever while
   // it serves. A later standing of the same departure does not change it.
   MonotonicTime leaving_since = kNever;
+  // It had certainly not left yet then; kNever if nothing shows that. Set with
+  // leaving_since.
+  MonotonicTime left_after = kNever;
   // This life said in an answer that it leaves, whatever its registration says.
   bool said_leaving = false;
 };
@@ -43,12 +46,16 @@
       : lapse_grace_(lapse_grace), lapse_use_(lapse_use) {}
 
   // Return whether anything changed that routing or ownership depends on.
-  bool Update(const UpstreamRecord& record, MonotonicTime now);
+  // `changed_after`: the registration was as before until then at least; kNever
+  // if that is unknown.
+  bool Update(const UpstreamRecord& record, MonotonicTime now,
+              MonotonicTime changed_after);
   bool Remove(const std::string& id, MonotonicTime now,
-              MonotonicTime store_back_at, bool store_reachable);
+              MonotonicTime changed_after, MonotonicTime store_back_at,
+              bool store_reachable);
   // That life of the upstream said in an answer that it leaves.
   bool MarkLeaving(const std::string& id, int64_t incarnation,
-                   MonotonicTime now);
+                   MonotonicTime now, MonotonicTime changed_after);
   // Turns lapsed registrations whose grace has passed into missing ones, and
   // forgets upstreams that have been missing for `forget_after`.
   bool Advance(MonotonicTime now, Duration forget_after);
@@ -73,6 +80,7 @@
   struct Lapse {
     MonotonicTime since = kNever;  // When the registration was seen to be gone.
     MonotonicTime until = kNever;  // It may be back until then.
+    MonotonicTime changed_after = kNever;
   };
 
   Duration lapse_grace_;
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -43,14 +43,17 @@
   uint64_t term = 0;    // Of the lease that the sender holds; 0 if none.
   bool active = false;  // The sender holds the lease and may act on it.
   uint64_t lease_revision = 0;  // Of the lease as the sender knows it.
+  // How long ago the sender sent the write with that revision, at most; -1 if
+  // it did not write it.
+  int64_t lease_age_ms = -1;
   // The sender reads the store without fault, and sends what it reads.
   bool feeding = false;
   // Revisions of the sender's copies, by ViewKind, while it feeds.
   std::vector<uint64_t> revisions;
   int64_t hello_sent_at_ms = 0;  // Echo of ZoneHello::sent_at_ms.
-  // How old the sender's proof is that its configuration is the newest; -1 if
-  // it has none.
-  int64_t configuration_age_ms = -1;
+  // How old the sender's proofs are that its copies are the newest, by
+  // ViewKind; -1 where it has none.
+  std::vector<int64_t> ages_ms;
   // How long ago the store answered the sender again after a failure; -1 if it
   // never failed.
   int64_t store_back_ms_ago = -1;
@@ -62,8 +65,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(zone, process, term, active, lease_revision, feeding, revisions,
-            hello_sent_at_ms, configuration_age_ms, store_back_ms_ago, peers,
+    archive(zone, process, term, active, lease_revision, lease_age_ms, feeding,
+            revisions, hello_sent_at_ms, ages_ms, store_back_ms_ago, peers,
             other_holders);
   }
 };
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -41,7 +41,6 @@
   if (!paused_) return;
   paused_ = false;
   answered_at_ = kNever;
-  current_at_ = kNever;
   loop_.timers().Cancel(timer_);
   if (revision_ == 0) {
     List();
@@ -64,9 +63,9 @@
   reachable_ = true;
   reachable_since_ = store_back_at;
   if (update.full) {
-    ReplaceAll(update.objects);
+    ReplaceAll(update.objects, current_at_);
   } else {
-    for (const StoredObject& object : update.objects) Apply(object);
+    ApplySteps(update.objects, current_at_);
   }
   content_revision_ = update.revision;
   revision_ = std::max(revision_, update.revision);
@@ -74,6 +73,10 @@
   return true;
 }
 
+void KindWatcher::NoteCurrent(MonotonicTime at) {
+  current_at_ = std::max(current_at_, at);
+}
+
 KindUpdate KindWatcher::Snapshot() const {
   KindUpdate update;
   update.full = true;
@@ -111,9 +114,10 @@
     OnFailure(page.error());
     return;
   }
+  const MonotonicTime after = current_at_;
   OnSuccess(Duration::zero());
   history_lost_ = false;
-  ReplaceAll(page.value().objects);
+  ReplaceAll(page.value().objects, after);
   revision_ = std::max<uint64_t>({1, revision_, page.value().store_revision});
   content_revision_ = revision_;
   if (handlers_.on_update) handlers_.on_update(Snapshot());
@@ -121,11 +125,13 @@
   Watch();
 }
 
-void KindWatcher::ReplaceAll(const std::vector<StoredObject>& objects) {
+void KindWatcher::ReplaceAll(const std::vector<StoredObject>& objects,
+                             MonotonicTime after) {
+  const ChangeBound bound{after, content_revision_};
   std::set<std::string> listed;
   for (const StoredObject& object : objects) {
     listed.insert(object.name);
-    Apply(object);
+    Apply(object, bound);
   }
   std::vector<std::string> gone;
   for (const auto& [name, object] : objects_) {
@@ -134,10 +140,17 @@
   for (const std::string& name : gone) {
     StoredObject removed = objects_.at(name);
     removed.deleted = true;
-    Apply(removed);
+    Apply(removed, bound);
   }
 }
 
+void KindWatcher::ApplySteps(const std::vector<StoredObject>& objects,
+                             MonotonicTime after) {
+  for (const StoredObject& object : objects)
+    Apply(object,
+          {after, object.revision - std::min<uint64_t>(object.revision, 1)});
+}
+
 void KindWatcher::OnChanges(Result<ObjectChanges> changes) {
   if (!changes.has_value()) {
     if (changes.error().code == ErrorCode::kNotFound) {
@@ -150,11 +163,12 @@
   }
   const bool any = !changes.value().changes.empty();
   // Without a change the store has waited for as long as it was asked to.
+  const MonotonicTime after = current_at_;
   OnSuccess(any || !reachable_ ? Duration::zero() : timing_.wait);
   KindUpdate update;
   update.base = content_revision_;
   update.objects = std::move(changes.value().changes);
-  for (const StoredObject& object : update.objects) Apply(object);
+  ApplySteps(update.objects, after);
   revision_ = std::max(revision_, changes.value().store_revision);
   if (any) {
     content_revision_ = revision_;
@@ -165,7 +179,7 @@
   Schedule(any ? timing_.gather : Duration::zero(), [this] { Watch(); });
 }
 
-void KindWatcher::Apply(const StoredObject& object) {
+void KindWatcher::Apply(const StoredObject& object, const ChangeBound& bound) {
   const auto found = objects_.find(object.name);
   if (object.deleted) {
     if (found == objects_.end()) return;
@@ -175,14 +189,14 @@
       return;
     objects_[object.name] = object;
   }
-  if (handlers_.on_change) handlers_.on_change(object);
+  if (handlers_.on_change) handlers_.on_change(object, bound);
 }
 
 void KindWatcher::OnSuccess(Duration waited) {
   retry_ = timing_.first_retry;
   answered_at_ = loop_.timers().now();
   // Not when the answer arrived: it may have waited for this process.
-  current_at_ = std::min(answered_at_, asked_at_ + waited);
+  NoteCurrent(std::min(answered_at_, asked_at_ + waited));
   if (reachable_) return;
   reachable_ = true;
   reachable_since_ = loop_.timers().now();
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -26,9 +26,17 @@
   std::vector<StoredObject> objects;
 };
 
+// What is known of when an object became what it is.
+struct ChangeBound {
+  MonotonicTime after = kNever;  // It was not yet so then; kNever if unknown.
+  // Nor in the store of this revision. A watch tells of each change; of a whole
+  // list only what the copy was before it is known.
+  uint64_t after_revision = 0;
+};
+
 struct KindWatcherHandlers {
   // One object was created, changed or removed.
-  std::function<void(const StoredObject&)> on_change;
+  std::function<void(const StoredObject&, const ChangeBound&)> on_change;
   // The copy is complete and as new as the store's last answer.
   std::function<void()> on_synced;
   // The store gave an update, which may feed other hosts.
@@ -76,9 +84,11 @@
   bool reachable() const { return reachable_; }
   // When the store last answered since Start; kNever before it does.
   MonotonicTime answered_at() const { return answered_at_; }
-  // A time at which this copy was certainly the newest, by the store's last
-  // answer since Start; kNever before there is one.
+  // A time at which this copy was certainly the newest, by the store's answers
+  // and NoteCurrent; kNever if nothing has shown that yet.
   MonotonicTime current_at() const { return current_at_; }
+  // Another host shows that a copy no newer than this one was the newest.
+  void NoteCurrent(MonotonicTime at);
   uint64_t revision() const { return revision_; }
   // Since when the store answers again after a failure; kNever if it always
   // did.
@@ -91,9 +101,13 @@
   void List();
   void Watch();
   void OnList(Result<ObjectPage> page);
-  void ReplaceAll(const std::vector<StoredObject>& objects);
+  // `after`: see ChangeBound.
+  void ReplaceAll(const std::vector<StoredObject>& objects,
+                  MonotonicTime after);
+  void ApplySteps(const std::vector<StoredObject>& objects,
+                  MonotonicTime after);
   void OnChanges(Result<ObjectChanges> changes);
-  void Apply(const StoredObject& object);
+  void Apply(const StoredObject& object, const ChangeBound& bound);
   void OnFailure(const Error& error);
   void Retry();
   // `waited`: how long the store certainly held the call back.
@@ -110,7 +124,7 @@
   uint64_t content_revision_ = 0;  // Invariant: not above revision_.
   bool paused_ = true;
   MonotonicTime answered_at_ = kNever;
-  MonotonicTime current_at_ = kNever;  // Invariant: not after answered_at_.
+  MonotonicTime current_at_ = kNever;  // Invariant: never goes back.
   MonotonicTime asked_at_ = kNever;    // When the last call was sent.
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -12,6 +12,8 @@
 TEST_GROUP(UpstreamDirectory) {
   UpstreamDirectory directory{milliseconds(2300), milliseconds(1300)};
   MonotonicTime now{seconds(100)};
+  // When the copy of the registry was last shown to be the newest.
+  MonotonicTime shown = now - milliseconds(200);
 
   UpstreamRecord Record(int64_t incarnation = 1, bool draining = false) {
     UpstreamRecord record;
@@ -24,36 +26,37 @@
 };
 
 TEST(UpstreamDirectory, ARepeatedReportChangesNothing) {
-  CHECK(directory.Update(Record(), now));
-  CHECK_FALSE(directory.Update(Record(), now));
+  CHECK(directory.Update(Record(), now, shown));
+  CHECK_FALSE(directory.Update(Record(), now, shown));
 }
 
 TEST(UpstreamDirectory, ADrainingUpstreamServesNoMore) {
-  directory.Update(Record(), now);
+  directory.Update(Record(), now, shown);
   LONGS_EQUAL(1, directory.Serving("yard").size());
-  CHECK(directory.Update(Record(1, true), now));
+  CHECK(directory.Update(Record(1, true), now, shown));
   LONGS_EQUAL(0, directory.Serving("yard").size());
 }
 
 TEST(UpstreamDirectory, ARemovalWhileTheStoreIsWellCountsAtOnce) {
-  directory.Update(Record(), now);
-  CHECK(directory.Remove("u1", now, kNever, true));
+  directory.Update(Record(), now, shown);
+  CHECK(directory.Remove("u1", now, shown, kNever, true));
   CHECK(directory.Find("u1")->standing == UpstreamStanding::kMissing);
 }
 
 TEST(UpstreamDirectory, ALapsedRegistrationMayComeBackAfterAnOutage) {
-  directory.Update(Record(), now);
+  directory.Update(Record(), now, shown);
   const MonotonicTime back_at = now;
-  CHECK_FALSE(directory.Remove("u1", now + milliseconds(10), back_at, true));
+  CHECK_FALSE(
+      directory.Remove("u1", now + milliseconds(10), shown, back_at, true));
   LONGS_EQUAL(1, directory.Serving("yard").size());
-  directory.Update(Record(), now + seconds(1));
+  directory.Update(Record(), now + seconds(1), shown);
   CHECK_FALSE(directory.Advance(now + seconds(10), seconds(60)));
   LONGS_EQUAL(1, directory.Serving("yard").size());
 }
 
 TEST(UpstreamDirectory, ALapsedRegistrationThatStaysAwayIsGone) {
-  directory.Update(Record(), now);
-  directory.Remove("u1", now + milliseconds(10), now, true);
+  directory.Update(Record(), now, shown);
+  directory.Remove("u1", now + milliseconds(10), shown, now, true);
   directory.Advance(now + milliseconds(2200), seconds(60));
   CHECK(directory.Find("u1")->standing == UpstreamStanding::kLapsed);
   CHECK(directory.Advance(now + milliseconds(2400), seconds(60)));
@@ -65,23 +68,23 @@
 // upstream left during the cut. It got requests for the whole grace, which
 // ended later than the host was held to its bounds again.
 TEST(UpstreamDirectory, ALapsedUpstreamGetsRequestsForAShortTimeOnly) {
-  directory.Update(Record(), now);
-  CHECK_FALSE(directory.Remove("u1", now, now, true));
+  directory.Update(Record(), now, shown);
+  CHECK_FALSE(directory.Remove("u1", now, shown, now, true));
   CHECK_FALSE(directory.Advance(now + milliseconds(1200), seconds(60)));
   LONGS_EQUAL(1, directory.Serving("yard").size());
   CHECK(directory.Advance(now + milliseconds(1300), seconds(60)));
   LONGS_EQUAL(0, directory.Serving("yard").size());
   // Its keys stay: it may be back.
   CHECK(directory.Find("u1")->standing == UpstreamStanding::kLapsed);
-  CHECK(directory.Update(Record(), now + milliseconds(1900)));
+  CHECK(directory.Update(Record(), now + milliseconds(1900), shown));
   LONGS_EQUAL(1, directory.Serving("yard").size());
 }
 
 // It has had its grace; a further one would let requests reach it for longer
 // than is allowed.
 TEST(UpstreamDirectory, ALapsedRegistrationThatStaysAwayIsGoneSinceItWent) {
-  directory.Update(Record(), now);
-  directory.Remove("u1", now + milliseconds(10), now, true);
+  directory.Update(Record(), now, shown);
+  directory.Remove("u1", now + milliseconds(10), shown, now, true);
   directory.Advance(now + milliseconds(2400), seconds(60));
   CHECK(directory.Find("u1")->standing == UpstreamStanding::kMissing);
   CHECK(directory.Find("u1")->standing_since == now + milliseconds(10));
@@ -91,66 +94,80 @@
 // that the store had come back; it first reads of an upstream that left during
 // the cut.
 TEST(UpstreamDirectory, AnEarlierReturnOfTheStoreShortensTheGrace) {
-  directory.Update(Record(), now);
-  CHECK_FALSE(directory.Remove("u1", now, now - milliseconds(100), true));
+  directory.Update(Record(), now, shown);
+  CHECK_FALSE(
+      directory.Remove("u1", now, shown, now - milliseconds(100), true));
   directory.OnStoreBack(kNever);
   CHECK(directory.Advance(now + milliseconds(1), seconds(60)));
   CHECK(directory.Find("u1")->standing == UpstreamStanding::kMissing);
 }
 
 TEST(UpstreamDirectory, AnUpstreamThatSaidThatItLeavesStaysLeaving) {
-  directory.Update(Record(), now);
-  CHECK(directory.MarkLeaving("u1", 1, now));
+  directory.Update(Record(), now, shown);
+  CHECK(directory.MarkLeaving("u1", 1, now, shown));
   LONGS_EQUAL(0, directory.Serving("yard").size());
   // Its registration does not say so yet.
-  directory.Update(Record(), now + seconds(1));
+  directory.Update(Record(), now + seconds(1), shown);
   LONGS_EQUAL(0, directory.Serving("yard").size());
   CHECK(directory.Find("u1")->standing_since == now);
-  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(1)));
+  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(1), shown));
 }
 
 TEST(UpstreamDirectory, ANewLifeDoesNotLeaveByTheWordOfTheLast) {
-  directory.Update(Record(1), now);
-  CHECK_FALSE(directory.MarkLeaving("u1", 2, now));
-  CHECK(directory.MarkLeaving("u1", 1, now));
-  directory.Update(Record(2), now + seconds(1));
+  directory.Update(Record(1), now, shown);
+  CHECK_FALSE(directory.MarkLeaving("u1", 2, now, shown));
+  CHECK(directory.MarkLeaving("u1", 1, now, shown));
+  directory.Update(Record(2), now + seconds(1), shown);
   LONGS_EQUAL(1, directory.Serving("yard").size());
-  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(2)));
+  CHECK_FALSE(directory.MarkLeaving("u1", 1, now + seconds(2), shown));
 }
 
 // Each of these was taken for a departure of its own.
 TEST(UpstreamDirectory, ADepartureBeginsOnceHoweverItGoesOn) {
-  directory.Update(Record(), now);
+  directory.Update(Record(), now, shown);
   CHECK(directory.Find("u1")->leaving_since == kNever);
-  CHECK(directory.MarkLeaving("u1", 1, now + seconds(1)));
-  directory.Update(Record(1, true), now + seconds(2));
+  CHECK(directory.MarkLeaving("u1", 1, now + seconds(1), shown));
+  directory.Update(Record(1, true), now + seconds(2), shown);
   CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
-  CHECK(directory.Remove("u1", now + seconds(3), kNever, true));
+  CHECK(directory.Remove("u1", now + seconds(3), shown, kNever, true));
   CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
-  directory.Update(Record(1, true), now + seconds(4));
+  directory.Update(Record(1, true), now + seconds(4), shown);
   CHECK(directory.Find("u1")->leaving_since == now + seconds(1));
 }
 
+// Load pattern: a host hears of a departure long after it was last shown to be
+// up to date.
+TEST(UpstreamDirectory, ADepartureIsAsOldAsTheFirstNewsOfItMayBe) {
+  directory.Update(Record(), now, now);
+  directory.Update(Record(1, true), now + seconds(2), shown);
+  CHECK(directory.Find("u1")->leaving_since == now + seconds(2));
+  CHECK(directory.Find("u1")->left_after == shown);
+  directory.Remove("u1", now + seconds(3), now + seconds(1), kNever, true);
+  CHECK(directory.Find("u1")->left_after == shown);
+  directory.Update(Record(), now + seconds(4), now + seconds(3));
+  CHECK(directory.Find("u1")->left_after == kNever);
+}
+
 TEST(UpstreamDirectory, AnUpstreamThatServesAgainOrAnewDoesNotLeave) {
-  directory.Update(Record(1, true), now);
-  directory.Update(Record(1), now + seconds(1));
+  directory.Update(Record(1, true), now, shown);
+  directory.Update(Record(1), now + seconds(1), shown);
   CHECK(directory.Find("u1")->leaving_since == kNever);
-  directory.Update(Record(1, true), now + seconds(2));
+  directory.Update(Record(1, true), now + seconds(2), shown);
   CHECK(directory.Find("u1")->leaving_since == now + seconds(2));
-  directory.Update(Record(2, true), now + seconds(3));
+  directory.Update(Record(2, true), now + seconds(3), shown);
   CHECK(directory.Find("u1")->leaving_since == now + seconds(3));
 }
 
 TEST(UpstreamDirectory, AnUpstreamIsRememberedFromItsEndNotFromItsNotice) {
-  directory.Update(Record(1, true), now);
-  CHECK(directory.Remove("u1", now + seconds(70), kNever, true));
+  directory.Update(Record(1, true), now, shown);
+  CHECK(directory.Remove("u1", now + seconds(70), shown, kNever, true));
   directory.Advance(now + seconds(71), seconds(60));
   CHECK(directory.Find("u1") != nullptr);
 }
 
 TEST(UpstreamDirectory, AnotherLifeUnderTheSameIdIsAChange) {
-  directory.Update(Record(1), now);
-  CHECK(directory.Update(Record(2), now + seconds(1)));
+  directory.Update(Record(1), now, shown);
+  CHECK(directory.Update(Record(2), now + seconds(1), shown));
   LONGS_EQUAL(2, directory.Find("u1")->record.incarnation);
 }
 
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -18,14 +18,17 @@
                     platform::MakeStoreProtocol(),
                     std::chrono::seconds(1)};
   std::vector<std::string> removed;
-  KindWatcher watcher{loop,
-                      store,
-                      "things",
-                      {},
-                      {[this](const StoredObject& object) {
-                         if (object.deleted) removed.push_back(object.name);
-                       },
-                       nullptr, nullptr, nullptr, nullptr}};
+  ChangeBound last_bound;
+  KindWatcher watcher{
+      loop,
+      store,
+      "things",
+      {},
+      {[this](const StoredObject& object, const ChangeBound& bound) {
+         last_bound = bound;
+         if (object.deleted) removed.push_back(object.name);
+       },
+       nullptr, nullptr, nullptr, nullptr}};
 
   StoredObject Object(const std::string& name, uint64_t revision,
                       bool deleted = false) {
@@ -64,5 +67,29 @@
   LONGS_EQUAL(2, snapshot.objects.size());
 }
 
+// A change is as old as the last proof that the copy was the newest may be.
+TEST(KindWatcher, AChangeIsLaterThanTheLastProof) {
+  const MonotonicTime shown{std::chrono::seconds(100)};
+  watcher.ApplyFed({true, 0, 10, {Object("a", 9)}}, kNever);
+  CHECK(last_bound.after == kNever);
+  watcher.NoteCurrent(shown);
+  watcher.NoteCurrent(shown - std::chrono::seconds(1));
+  watcher.ApplyFed({false, 10, 12, {Object("a", 12)}}, kNever);
+  CHECK(last_bound.after == shown);
+  LONGS_EQUAL(11, last_bound.after_revision);
+}
+
+// What a whole copy shows of an object may have been so before the change that
+// its revision tells of.
+TEST(KindWatcher, AWholeCopyTellsOnlyThatItChangedSinceTheCopyBefore) {
+  watcher.ApplyFed({true, 0, 10, {Object("a", 9)}}, kNever);
+  LONGS_EQUAL(0, last_bound.after_revision);
+  watcher.ApplyFed({true, 0, 20, {Object("a", 18)}}, kNever);
+  LONGS_EQUAL(10, last_bound.after_revision);
+  watcher.ApplyFed({true, 0, 30, {}}, kNever);
+  LONGS_EQUAL(1, removed.size());
+  LONGS_EQUAL(20, last_bound.after_revision);
+}
+
 }  // namespace
 }  // namespace mimosadeal
