Send nothing to a leaving upstream whose time has passed while the connection was awaited

Cause: the choice of an upstream and the sending of the request are apart, and only the first looked at the time.

Exchange.ARequestWhoseTimeToSendHasPassedIsNotSent failed before (the request arrived) and passes now. The request is known not to have run: a keyed one waits for its new owner, as after any connection that was not established.

--- a/source/core/entry/request_flow.cc
+++ b/source/core/entry/request_flow.cc
@@ -232,6 +232,7 @@
       protocol_.write_request(pending.request, pending.give_up_at - now, id);
   request.timeout = pending.give_up_at - now + std::chrono::seconds(1);
   request.await_acceptance = true;
+  request.send_by = UsableUntil(upstream);
   request.unused_connection = again && !pending.idempotent();
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -96,7 +96,8 @@
   std::vector<const ListedUpstream*> SomeOf(
       const std::vector<const ListedUpstream*>& serving);
   void RefuseForRest(Pending& pending, MonotonicTime rest_ends);
-  bool MayUse(const ListedUpstream& upstream) const;
+  // Until when requests may be sent to the upstream.
+  MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
   void Send(Pending& pending, const ListedUpstream& upstream);
   // Logs a request that was sent to an upstream known to leave, as it was
   // listed when this host chose it at `chosen_at`.
--- a/source/core/entry/request_flow_choice.cc
+++ b/source/core/entry/request_flow_choice.cc
@@ -27,17 +27,17 @@
 
 }  // namespace
 
-bool RequestFlow::MayUse(const ListedUpstream& upstream) const {
-  if (upstream.standing == UpstreamStanding::kServing) return true;
-  if (upstream.standing == UpstreamStanding::kLapsed) return false;
-  if (upstream.left_after == kNever) return false;
+MonotonicTime RequestFlow::UsableUntil(const ListedUpstream& upstream) const {
+  if (upstream.standing == UpstreamStanding::kServing) return kForever;
+  const bool unusable = upstream.standing == UpstreamStanding::kLapsed ||
+                        upstream.left_after == kNever;
+  if (unusable) return kNever;
   const auto part_of_drain = [this](double part) {
     return Duration(static_cast<int64_t>(
         static_cast<double>(options_.drain.count()) * part));
   };
-  const MonotonicTime now = loop_.timers().now();
-  return now < upstream.leaving_since + part_of_drain(kDrainShare) &&
-         now < upstream.left_after + part_of_drain(kDrainLimit);
+  return std::min(upstream.leaving_since + part_of_drain(kDrainShare),
+                  upstream.left_after + part_of_drain(kDrainLimit));
 }
 
 const ListedUpstream* RequestFlow::FindOwner(Pending& pending,
@@ -49,7 +49,7 @@
   const ListedUpstream* owner = view_.directory().Find((*range)->owner);
   if (owner == nullptr ||
       owner->record.incarnation != (*range)->owner_incarnation ||
-      !MayUse(*owner)) {
+      loop_.timers().now() >= UsableUntil(*owner)) {
     return nullptr;
   }
   return owner;
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -134,10 +134,21 @@
       took * kAcceptanceRoundTrips + kAcceptanceSlack, kLongestAcceptance);
   acceptance_timer_ = loop_.timers().After(wait, [this] {
     acceptance_timer_ = 0;
-    if (busy() && stream_ != nullptr) SendRequest();
+    if (busy() && stream_ != nullptr) OnAccepted();
   });
 }
 
+void ExchangeClient::OnAccepted() {
+  if (loop_.timers().now() < request_.send_by) {
+    SendRequest();
+    return;
+  }
+  ExchangeResult result;
+  result.failure = ClientFailure::kTimeout;
+  CloseStream();
+  Finish(std::move(result));
+}
+
 void ExchangeClient::OnData(std::string_view bytes) {
   if (!busy()) {
     // Nothing is due, and what comes may have no end.
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -33,6 +33,9 @@
   // a peer that resets the connections above its limit gets no request that may
   // or may not have run.
   bool await_acceptance = false;
+  // Not sent from then on, if the connection was awaited for so long: the
+  // exchange fails with kTimeout, and nothing was written.
+  MonotonicTime send_by = kForever;
   // Not on a connection that was used before: there, a late second copy of an
   // earlier answer to the same request would be taken for this one's.
   bool unused_connection = false;
@@ -104,6 +107,7 @@
   void CloseStream();
   void Discard();
   void SendRequest();
+  void OnAccepted();
   bool RequestWritten() const;
 
   EventLoop& loop_;
--- a/source/unit_tests/net/exchange_test.cc
+++ b/source/unit_tests/net/exchange_test.cc
@@ -381,6 +381,27 @@
   CHECK_FALSE(got.reused);
 }
 
+// The upstream left while the connection was awaited.
+TEST(Exchange, ARequestWhoseTimeToSendHasPassedIsNotSent) {
+  Serve();
+  ExchangeClient client(loop, kAddress, kText);
+  ExchangeResult got;
+  bool done = false;
+  ExchangeRequest request = Ask("a");
+  request.await_acceptance = true;
+  request.send_by = loop.timers().now();
+  client.Start(std::move(request), [&](ExchangeResult result) {
+    got = std::move(result);
+    done = true;
+  });
+  RunUntil([&] { return done || !requests.empty(); });
+  LONGS_EQUAL(0, requests.size());
+  CHECK(done);
+  CHECK(got.failure == ClientFailure::kTimeout);
+  CHECK_FALSE(got.request_written);
+  CHECK(got.sent_at == kNever);
+}
+
 TEST(Exchange, AnAwaitedConnectionCarriesItsRequestAndIsReused) {
   Serve();
   ExchangeClient client(loop, kAddress, kText);
