Log what hosts know of upstreams' limits and what they send to limited upstreams

The header Server-Limit is read, and what a host believes is kept with the upstream's incarnation: upstream.limit tells of each change with its age, request.sent-to-limited and mimosadeal_sent_to_limited_total of each request that goes to such an upstream. By host they tell apart whether limits are unknown, kept by each host alone, or exceeded by late or repeated sends. No decision depends on it yet.

A limit that is no plain decimal number, or stated twice, is logged and changes nothing; news is ordered by when the response was read; a request sent before the limit was stated cannot end it.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -53,6 +53,9 @@
 constexpr Duration kForgetMissingAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
+// Stands in the log for an upstream without a limit.
+constexpr double kNoLimit = -1;
+
 constexpr Duration BatchDelayOf(ViewKind kind) {
   switch (kind) {
     case ViewKind::kConfiguration:
@@ -319,6 +322,22 @@
   return true;
 }
 
+bool DeploymentView::NoteLimit(const std::string& id, int64_t incarnation,
+                               const UpstreamLimit& stated) {
+  const ListedUpstream* listed = directory_.Find(id);
+  const double before = listed == nullptr
+                            ? kNoLimit
+                            : listed->limit.per_second.value_or(kNoLimit);
+  if (!directory_.NoteLimit(id, incarnation, stated)) return false;
+  log_.LogStateChange("upstream.limit",
+                      {{"upstream", id},
+                       {"incarnation", incarnation},
+                       {"per_second", stated.per_second.value_or(kNoLimit)},
+                       {"before", before},
+                       {"age_ms", loop_.timers().now() - stated.stated_at}});
+  return true;
+}
+
 void DeploymentView::OnTable(const StoredObject& object) {
   const RangeTable* existing = table(object.name);
   if (object.deleted ||
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -105,6 +105,11 @@
   // incarnation.
   bool NoteLeaving(const std::string& id, int64_t incarnation);
 
+  // Records what that incarnation of the upstream stated about its limit.
+  // Returns whether the limit that this host knows changed.
+  bool NoteLimit(const std::string& id, int64_t incarnation,
+                 const UpstreamLimit& stated);
+
   // Replaces the service's table with one that this or another host wrote to
   // the store, unless it is older.
   void ApplyTable(RangeTable table);
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -54,7 +54,13 @@
               .Help("Time from hearing that an upstream leaves to a request "
                     "that is sent to it all the same")
               .Register(*registry_)
-              .Add({}, LatencyBuckets())) {
+              .Add({}, LatencyBuckets())),
+      sent_to_limited_(prometheus::BuildCounter()
+                           .Name("mimosadeal_sent_to_limited_total")
+                           .Help("Requests sent to upstreams that have stated "
+                                 "a limit of requests per second")
+                           .Register(*registry_)
+                           .Add({})) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -96,6 +102,8 @@
   sent_to_leaving_seconds_.Observe(ToSeconds(after));
 }
 
+void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -53,6 +53,8 @@
   // A request was sent to an upstream `after` this host learned that it is
   // leaving.
   void ObserveSentToLeaving(Duration after);
+  // A request was sent to an upstream that has stated a limit.
+  void ObserveSentToLimited();
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -66,6 +68,7 @@
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Histogram& sent_to_leaving_seconds_;
+  prometheus::Counter& sent_to_limited_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -209,6 +209,10 @@
                                int64_t incarnation) {
     coordinator_->ReportLeaving(upstream, incarnation);
   };
+  handlers.on_limit = [this](const std::string& upstream, int64_t incarnation,
+                             const UpstreamLimit& stated) {
+    view_->NoteLimit(upstream, incarnation, stated);
+  };
   handlers.on_load = [this](const std::string& service, int key,
                             Duration slot_time) {
     coordinator_->AddLoad(service, key, slot_time);
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -246,6 +246,8 @@
   request.await_acceptance = true;
   request.send_by = UsableUntil(upstream);
   request.require_new_connection = tried_before && !pending.idempotent();
+  if (upstream.limit.per_second.has_value())
+    NoteSentToLimited(pending, upstream);
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
@@ -268,6 +270,19 @@
       });
 }
 
+void RequestForwarder::NoteSentToLimited(const PendingRequest& pending,
+                                         const ListedUpstream& upstream) {
+  metrics_.ObserveSentToLimited();
+  const MonotonicTime now = loop_.timers().now();
+  log_.LogRequest("request.sent-to-limited",
+                  {{"id", pending.request.id},
+                   {"upstream", upstream.record.id},
+                   {"per_second", *upstream.limit.per_second},
+                   {"stated_ms_before", now - upstream.limit.stated_at},
+                   {"age_ms", now - pending.received},
+                   {"sends", pending.sends}});
+}
+
 void RequestForwarder::LogSentToLeaving(const PendingRequest& pending,
                                         const ListedUpstream& upstream,
                                         MonotonicTime chosen_at,
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -27,6 +27,7 @@
 struct ChoiceCandidate;
 struct KeyRange;
 struct ListedUpstream;
+struct UpstreamLimit;
 
 struct RequestForwarderOptions {
   std::string host;
@@ -49,6 +50,10 @@
   // An upstream announced in a response that it is leaving.
   std::function<void(const std::string& upstream, int64_t incarnation)>
       on_leaving;
+  // What an upstream stated about its limit in a response; see UpstreamLimit.
+  std::function<void(const std::string& upstream, int64_t incarnation,
+                     const UpstreamLimit& stated)>
+      on_limit;
   // A request for a key arrived. `slot_time`: the time for which it is expected
   // to occupy one of its owner's slots.
   std::function<void(const std::string& service, int key, Duration slot_time)>
@@ -121,6 +126,13 @@
   void LogSentToLeaving(const PendingRequest& pending,
                         const ListedUpstream& upstream, MonotonicTime chosen_at,
                         const ExchangeResult& result);
+  // Logs a request that is being sent to an upstream with a limit.
+  void NoteSentToLimited(const PendingRequest& pending,
+                         const ListedUpstream& upstream);
+  // Records what a response says about the limit of its upstream.
+  void NoteStatedLimit(const PendingRequest& pending,
+                       const UpstreamRecord& upstream,
+                       const UpstreamResponse& answer);
   // Keeps the request until its key has an owner that may be used, for a
   // bounded time, and refuses it with `reason` after that. Tries again when the
   // view changes, and after `recheck_after` unless that is zero.
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -41,6 +41,7 @@
     log_.LogStateChange("upstream.rests",
                         {{"upstream", upstream.id}, {"rest_ms", *answer.rest}});
   }
+  NoteStatedLimit(pending, upstream, answer);
   if (answer.leaving) handlers_.on_leaving(upstream.id, upstream.incarnation);
   switch (answer.kind) {
     case ResponseKind::kUpstreamResponse:
@@ -62,6 +63,30 @@
   }
 }
 
+// A refusal does not show that the limit has ended, and a misdirected request
+// may have reached another upstream. Neither does the response to a request
+// that was sent before the limit was stated.
+void RequestForwarder::NoteStatedLimit(const PendingRequest& pending,
+                                       const UpstreamRecord& upstream,
+                                       const UpstreamResponse& answer) {
+  const bool ran = answer.kind == ResponseKind::kUpstreamResponse;
+  if (!ran && answer.kind != ResponseKind::kNotRun) return;
+  if (!answer.limit.malformed.empty()) {
+    log_.LogRequest("upstream.limit-malformed",
+                    {{"id", pending.request.id},
+                     {"upstream", upstream.id},
+                     {"limit", answer.limit.malformed}});
+    return;
+  }
+  const ListedUpstream* listed = view_.directory().Find(upstream.id);
+  const bool ended = ran && listed != nullptr &&
+                     listed->limit.per_second.has_value() &&
+                     pending.sent_at > listed->limit.stated_at;
+  if (!answer.limit.per_second.has_value() && !ended) return;
+  handlers_.on_limit(upstream.id, upstream.incarnation,
+                     {answer.limit.per_second, loop_.timers().now()});
+}
+
 void RequestForwarder::OnNotRun(PendingRequest& pending,
                                 const UpstreamResponse& answer) {
   const bool misdirected = answer.kind == ResponseKind::kMisdirected;
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -1,11 +1,22 @@
 #include "fleet/upstream_directory.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mimosadeal {
 
 namespace {
 
+// A limit that differs from the known one by less than this share counts as the
+// same, so that small changes are not reported to all hosts.
+constexpr double kLimitTolerance = 0.1;
+
+bool IsSameLimit(const std::optional<double>& known,
+                 const std::optional<double>& stated) {
+  if (!known.has_value() || !stated.has_value()) return known == stated;
+  return std::abs(*stated - *known) <= kLimitTolerance * *known;
+}
+
 // Records the start of the upstream's departure, unless one is in progress.
 void BeginDeparture(ListedUpstream& listed, MonotonicTime now,
                     MonotonicTime changed_after) {
@@ -27,6 +38,7 @@
   ListedUpstream& listed = upstreams_[record.id];
   if (listed.record.incarnation != record.incarnation) {
     listed.announced_leaving = false;
+    listed.limit = {};
     EndDeparture(listed);
   }
   const auto availability = record.draining || listed.announced_leaving
@@ -70,6 +82,21 @@
   return true;
 }
 
+bool UpstreamDirectory::NoteLimit(const std::string& id, int64_t incarnation,
+                                  const UpstreamLimit& stated) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end() ||
+      found->second.record.incarnation != incarnation ||
+      stated.stated_at <= found->second.limit.stated_at) {
+    return false;
+  }
+  UpstreamLimit& known = found->second.limit;
+  known.stated_at = stated.stated_at;
+  if (IsSameLimit(known.per_second, stated.per_second)) return false;
+  known.per_second = stated.per_second;
+  return true;
+}
+
 bool UpstreamDirectory::Remove(const std::string& id, MonotonicTime now,
                                MonotonicTime changed_after,
                                MonotonicTime store_reachable_since,
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/upstream_limit.h"
 #include "fleet/upstream_record.h"
 
 namespace mimosadeal {
@@ -37,6 +38,7 @@
   // Whether this incarnation announced in a response that it is leaving,
   // regardless of its registration.
   bool announced_leaving = false;
+  UpstreamLimit limit;  // As stated by this incarnation.
 };
 
 class UpstreamDirectory {
@@ -65,6 +67,11 @@
   // it is leaving. Returns whether it served until now.
   bool MarkLeaving(const std::string& id, int64_t incarnation,
                    MonotonicTime now, MonotonicTime changed_after);
+  // Records what this incarnation of the upstream stated about its limit,
+  // unless it is older than what is known. A limit that is close to the known
+  // one counts as the same. Returns whether the known limit changed.
+  bool NoteLimit(const std::string& id, int64_t incarnation,
+                 const UpstreamLimit& stated);
   // Marks upstreams as missing whose registration lapsed longer ago than the
   // grace time, and deletes those that have been missing for longer than
   // `delete_after`. Returns whether an availability changed.
--- a/source/core/forwarding/caller_request.h
+++ b/source/core/forwarding/caller_request.h
@@ -31,6 +31,14 @@
   int slots = 0;
 };
 
+// What a response says about the limit of its upstream; see UpstreamLimit.
+struct StatedLimit {
+  std::optional<double> per_second;  // Unset if it states no limit.
+  // If not empty, the text that could not be read as a limit. The response then
+  // says nothing about it.
+  std::string malformed;
+};
+
 enum class ResponseKind : uint8_t {
   kUpstreamResponse,  // A response of the upstream itself, of any status.
   kNotRun,            // The upstream states that it did not run the request.
@@ -48,6 +56,7 @@
   bool leaving = false;
   // A rest: for this time the upstream asks this host for no requests.
   std::optional<Duration> rest;
+  StatedLimit limit;
 };
 
 }  // namespace mimosadeal
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -175,5 +175,33 @@
   LONGS_EQUAL(2, directory.Find("u1")->record.incarnation);
 }
 
+TEST(UpstreamDirectory, ALimitIsTakenFromTheLatestResponse) {
+  const auto limit = [this] { return directory.Find("u1")->limit.per_second; };
+  directory.Update(Record(), now, current_at);
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {std::nullopt, now}));
+  CHECK(directory.NoteLimit("u1", 1, {1.4, now + seconds(2)}));
+  // A report that was delayed.
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {20, now + seconds(1)}));
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {1.45, now + seconds(3)}));
+  CHECK(limit() == 1.4);
+  CHECK(directory.NoteLimit("u1", 1, {0.7, now + seconds(4)}));
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {1.4, now + seconds(3)}));
+  CHECK(directory.NoteLimit("u1", 1, {std::nullopt, now + seconds(5)}));
+  CHECK_FALSE(limit().has_value());
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {0.7, now + seconds(4)}));
+}
+
+TEST(UpstreamDirectory, ALimitBelongsToOneIncarnation) {
+  directory.Update(Record(1), now, current_at);
+  CHECK_FALSE(directory.NoteLimit("u2", 1, {1.4, now}));
+  CHECK_FALSE(directory.NoteLimit("u1", 2, {1.4, now}));
+  CHECK(directory.NoteLimit("u1", 1, {1.4, now}));
+  directory.Update(Record(1, true), now, current_at);
+  CHECK(directory.Find("u1")->limit.per_second == 1.4);
+  directory.Update(Record(2), now, current_at);
+  CHECK_FALSE(directory.Find("u1")->limit.per_second.has_value());
+  CHECK_FALSE(directory.NoteLimit("u1", 1, {1.4, now + seconds(1)}));
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -2,6 +2,8 @@
 // input.
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
+
 #include "common/ids.h"
 #include "platform/caller_codec.h"
 #include "platform/configuration_codec.h"
@@ -203,6 +205,29 @@
   CHECK_FALSE(rest_of(503, "2", false).has_value());
 }
 
+TEST(PlatformUpstream, ALimitIsReadOnlyFromOneDecimalNumber) {
+  const auto limit_of = [this](std::initializer_list<const char*> values) {
+    HttpResponse response = Response(200);
+    for (const char* value : values)
+      response.headers.push_back({"server-limit", value});
+    return ReadUpstreamResponse(std::move(response)).limit;
+  };
+  CHECK(limit_of({"1.4"}).per_second == 1.4);
+  CHECK(limit_of({"0"}).per_second == 0.0);
+  CHECK(limit_of({"20"}).malformed.empty());
+  CHECK_FALSE(limit_of({}).per_second.has_value());
+  CHECK(limit_of({}).malformed.empty());
+  for (const char* wrong : {"", "-1", "-0", "nan", "inf", "1e999", "1e2", "0x2",
+                            "1.4 ", "1,4", "1.4, 2", "few"}) {
+    CHECK_FALSE(limit_of({wrong}).per_second.has_value());
+    CHECK_FALSE(limit_of({wrong}).malformed.empty());
+  }
+  CHECK_FALSE(limit_of({"1.4", "1.4"}).per_second.has_value());
+  CHECK_FALSE(limit_of({"1.4", "1.4"}).malformed.empty());
+  const std::string endless(10000, '9');
+  CHECK(limit_of({endless.c_str()}).malformed.size() < 100);
+}
+
 TEST(PlatformUpstream, OnlyAnExplicitHeaderOr421MeansNotRun) {
   HttpResponse shed = Response(503);
   shed.headers = {{"x-not-executed", "1"}};
@@ -386,13 +411,18 @@
     HttpResponse answer = Response(random.Below(2) == 0 ? 503 : 200);
     for (const char* header :
          {"x-not-executed: 1", "x-server-load: 3,1,8", "retry-after: 1.5",
-          "server-leaving: 1", "content-encoding: gzip", "x-request-id: 9c41"})
+          "server-leaving: 1", "server-limit: 1.4", "content-encoding: gzip",
+          "x-request-id: 9c41"})
       answer.headers.push_back(MutatedHeader(header, random));
     ReadCommandReply(answer);
     const UpstreamResponse read = ReadUpstreamResponse(std::move(answer));
     if (read.rest.has_value()) {
       CHECK(*read.rest > Duration::zero() && *read.rest <= seconds(60));
     }
+    if (read.limit.per_second.has_value()) {
+      CHECK(std::isfinite(*read.limit.per_second) &&
+            *read.limit.per_second >= 0);
+    }
     HttpRequest request;
     request.method = "GET";
     request.target = Mutate("/a/1?x=%2F", random);
