--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -13,6 +13,16 @@
 constexpr HttpMessageLimits kTextLimits = {16 * 1024, 2 * 1024 * 1024};
 constexpr Duration kIdleTimeout = std::chrono::seconds(10);
 constexpr size_t kMaxQueuedRequests = 8;
+// The platform's rule on limits: from kLimitApplies after the first response
+// that stated it, no more than kLimitFactor times the limit and kLimitSlack
+// requests arrive within kLimitWindow. Requests of hosts that have not returned
+// such a response to a caller do not count, so those that arrive within
+// kLimitUnknown are left out.
+constexpr Duration kLimitApplies = std::chrono::seconds(3);
+constexpr Duration kLimitUnknown = std::chrono::milliseconds(500);
+constexpr Duration kLimitWindow = std::chrono::seconds(4);
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
 
 std::vector<DeploymentUpstream*>& Peers() {
   static std::vector<DeploymentUpstream*> peers;
@@ -86,6 +96,29 @@
               {"born", incarnation_}});
 }
 
+void DeploymentUpstream::StateLimit(const std::string& per_second) {
+  limit_ = per_second;
+  limit_stated_at_ = kNever;
+  arrivals_.clear();
+}
+
+void DeploymentUpstream::CheckLimit() {
+  const MonotonicTime now = loop_.timers().now();
+  if (limit_stated_at_ == kNever || now - limit_stated_at_ < kLimitUnknown)
+    return;
+  arrivals_.push_back(now);
+  while (now - arrivals_.front() > kLimitWindow) arrivals_.pop_front();
+  const double allowed =
+      kLimitFactor * std::stod(limit_) * ToSeconds(kLimitWindow) + kLimitSlack;
+  if (now - limit_stated_at_ < kLimitApplies ||
+      static_cast<double>(arrivals_.size()) <= allowed) {
+    return;
+  }
+  record_.violations.push_back(
+      options_.id + " with a limit of " + limit_ + " per second got " +
+      std::to_string(arrivals_.size()) + " requests within 4 s");
+}
+
 bool DeploymentUpstream::Holds(int key) const {
   const auto after = holds_.upper_bound(key);
   if (server_ == nullptr || after == holds_.begin()) return false;
@@ -103,6 +136,10 @@
       {"x-server-load", std::to_string(running_) + "," +
                             std::to_string(queue_.size()) + "," +
                             std::to_string(options_.slots)});
+  if (!limit_.empty()) {
+    response.headers.push_back({"server-limit", limit_});
+    if (limit_stated_at_ == kNever) limit_stated_at_ = loop_.timers().now();
+  }
   if (faults_.announce_leaving)
     response.headers.push_back({"server-leaving", "1"});
   response.body = std::move(body);
@@ -204,6 +241,7 @@
   const std::string request_id(FindHeader(request.headers, "x-request-id"));
   const int key =
       static_cast<int>(ToNumber(FindHeader(request.headers, "x-shard-key")));
+  CheckLimit();
   if (!faults_.rest_seconds.empty()) {
     ++refused_requests_;
     Respond(id, 503,
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -77,6 +77,9 @@
   DeploymentUpstream(const DeploymentUpstream&) = delete;
   DeploymentUpstream& operator=(const DeploymentUpstream&) = delete;
 
+  // States in each response from now on that all hosts together may send this
+  // many requests per second. An empty text ends the limit.
+  void StateLimit(const std::string& per_second);
   // Registers the upstream in the store with this state.
   void Report(const std::string& state);
   // Returns whether the upstream holds the key now.
@@ -124,6 +127,9 @@
   void CompleteReleases();
   void Respond(ExchangeId id, int status, HttpHeaders headers,
                std::string body = "");
+  // Records the arrival of a caller's request, and a violation if more arrived
+  // than the limit allows.
+  void CheckLimit();
   // Returns whether a request with a key from `first` to `last` is running.
   bool IsRunningKeyIn(int first, int last) const;
 
@@ -144,6 +150,10 @@
   std::deque<QueuedRequest> queue_;
   std::map<ExchangeId, size_t> running_requests_;  // Indices of `runs`.
   std::vector<PendingRelease> pending_releases_;
+  std::string limit_;  // Empty while the upstream states none.
+  // When a response first stated the limit; kNever before.
+  MonotonicTime limit_stated_at_ = kNever;
+  std::deque<MonotonicTime> arrivals_;  // While the limit is stated.
 };
 
 }  // namespace mimosadeal
