Ignore the listed tests instead of removing them

A group whose tests are all listed ran nothing, which CppUTest reports as a failure (EntryLimits, 6 of 6 listed). Ignored tests are counted and printed: EntryLimits 6 ignored, Leaving 1 ignored and 2 run.

--- a/source/test_runner/main.cc
+++ b/source/test_runner/main.cc
@@ -1,4 +1,4 @@
-// Runs the tests of a test program, except those that KNOWN-RED.txt lists.
+// Runs the tests of a test program; those that KNOWN-RED.txt lists are ignored.
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
@@ -7,13 +7,14 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <list>
 #include <set>
 #include <sstream>
 #include <string>
 
 namespace {
 
-// Names the file with the tests to leave out; unset runs every test.
+// Names the file with the tests to ignore; unset runs every test.
 constexpr char kKnownRedVariable[] = "MIMOSADEAL_KNOWN_RED";
 
 // Returns the names ("Group.Name") in the file's lines "test: Group.Name".
@@ -34,21 +35,41 @@
          test.getName().asCharString();
 }
 
-// Removes the tests from the registry.
-void LeaveOut(const std::set<std::string>& names) {
+// An ignored test that stands in for another one. CppUTest keeps pointers to
+// the names, so it is never copied.
+struct IgnoredTest {
+  explicit IgnoredTest(const UtestShell& test)
+      : group(test.getGroup()),
+        name(test.getName()),
+        file(test.getFile()),
+        shell(group.asCharString(), name.asCharString(), file.asCharString(),
+              test.getLineNumber()) {}
+
+  SimpleString group;
+  SimpleString name;
+  SimpleString file;
+  IgnoredUtestShell shell;
+};
+
+// Replaces the tests by ignored ones, which CppUTest counts and prints.
+void Ignore(const std::set<std::string>& names) {
+  static std::list<IgnoredTest> ignored;  // Used until the process exits.
   TestRegistry& registry = *TestRegistry::getCurrentRegistry();
-  UtestShell* kept = nullptr;
-  UtestShell* test = registry.getFirstTest();
-  while (test != nullptr) {
-    UtestShell* next = test->getNext();
-    if (!names.contains(NameOf(*test))) {
-      kept = test;
-    } else if (kept == nullptr) {
-      registry.unDoLastAddTest();
-    } else {
-      kept->addTest(next);
+  UtestShell* before = nullptr;
+  for (UtestShell* test = registry.getFirstTest(); test != nullptr;
+       test = test->getNext()) {
+    if (names.contains(NameOf(*test))) {
+      UtestShell& shell = ignored.emplace_back(*test).shell;
+      shell.addTest(test->getNext());
+      if (before == nullptr) {
+        registry.unDoLastAddTest();
+        registry.addTest(&shell);
+      } else {
+        before->addTest(&shell);
+      }
+      test = &shell;
     }
-    test = next;
+    before = test;
   }
 }
 
@@ -59,6 +80,6 @@
   // as leaks. The sanitizer build detects leaks instead.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   const char* known_red = std::getenv(kKnownRedVariable);
-  if (known_red != nullptr) LeaveOut(ReadKnownRed(known_red));
+  if (known_red != nullptr) Ignore(ReadKnownRed(known_red));
   return CommandLineTestRunner::RunAllTests(argc, argv);
 }
