Keep an upstream's limit for all hosts together: one host gives permits for its requests

Cause: no host read the limit. Class: a bound on an upstream that holds for all hosts in sum, where each host counts only its own requests. Reading it alone would not do: with a part of the limit for each host, n hosts may send n requests at once.

Now the holder of the lease on the upstream's zone gives permits at the rate of the limit; without one, nothing is sent. A successor begins without saved permits; a holder that the store does not confirm gives half. Waiters are served by rank with a share for each, refused at once if they cannot be served in time, and told to come back one permit apart.

--- a/source/core/balance/upstream_load.h
+++ b/source/core/balance/upstream_load.h
@@ -22,6 +22,8 @@
   int connect_failures = 0;
   // End of a rest: the upstream asked this host for no requests before it.
   MonotonicTime rest_until = kNever;
+  // No permit to send it a request is available to this host before this time.
+  MonotonicTime limited_until = kNever;
 };
 
 // Records a load report that an upstream sent with a response.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -60,7 +60,12 @@
                            .Help("Requests sent to upstreams that have stated "
                                  "a limit of requests per second")
                            .Register(*registry_)
-                           .Add({})) {
+                           .Add({})),
+      permits_(prometheus::BuildCounter()
+                   .Name("mimosadeal_permits_total")
+                   .Help("Permits for requests to upstreams with a limit, by "
+                         "outcome")
+                   .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -104,6 +109,10 @@
 
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
+void EntryMetrics::ObservePermit(std::string_view outcome) {
+  permits_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -55,6 +55,9 @@
   void ObserveSentToLeaving(Duration after);
   // A request was sent to an upstream that has stated a limit.
   void ObserveSentToLimited();
+  // A permit for such a request was given or refused; see
+  // RequestForwarder::OnPermit.
+  void ObservePermit(std::string_view outcome);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -69,6 +72,7 @@
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Histogram& sent_to_leaving_seconds_;
   prometheus::Counter& sent_to_limited_;
+  prometheus::Family<prometheus::Counter>& permits_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -211,7 +211,12 @@
   };
   handlers.on_limit = [this](const std::string& upstream, int64_t incarnation,
                              const UpstreamLimit& stated) {
-    view_->NoteLimit(upstream, incarnation, stated);
+    coordinator_->ReportLimit(upstream, incarnation, stated);
+  };
+  handlers.ask_for_permit = [this](const ListedUpstream& upstream, int rank,
+                                   Duration wait,
+                                   PermitBroker::Callback callback) {
+    coordinator_->AskForPermit(upstream, rank, wait, std::move(callback));
   };
   handlers.on_load = [this](const std::string& service, int key,
                             Duration slot_time) {
--- /dev/null
+++ b/source/core/entry/permit_broker.cc
@@ -0,0 +1,244 @@
+#include "entry/permit_broker.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "common/event_log.h"
+#include "entry/deployment_view.h"
+#include "entry/limit_statement.h"
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+namespace {
+
+// A datagram and its reply take 4 ms to any zone; a lost one is sent again.
+constexpr Duration kResendInterval = std::chrono::milliseconds(100);
+// For the reply to a request that waited for a permit as long as it may.
+constexpr Duration kReplyTime = std::chrono::milliseconds(100);
+// When it is worth asking again if no host gives permits. A zone gets a new
+// lease holder within 3.5 s.
+constexpr Duration kRetryWithoutGiver = std::chrono::milliseconds(1000);
+// From an asker by its lease holder to the upstream's, and one more while a
+// lease changes hands.
+constexpr uint32_t kMaxHops = 3;
+
+}  // namespace
+
+PermitBroker::PermitBroker(EventLoop& loop, const DeploymentView& view,
+                           EventLog& log, std::string address,
+                           PermitBrokerHandlers handlers)
+    : loop_(loop),
+      view_(view),
+      log_(log),
+      address_(std::move(address)),
+      handlers_(std::move(handlers)),
+      next_id_(Random(SystemSeed()).Next()) {}
+
+PermitBroker::~PermitBroker() {
+  for (const auto& [id, ask] : asks_) loop_.timers().Cancel(ask.timer);
+  for (const auto& [upstream, state] : given_)
+    loop_.timers().Cancel(state.timer);
+}
+
+const UpstreamLimit* PermitBroker::LimitOf(const UpstreamKey& upstream) const {
+  const ListedUpstream* listed = view_.directory().Find(upstream.first);
+  if (listed == nullptr || listed->record.incarnation != upstream.second)
+    return nullptr;
+  return &listed->limit;
+}
+
+void PermitBroker::Ask(const ListedUpstream& upstream, int rank, Duration wait,
+                       Callback callback) {
+  const MonotonicTime now = loop_.timers().now();
+  const uint64_t id = next_id_++;
+  PendingAsk& ask = asks_[id];
+  ask.request.id = id;
+  ask.request.address = address_;
+  ask.request.upstream = upstream.record.id;
+  ask.request.incarnation = upstream.record.incarnation;
+  ask.request.zone = upstream.record.zone;
+  ask.request.rank = rank;
+  ask.limit = upstream.limit;
+  ask.give_up_at = now + wait + kReplyTime;
+  ask.callback = std::move(callback);
+  loop_.Post([this, id] { SendAsk(id); });
+}
+
+void PermitBroker::SendAsk(uint64_t id) {
+  const auto found = asks_.find(id);
+  if (found == asks_.end()) return;
+  PendingAsk& ask = found->second;
+  const MonotonicTime now = loop_.timers().now();
+  const PermitGiver giver = handlers_.find_giver(ask.request.zone);
+  if (now >= ask.give_up_at || (!giver.is_self && giver.address.empty())) {
+    Complete(id, {false, false, kRetryWithoutGiver});
+    return;
+  }
+  PermitRequest request = ask.request;
+  request.wait_ms = static_cast<uint32_t>(
+      std::max<int64_t>(0, ToMilliseconds(ask.give_up_at - kReplyTime - now)));
+  request.limit = ToStatement(ask.limit, now);
+  ask.timer =
+      loop_.timers().After(std::min(kResendInterval, ask.give_up_at - now),
+                           [this, id] { SendAsk(id); });
+  if (giver.is_self) {
+    Decide(request, giver);
+  } else {
+    handlers_.send_request(giver.address, request);
+  }
+}
+
+void PermitBroker::Complete(uint64_t id, const PermitDecision& decision) {
+  const auto found = asks_.find(id);
+  if (found == asks_.end()) return;
+  loop_.timers().Cancel(found->second.timer);
+  const Callback callback = std::move(found->second.callback);
+  asks_.erase(found);
+  callback(decision);
+}
+
+void PermitBroker::OnReply(const PermitReply& reply) {
+  const auto found = asks_.find(reply.id);
+  if (found == asks_.end()) return;
+  const PermitRequest& request = found->second.request;
+  const auto limit = FromStatement(reply.limit, loop_.timers().now());
+  if (limit.has_value())
+    handlers_.on_limit(request.upstream, request.incarnation, *limit);
+  Complete(reply.id, {reply.granted, true,
+                      std::chrono::milliseconds(reply.retry_after_ms)});
+}
+
+void PermitBroker::OnRequest(const PermitRequest& request) {
+  const PermitGiver giver = handlers_.find_giver(request.zone);
+  const auto limit = FromStatement(request.limit, loop_.timers().now());
+  if (limit.has_value())
+    handlers_.on_limit(request.upstream, request.incarnation, *limit);
+  if (giver.is_self) {
+    Decide(request, giver);
+    return;
+  }
+  if (giver.address.empty() || request.hops + 1 >= kMaxHops) {
+    Reply({request.upstream, request.incarnation},
+          {request.address, request.id}, false, kRetryWithoutGiver);
+    return;
+  }
+  PermitRequest forwarded = request;
+  ++forwarded.hops;
+  handlers_.send_request(giver.address, forwarded);
+}
+
+void PermitBroker::Decide(const PermitRequest& request,
+                          const PermitGiver& giver) {
+  const UpstreamKey upstream{request.upstream, request.incarnation};
+  const Asker asker{request.address, request.id};
+  const UpstreamLimit* limit = LimitOf(upstream);
+  if (limit == nullptr) {
+    Reply(upstream, asker, false, kRetryWithoutGiver);
+    return;
+  }
+  if (!limit->per_second.has_value()) {
+    Reply(upstream, asker, true, Duration::zero());
+    return;
+  }
+  const MonotonicTime now = loop_.timers().now();
+  GiverState& state = StateFor(request, giver, *limit->per_second);
+  const bool waits = std::any_of(
+      state.askers.begin(), state.askers.end(), [&asker](const auto& entry) {
+        return entry.second.address == asker.address &&
+               entry.second.id == asker.id;
+      });
+  if (!waits) {
+    const uint64_t ticket = next_ticket_++;
+    state.askers[ticket] = asker;
+    AddWaiter(state.queue, {ticket, request.rank,
+                            now + std::chrono::milliseconds(request.wait_ms)});
+  }
+  Serve(upstream);
+}
+
+PermitBroker::GiverState& PermitBroker::StateFor(const PermitRequest& request,
+                                                 const PermitGiver& giver,
+                                                 double limit) {
+  const UpstreamKey upstream{request.upstream, request.incarnation};
+  const auto found = given_.find(upstream);
+  if (found != given_.end() && found->second.term == giver.term)
+    return found->second;
+  if (found != given_.end()) StopGiving(upstream);
+  RemoveUnlimited();
+  log_.LogStateChange("permits.giver", {{"upstream", request.upstream},
+                                        {"incarnation", request.incarnation},
+                                        {"zone", request.zone},
+                                        {"term", giver.term},
+                                        {"per_second", limit},
+                                        {"share", giver.share}});
+  GiverState& state = given_[upstream];
+  state.zone = request.zone;
+  state.term = giver.term;
+  return state;
+}
+
+void PermitBroker::Serve(const UpstreamKey& upstream) {
+  const auto found = given_.find(upstream);
+  if (found == given_.end()) return;
+  const UpstreamLimit* limit = LimitOf(upstream);
+  const PermitGiver giver = handlers_.find_giver(found->second.zone);
+  if (!giver.is_self || giver.term != found->second.term || limit == nullptr ||
+      !limit->per_second.has_value()) {
+    StopGiving(upstream);
+    return;
+  }
+  GiverState& state = found->second;
+  const MonotonicTime now = loop_.timers().now();
+  SetRate(state.queue, *limit->per_second * giver.share, now);
+  for (const PermitOutcome& outcome : TakeOutcomes(state.queue, now)) {
+    const auto asker = state.askers.extract(outcome.ticket);
+    Reply(upstream, asker.mapped(), outcome.granted, outcome.retry_after);
+  }
+  loop_.timers().Cancel(state.timer);
+  state.timer = 0;
+  const MonotonicTime next = NextPermitAt(state.queue);
+  if (next != kForever) {
+    state.timer = loop_.timers().After(std::max(Duration::zero(), next - now),
+                                       [this, upstream] { Serve(upstream); });
+  }
+}
+
+void PermitBroker::StopGiving(const UpstreamKey& upstream) {
+  auto node = given_.extract(upstream);
+  if (node.empty()) return;
+  loop_.timers().Cancel(node.mapped().timer);
+  log_.LogStateChange(
+      "permits.not-giver",
+      {{"upstream", upstream.first},
+       {"incarnation", upstream.second},
+       {"waiting", static_cast<uint64_t>(node.mapped().askers.size())}});
+  for (const auto& [ticket, asker] : node.mapped().askers)
+    Reply(upstream, asker, false, kRetryWithoutGiver);
+}
+
+void PermitBroker::RemoveUnlimited() {
+  std::vector<UpstreamKey> unlimited;
+  for (const auto& [upstream, state] : given_) {
+    const UpstreamLimit* limit = LimitOf(upstream);
+    if (limit == nullptr || !limit->per_second.has_value())
+      unlimited.push_back(upstream);
+  }
+  for (const UpstreamKey& upstream : unlimited) StopGiving(upstream);
+}
+
+void PermitBroker::Reply(const UpstreamKey& upstream, const Asker& asker,
+                         bool granted, Duration retry_after) {
+  PermitReply reply;
+  reply.id = asker.id;
+  reply.granted = granted;
+  reply.retry_after_ms = static_cast<uint32_t>(ToMilliseconds(retry_after));
+  const UpstreamLimit* limit = LimitOf(upstream);
+  if (limit != nullptr) reply.limit = ToStatement(*limit, loop_.timers().now());
+  if (asker.address != address_) {
+    handlers_.send_reply(asker.address, reply);
+    return;
+  }
+  loop_.Post([this, reply] { OnReply(reply); });
+}
+
+}  // namespace mimosadeal
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -20,8 +20,6 @@
 // long enough for a planned move of the key, short enough for the caller to
 // retry in time.
 constexpr int kOwnerWaitDivisor = 3;
-// A request with less time left is not sent: no upstream could respond in time.
-constexpr Duration kMinTimeToSend = std::chrono::milliseconds(5);
 // Calls in flight at all upstreams. Each uses a connection, and the number of
 // descriptors reserved for them is limited.
 constexpr size_t kMaxCallsInFlight = 500;
@@ -172,7 +170,11 @@
     }
     const UpstreamLoad& load = pool_.LoadOf(upstream->record);
     if (load.rest_until > now) {
-      RefuseForRest(pending, load.rest_until);
+      RefuseUntil(pending, {load.rest_until, RefusalReason::kResting});
+      return;
+    }
+    if (upstream->limit.per_second.has_value() && load.limited_until > now) {
+      RefuseUntil(pending, {load.limited_until, RefusalReason::kLimited});
       return;
     }
     if (load.connect_backoff_until > now) {
@@ -181,10 +183,11 @@
       return;
     }
   } else {
-    MonotonicTime rest_ends = kForever;
-    upstream = FindBestUpstream(pending, rest_ends);
-    if (upstream == nullptr && rest_ends != kForever) {
-      RefuseForRest(pending, rest_ends);
+    NextChance next;
+    upstream = FindPermitted(pending);
+    if (upstream == nullptr) upstream = FindBestUpstream(pending, next);
+    if (upstream == nullptr && next.at != kForever) {
+      RefuseUntil(pending, next);
       return;
     }
     if (upstream == nullptr) {
@@ -208,6 +211,10 @@
     Refuse(pending, RefusalReason::kOverloaded, wait);
     return;
   }
+  if (!HasPermit(pending, *upstream)) {
+    AskForPermit(pending, *upstream);
+    return;
+  }
   if (pending.sends > 0 && !SpendOnRetry(retry_budgets_[pending.service->name],
                                          options_.retry_policy, now)) {
     Refuse(pending, RefusalReason::kNotExecuted, kRetryAfterNoOwner);
@@ -216,15 +223,14 @@
   Send(pending, *upstream);
 }
 
-void RequestForwarder::RefuseForRest(PendingRequest& pending,
-                                     MonotonicTime rest_ends) {
+void RequestForwarder::RefuseUntil(PendingRequest& pending,
+                                   const NextChance& next) {
   const double spread = 1 + kRetryAfterSpread * random_.Unit();
-  const Duration rest = rest_ends - loop_.timers().now();
-  // May be longer than callers honour: a retry before the end of the rest would
-  // be refused again.
+  const Duration rest = next.at - loop_.timers().now();
+  // May be longer than callers honour: an earlier retry would be refused again.
   pending.retry_after = Duration(
       static_cast<int64_t>(static_cast<double>(rest.count()) * spread));
-  Refuse(pending, RefusalReason::kResting);
+  Refuse(pending, next.reason);
 }
 
 void RequestForwarder::Send(PendingRequest& pending,
@@ -245,6 +251,9 @@
   request.timeout = pending.give_up_at - now + std::chrono::seconds(1);
   request.await_acceptance = true;
   request.send_by = UsableUntil(upstream);
+  if (pending.permit.has_value())
+    request.send_by = std::min(request.send_by, pending.permit->valid_until);
+  pending.permit.reset();
   request.require_new_connection = tried_before && !pending.idempotent();
   if (upstream.limit.per_second.has_value())
     NoteSentToLimited(pending, upstream);
@@ -336,12 +345,14 @@
 void RequestForwarder::OnViewChanged() {
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
-    if (pending->waiting) waiting.push_back(exchange);
+    if (pending->waiting || WaitsForFormerOwner(*pending))
+      waiting.push_back(exchange);
   }
   for (const ExchangeId exchange : waiting) {
     const auto found = pending_.find(exchange);
-    if (found != pending_.end() && found->second->waiting)
-      TrySend(*found->second);
+    if (found == pending_.end()) continue;
+    found->second->permit_asked_for.clear();
+    TrySend(*found->second);
   }
 }
 
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -27,6 +27,8 @@
 struct ChoiceCandidate;
 struct KeyRange;
 struct ListedUpstream;
+struct NextChance;
+struct PermitDecision;
 struct UpstreamLimit;
 
 struct RequestForwarderOptions {
@@ -54,6 +56,11 @@
   std::function<void(const std::string& upstream, int64_t incarnation,
                      const UpstreamLimit& stated)>
       on_limit;
+  // Asks for a permit to send one request of this rank to an upstream with a
+  // limit; see PermitBroker::Ask.
+  std::function<void(const ListedUpstream& upstream, int rank, Duration wait,
+                     std::function<void(const PermitDecision&)>)>
+      ask_for_permit;
   // A request for a key arrived. `slot_time`: the time for which it is expected
   // to occupy one of its owner's slots.
   std::function<void(const std::string& service, int key, Duration slot_time)>
@@ -98,25 +105,40 @@
   const ListedUpstream* FindOwner(PendingRequest& pending,
                                   const KeyRange** range);
   // Returns the upstream of an unkeyed service that is expected to respond
-  // soonest, or null when none may be used. `rest_ends`: set to the earliest
-  // end of a rest among the upstreams that are excluded only for their rest, or
-  // kForever.
+  // soonest, or null when none may be used. `next`: set to when the first of
+  // the upstreams may be used that are excluded only for a rest or their limit.
   const ListedUpstream* FindBestUpstream(const PendingRequest& pending,
-                                         MonotonicTime& rest_ends);
+                                         NextChance& next);
   // Adds those of `upstreams` that may be used now; see FindBestUpstream for
-  // `rest_ends`.
+  // `next`.
   void AddCandidates(const PendingRequest& pending,
                      const std::vector<const ListedUpstream*>& upstreams,
                      std::vector<ChoiceCandidate>& candidates,
-                     MonotonicTime& rest_ends);
+                     NextChance& next);
   // Returns the service's upstreams that this host prefers; cached.
   const std::vector<const ListedUpstream*>& PreferredFor(
       const std::string& service);
   // Returns at most kMaxCandidates upstreams, spread evenly over `serving`.
   std::vector<const ListedUpstream*> SampleUpstreams(
       const std::vector<const ListedUpstream*>& serving);
-  // Refuses the request because every upstream that could serve it rests.
-  void RefuseForRest(PendingRequest& pending, MonotonicTime rest_ends);
+  // Refuses the request because every upstream that could serve it rests or is
+  // at its limit.
+  void RefuseUntil(PendingRequest& pending, const NextChance& next);
+  // Returns the upstream of an unkeyed service that the request has a permit
+  // for, or null.
+  const ListedUpstream* FindPermitted(const PendingRequest& pending) const;
+  // Whether the request may be sent to the upstream now, as far as its limit is
+  // concerned.
+  bool HasPermit(const PendingRequest& pending,
+                 const ListedUpstream& upstream) const;
+  // Keeps the request until it has a permit for the upstream, for a bounded
+  // time.
+  void AskForPermit(PendingRequest& pending, const ListedUpstream& upstream);
+  void OnPermit(ExchangeId exchange, const UpstreamRecord& upstream,
+                const PermitDecision& decision);
+  // Whether the request waits for a permit for an upstream that does not own
+  // its key any more.
+  bool WaitsForFormerOwner(PendingRequest& pending);
   // Returns the time until which requests may be sent to the upstream; kForever
   // while it serves.
   MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -103,7 +103,8 @@
       return;
     }
     if (answer.rest.has_value()) {
-      RefuseForRest(pending, loop_.timers().now() + *answer.rest);
+      RefuseUntil(pending, {loop_.timers().now() + *answer.rest,
+                            RefusalReason::kResting});
       return;
     }
     const ListedUpstream* owner = view_.directory().Find(pending.tried.back());
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -27,6 +27,10 @@
 constexpr double kDrainShareSinceLearned = 0.4;
 constexpr double kDrainShareSinceLeft = 0.8;
 
+NextChance Sooner(const NextChance& left, const NextChance& right) {
+  return right.at < left.at ? right : left;
+}
+
 }  // namespace
 
 MonotonicTime RequestForwarder::UsableUntil(
@@ -87,7 +91,7 @@
 void RequestForwarder::AddCandidates(
     const PendingRequest& pending,
     const std::vector<const ListedUpstream*>& upstreams,
-    std::vector<ChoiceCandidate>& candidates, MonotonicTime& rest_ends) {
+    std::vector<ChoiceCandidate>& candidates, NextChance& next) {
   const MonotonicTime now = loop_.timers().now();
   for (const ListedUpstream* listed : upstreams) {
     const UpstreamRecord& record = listed->record;
@@ -98,7 +102,11 @@
     const UpstreamLoad& load = pool_.LoadOf(record);
     if (load.connect_backoff_until > now) continue;
     if (load.rest_until > now) {
-      rest_ends = std::min(rest_ends, load.rest_until);
+      next = Sooner(next, {load.rest_until, RefusalReason::kResting});
+      continue;
+    }
+    if (listed->limit.per_second.has_value() && load.limited_until > now) {
+      next = Sooner(next, {load.limited_until, RefusalReason::kLimited});
       continue;
     }
     candidates.push_back(
@@ -108,12 +116,10 @@
 }
 
 const ListedUpstream* RequestForwarder::FindBestUpstream(
-    const PendingRequest& pending, MonotonicTime& rest_ends) {
+    const PendingRequest& pending, NextChance& next) {
   const MonotonicTime now = loop_.timers().now();
-  rest_ends = kForever;
   std::vector<ChoiceCandidate> candidates;
-  AddCandidates(pending, PreferredFor(pending.service->name), candidates,
-                rest_ends);
+  AddCandidates(pending, PreferredFor(pending.service->name), candidates, next);
   const auto choose = [&] {
     return ChooseUpstream(candidates, kZonePreference, random_.Next(), now);
   };
@@ -124,7 +130,7 @@
     AddCandidates(pending,
                   SampleUpstreams(view_.directory().ServingUpstreams(
                       pending.service->name)),
-                  candidates, rest_ends);
+                  candidates, next);
     chosen = choose();
   }
   if (chosen < 0) return nullptr;
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,12 +11,28 @@
 
 namespace mimosadeal {
 
+// A request with less time left is not sent: no upstream could respond in time.
+inline constexpr Duration kMinTimeToSend = std::chrono::milliseconds(5);
 // A planned move of a key takes 0.2 to 0.5 s.
 inline constexpr Duration kRetryAfterNoOwner = std::chrono::milliseconds(400);
 // Delay before a request for a key is retried whose owner does not hold the key
 // yet, or did not accept a connection.
 inline constexpr Duration kOwnerRecheckDelay = std::chrono::milliseconds(60);
 
+// When, and why not before, one of the upstreams that could serve a request may
+// be used; kForever if none of them is excluded only for a time.
+struct NextChance {
+  MonotonicTime at = kForever;
+  RefusalReason reason = RefusalReason::kNone;
+};
+
+// Allows one request to one incarnation of an upstream.
+struct SendPermit {
+  std::string upstream;
+  int64_t incarnation = 0;
+  MonotonicTime valid_until = kNever;
+};
+
 struct RequestForwarder::PendingRequest {
   ExchangeId exchange = 0;
   CallerRequest request;
@@ -36,6 +53,11 @@
   int sends = 0;
   // Sent to the caller without jitter; zero uses the refusal's own value.
   Duration retry_after{};
+  // End of the wait for permits; kNever until the first is asked for.
+  MonotonicTime permit_wait_until = kNever;
+  // Upstream that a permit is asked for; empty while none is.
+  std::string permit_asked_for;
+  std::optional<SendPermit> permit;
   PoolCallId call = 0;  // 0 while none is in flight.
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -105,6 +105,7 @@
                                            std::move(transport_handlers)));
   self->transport_ = std::move(made);
   self->started_at_ = loop.timers().now();
+  self->MakePermitBroker();
   self->AddZone(self->options_.zone, true);
   view.SetUpdateHandler([self](ViewKind kind, const KindUpdate& update) {
     self->OnStoreUpdate(kind, update);
@@ -203,6 +204,7 @@
     if (zones_.contains(options_.zone) && home().lease->active()) return;
     for (auto& [name, zone] : zones_) {
       if (zone->home) continue;
+      former_holders_[name] = zone->lease->lease().address;
       zone->lease->Resign();
       retired_zones_.emplace_back(loop_.timers().now(), std::move(zone));
     }
@@ -246,6 +248,15 @@
     case MessageType::kLeavingReport:
       decode_and_handle(LeavingReport{}, &ZoneCoordinator::OnLeavingReport);
       return;
+    case MessageType::kLimitReport:
+      decode_and_handle(LimitReport{}, &ZoneCoordinator::OnLimitReport);
+      return;
+    case MessageType::kPermitRequest:
+      decode_and_handle(PermitRequest{}, &ZoneCoordinator::OnPermitRequest);
+      return;
+    case MessageType::kPermitReply:
+      decode_and_handle(PermitReply{}, &ZoneCoordinator::OnPermitReply);
+      return;
     case MessageType::kLoadReport:
       decode_and_handle(LoadReport{}, &ZoneCoordinator::OnLoadReport);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -17,6 +17,7 @@
 
 #include "common/boot_clock.h"
 #include "entry/deployment_view.h"
+#include "entry/permit_broker.h"
 #include "forwarding/deployment_protocol.h"
 #include "inner/inner_transport.h"
 #include "inner/load_reports.h"
@@ -105,6 +106,14 @@
   void ReportCrash(uint64_t fingerprint, const std::string& upstream_life);
   // Reports to the other hosts that an upstream announced that it is leaving.
   void ReportLeaving(const std::string& upstream, int64_t incarnation);
+  // Records what an upstream stated about its limit, and reports a change to
+  // the other hosts.
+  void ReportLimit(const std::string& upstream, int64_t incarnation,
+                   const UpstreamLimit& stated);
+  // Asks for a permit to send one request to an upstream with a limit; see
+  // PermitBroker::Ask.
+  void AskForPermit(const ListedUpstream& upstream, int rank, Duration wait,
+                    PermitBroker::Callback callback);
   // Gives up all leases permanently, as at a planned stop.
   void Resign();
   int leases_held() const;
@@ -159,6 +168,19 @@
   // Sends the report to the followers and the other zones, as far as its scope
   // allows.
   void Forward(LeavingReport report);
+  void OnLimitReport(const LimitReport& report);
+  // Sends what this host knows of the upstream's limit to the followers and the
+  // other zones, as far as `scope` allows.
+  void ForwardLimit(const std::string& upstream, ReportScope scope);
+  // Sends all limits that this host knows to a new follower.
+  void SendLimits(const std::string& address);
+  LimitReport MakeLimitReport(const ListedUpstream& upstream,
+                              ReportScope scope) const;
+  void OnPermitRequest(const PermitRequest& request);
+  void OnPermitReply(const PermitReply& reply);
+  // Returns the host that gives permits for the upstreams of the zone.
+  PermitGiver FindPermitGiver(const std::string& zone) const;
+  void MakePermitBroker();
   void OnLoadReport(const LoadReport& report);
   void ShareLoad();
   void ApplySpeeds();
@@ -177,7 +199,10 @@
   ZoneCoordinatorOptions options_;
   ZoneCoordinatorHandlers handlers_;
   std::unique_ptr<InnerTransport> transport_;
+  std::unique_ptr<PermitBroker> permits_;
   std::map<std::string, std::unique_ptr<Zone>> zones_;
+  // Inner addresses of the holders of zones that this host no longer monitors.
+  std::map<std::string, std::string> former_holders_;
   // Zones that this host no longer monitors, and since when. They are kept
   // because callbacks of pending calls to the store and to upstreams refer to
   // them.
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -232,6 +232,7 @@
   if (zone != zones_.end()) status = zone->second->lease->OnHello(hello);
   const bool wants_feed = hello.zone == options_.zone && hello.home &&
                           hello.revisions.size() == kViewKinds;
+  const bool is_new = wants_feed && !follower.wants_feed;
   follower.wants_feed = wants_feed;
   status.replicating = wants_feed && CanFeed();
   if (status.replicating) DescribeFeed(hello, status);
@@ -260,6 +261,9 @@
     transport_->Send(transport_->ConnectionTo(hello.address),
                      MakeUpdate(view_kind, view_.Snapshot(view_kind)));
   }
+  // Limits refer to registered upstreams, so they follow the registry.
+  const auto registry = static_cast<size_t>(ViewKind::kRegistry);
+  if (is_new || decision.send_full.at(registry)) SendLimits(hello.address);
 }
 
 void ZoneCoordinator::DescribeFeed(const ZoneHello& hello,
--- /dev/null
+++ b/source/core/entry/zone_coordinator_limits.cc
@@ -0,0 +1,142 @@
+// The part of ZoneCoordinator that keeps the limits of upstreams for all hosts
+// together: it spreads what upstreams state, and finds the host that gives the
+// permits.
+
+#include <utility>
+
+#include "entry/deployment_view.h"
+#include "entry/lease_manager.h"
+#include "entry/limit_statement.h"
+#include "entry/zone_coordinator.h"
+#include "entry/zone_coordinator_state.h"
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+namespace {
+
+// Part of a limit that a holder gives while its lease is not confirmed. A
+// successor gives the whole limit, and upstreams tolerate 1.5 times their
+// limit.
+constexpr double kUnconfirmedShare = 0.5;
+
+}  // namespace
+
+void ZoneCoordinator::MakePermitBroker() {
+  PermitBrokerHandlers handlers;
+  handlers.find_giver = [this](const std::string& zone) {
+    return FindPermitGiver(zone);
+  };
+  handlers.send_request = [this](const std::string& address,
+                                 const PermitRequest& request) {
+    transport_->SendDatagram(address, request);
+  };
+  handlers.send_reply = [this](const std::string& address,
+                               const PermitReply& reply) {
+    transport_->SendDatagram(address, reply);
+  };
+  handlers.on_limit = [this](const std::string& upstream, int64_t incarnation,
+                             const UpstreamLimit& stated) {
+    ReportLimit(upstream, incarnation, stated);
+  };
+  permits_ = std::make_unique<PermitBroker>(
+      loop_, view_, log_, options_.inner_address, std::move(handlers));
+}
+
+void ZoneCoordinator::AskForPermit(const ListedUpstream& upstream, int rank,
+                                   Duration wait,
+                                   PermitBroker::Callback callback) {
+  permits_->Ask(upstream, rank, wait, std::move(callback));
+}
+
+void ZoneCoordinator::OnPermitRequest(const PermitRequest& request) {
+  permits_->OnRequest(request);
+}
+
+void ZoneCoordinator::OnPermitReply(const PermitReply& reply) {
+  permits_->OnReply(reply);
+}
+
+PermitGiver ZoneCoordinator::FindPermitGiver(const std::string& name) const {
+  PermitGiver giver;
+  const auto zone = zones_.find(name);
+  const ZoneLease& home_lease = home().lease->lease();
+  if (zone != zones_.end()) {
+    const LeaseManager& manager = *zone->second->lease;
+    const ZoneLease& lease = manager.lease();
+    const bool unconfirmed =
+        zone->second->home && !resigned_ && lease.process == options_.process;
+    giver.is_self = manager.active() || unconfirmed;
+    giver.share = manager.active() ? 1 : kUnconfirmedShare;
+    giver.term = lease.term;
+    giver.address = lease.address;
+  } else if (home_lease.process != options_.process) {
+    giver.address = home_lease.address;
+  } else if (const auto former = former_holders_.find(name);
+             former != former_holders_.end()) {
+    giver.address = former->second;
+  }
+  // The lease may name an earlier process of this host.
+  if (giver.address == options_.inner_address) giver.address.clear();
+  return giver;
+}
+
+void ZoneCoordinator::ReportLimit(const std::string& upstream,
+                                  int64_t incarnation,
+                                  const UpstreamLimit& stated) {
+  if (!view_.NoteLimit(upstream, incarnation, stated)) return;
+  if (home().lease->active()) {
+    ForwardLimit(upstream, ReportScope::kOtherZones);
+    return;
+  }
+  const std::string& holder = home().lease->lease().address;
+  const ListedUpstream* listed = view_.directory().Find(upstream);
+  if (holder.empty() || holder == options_.inner_address) return;
+  transport_->Send(transport_->ConnectionTo(holder),
+                   MakeLimitReport(*listed, ReportScope::kOtherZones));
+}
+
+void ZoneCoordinator::OnLimitReport(const LimitReport& report) {
+  const auto stated = FromStatement(report.limit, loop_.timers().now());
+  if (!stated.has_value() ||
+      !view_.NoteLimit(report.upstream, report.incarnation, *stated)) {
+    return;
+  }
+  if (home().lease->active())
+    ForwardLimit(report.upstream, static_cast<ReportScope>(report.scope));
+}
+
+LimitReport ZoneCoordinator::MakeLimitReport(const ListedUpstream& upstream,
+                                             ReportScope scope) const {
+  return {upstream.record.id, upstream.record.incarnation,
+          ToStatement(upstream.limit, loop_.timers().now()),
+          static_cast<uint8_t>(scope)};
+}
+
+void ZoneCoordinator::ForwardLimit(const std::string& upstream,
+                                   ReportScope scope) {
+  if (scope == ReportScope::kHost) return;
+  const ListedUpstream& listed = *view_.directory().Find(upstream);
+  std::vector<std::string> addresses;
+  for (const auto& [address, follower] : followers_) {
+    if (follower.wants_feed) addresses.push_back(address);
+  }
+  transport_->SendToAll(addresses, MakeLimitReport(listed, ReportScope::kHost));
+  if (scope != ReportScope::kOtherZones) return;
+  addresses.clear();
+  for (const auto& [name, zone] : zones_) {
+    const std::string& address = zone->lease->lease().address;
+    if (!zone->home && !address.empty() && address != options_.inner_address)
+      addresses.push_back(address);
+  }
+  transport_->SendToAll(addresses, MakeLimitReport(listed, ReportScope::kZone));
+}
+
+void ZoneCoordinator::SendLimits(const std::string& address) {
+  for (const auto& [id, listed] : view_.directory().all()) {
+    if (!listed.limit.per_second.has_value()) continue;
+    transport_->Send(transport_->ConnectionTo(address),
+                     MakeLimitReport(listed, ReportScope::kHost));
+  }
+}
+
+}  // namespace mimosadeal
--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -24,6 +24,7 @@
   kOverloaded,   // The request could not be served in time.
   kNotExecuted,  // The upstream rejected the request without running it.
   kResting,      // All eligible upstreams asked for no requests for some time.
+  kLimited,      // The upstream's limit leaves no room for the request.
   kSuspect,      // The request is suspected to crash upstreams.
   kStopping,
   // The request is invalid:
@@ -34,7 +35,7 @@
   kLostAnswer,  // The request was sent, but its response was lost.
 };
 
-inline constexpr EnumNames<RefusalReason, 14> kRefusalReasonNames = {{
+inline constexpr EnumNames<RefusalReason, 15> kRefusalReasonNames = {{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kNoConfiguration, "no-configuration"},
     {RefusalReason::kRouteUnconfirmed, "route-unconfirmed"},
@@ -43,6 +44,7 @@
     {RefusalReason::kOverloaded, "overloaded"},
     {RefusalReason::kNotExecuted, "not-executed"},
     {RefusalReason::kResting, "resting"},
+    {RefusalReason::kLimited, "limited"},
     {RefusalReason::kSuspect, "suspect"},
     {RefusalReason::kStopping, "stopping"},
     {RefusalReason::kNoRoute, "no-route"},
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -33,9 +33,12 @@
   kLeavingReport = 21,
   kLeaseNotice = 22,
   kTableStepNotice = 23,
+  kLimitReport = 24,
+  kPermitRequest = 25,
+  kPermitReply = 26,
 };
 
-inline constexpr EnumNames<MessageType, 23> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 26> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -59,6 +62,9 @@
     {MessageType::kLeavingReport, "leaving-report"},
     {MessageType::kLeaseNotice, "lease-notice"},
     {MessageType::kTableStepNotice, "table-step-notice"},
+    {MessageType::kLimitReport, "limit-report"},
+    {MessageType::kPermitRequest, "permit-request"},
+    {MessageType::kPermitReply, "permit-reply"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -59,6 +59,12 @@
       return Check<LeaseNotice>(body);
     case MessageType::kTableStepNotice:
       return Check<TableStepNotice>(body);
+    case MessageType::kLimitReport:
+      return Check<LimitReport>(body);
+    case MessageType::kPermitRequest:
+      return Check<PermitRequest>(body);
+    case MessageType::kPermitReply:
+      return Check<PermitReply>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -187,6 +187,74 @@
   }
 };
 
+// What the sender knows of the limit of an upstream: the requests per second
+// that it takes from all hosts together.
+struct LimitStatement {
+  bool limited = false;
+  double per_second = 0;  // If `limited`.
+  // Time since a host read it in a response of the upstream; -1 if none did.
+  int64_t age_ms = -1;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(limited, per_second, age_ms);
+  }
+};
+
+// An upstream stated another limit, or none any more. Sent by TCP.
+struct LimitReport {
+  static constexpr MessageType kType = MessageType::kLimitReport;
+
+  std::string upstream;
+  int64_t incarnation = 0;
+  LimitStatement limit;
+  uint8_t scope = 0;  // ReportScope.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(upstream, incarnation, limit, scope);
+  }
+};
+
+// A host asks for a permit to send one request to an upstream with a limit. The
+// receiver forwards it if another host gives the permits for the upstream.
+struct PermitRequest {
+  static constexpr MessageType kType = MessageType::kPermitRequest;
+
+  uint64_t id = 0;      // Chosen by the asking host; echoed.
+  std::string address;  // The asking host's inner address, for the reply.
+  std::string upstream;
+  int64_t incarnation = 0;
+  std::string zone;  // Of the upstream.
+  int32_t rank = 0;  // Of the request; 0 is the most urgent.
+  // How long the request may still wait for its permit.
+  uint32_t wait_ms = 0;
+  LimitStatement limit;
+  uint32_t hops = 0;  // How many hosts have forwarded it.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, address, upstream, incarnation, zone, rank, wait_ms, limit,
+            hops);
+  }
+};
+
+// The reply to a PermitRequest.
+struct PermitReply {
+  static constexpr MessageType kType = MessageType::kPermitReply;
+
+  uint64_t id = 0;
+  bool granted = false;
+  // If not granted, when it is worth asking again.
+  uint32_t retry_after_ms = 0;
+  LimitStatement limit;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, granted, retry_after_ms, limit);
+  }
+};
+
 // The busy time that requests by key of one service caused since the last
 // report.
 struct LoadReport {
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -333,6 +333,9 @@
     case MessageType::kLeavingReport:
     case MessageType::kLeaseNotice:
     case MessageType::kTableStepNotice:
+    case MessageType::kLimitReport:
+    case MessageType::kPermitRequest:
+    case MessageType::kPermitReply:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/integration_tests/entry_limits_test.cc
+++ b/source/integration_tests/entry_limits_test.cc
@@ -96,6 +96,32 @@
   fixture.CheckRecord();
 }
 
+// Until another host has the lease nobody gives permits, so callers are told
+// so at once and not after a wait of their own.
+TEST(EntryLimits, RequestsAreRefusedAtOnceWhileNoHostGivesPermits) {
+  fixture.StartDefaultDeployment(kHosts);
+  const int key = OwnedKey("yard-1");
+  fixture.upstreams.at("yard-1")->StateLimit("1.1");
+  SendFor(seconds(2), "GET", "/lookup/a", key);
+  fixture.hosts.at(fixture.LeaseHolder("north"))->process.Kill();
+  EntryProcess& asker = *fixture.hosts.at(fixture.LeaseHolder("south"));
+  const MonotonicTime killed = fixture.loop.timers().now();
+  int slow = 0;
+  int refused = 0;
+  while (fixture.loop.timers().now() - killed < milliseconds(1500)) {
+    const MonotonicTime asked = fixture.loop.timers().now();
+    const CallerResponse answer =
+        fixture.SendAndWait(asker, "GET", "/lookup/a", key);
+    LONGS_EQUAL(503, answer.status);
+    ++refused;
+    slow += fixture.loop.timers().now() - asked > milliseconds(100) ? 1 : 0;
+    fixture.RunFor(milliseconds(20));
+  }
+  // The first one shows that there is no answer, and one more after 1 s.
+  CHECK(slow <= 2);
+  CHECK(refused >= 10);
+}
+
 // A host that starts anew has not seen a response of the upstream.
 TEST(EntryLimits, ALimitHoldsWhenHostsRestart) {
   fixture.StartDefaultDeployment(kHosts);
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -57,29 +57,34 @@
   load.upstreams = {"u1"};
   ViewUpdate view;
   view.objects = {{"u1", 7, false, "{}"}};
-  return {MakeSample(hello),
-          MakeSample(status),
-          MakeSample(load),
-          MakeSample(view),
-          MakeSample(CrashReport{}),
-          MakeSample(LeavingReport{"u1", 1, 2}),
-          MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
-          MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
-          MakeSample(Hello{"h"}),
-          MakeSample(lease),
-          MakeSample(LeaseReply{}),
-          MakeSample(ControllerNotice{}),
-          MakeSample(TableRequest{}),
-          MakeSample(TableReply{"table"}),
-          MakeSample(ConfigurationRequest{}),
-          MakeSample(ConfigurationReply{"{}"}),
-          MakeSample(request),
-          MakeSample(reply),
-          MakeSample(DispatchCancel{}),
-          MakeSample(update),
-          MakeSample(LedgerAck{}),
-          MakeSample(fetch),
-          MakeSample(entries)};
+  return {
+      MakeSample(hello),
+      MakeSample(status),
+      MakeSample(load),
+      MakeSample(view),
+      MakeSample(CrashReport{}),
+      MakeSample(LeavingReport{"u1", 1, 2}),
+      MakeSample(LimitReport{"u1", 1, {true, 1.4, 5}, 2}),
+      MakeSample(PermitRequest{
+          7, "10.1.0.10:7720", "u1", 1, "north", 2, 200, {true, 1.4, 5}, 1}),
+      MakeSample(PermitReply{7, true, 900, {true, 1.4, 5}}),
+      MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
+      MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
+      MakeSample(Hello{"h"}),
+      MakeSample(lease),
+      MakeSample(LeaseReply{}),
+      MakeSample(ControllerNotice{}),
+      MakeSample(TableRequest{}),
+      MakeSample(TableReply{"table"}),
+      MakeSample(ConfigurationRequest{}),
+      MakeSample(ConfigurationReply{"{}"}),
+      MakeSample(request),
+      MakeSample(reply),
+      MakeSample(DispatchCancel{}),
+      MakeSample(update),
+      MakeSample(LedgerAck{}),
+      MakeSample(fetch),
+      MakeSample(entries)};
 }
 
 // Randomly changes, truncates or inserts up to four times.
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -244,11 +244,10 @@
 
 TEST(PlatformUpstream, HopAndRouterHeadersAreNotForwarded) {
   HttpResponse response = Response(200, "body");
-  response.headers = {{"x-response-signature", "s"},
-                      {"x-server-load", "3,1,8"},
-                      {"connection", "close"},
-                      {"content-length", "4"},
-                      {"content-type", "text/plain"}};
+  response.headers = {
+      {"x-response-signature", "s"}, {"x-server-load", "3,1,8"},
+      {"server-limit", "1.4"},       {"connection", "close"},
+      {"content-length", "4"},       {"content-type", "text/plain"}};
   const UpstreamResponse answer = ReadUpstreamResponse(std::move(response));
   LONGS_EQUAL(2, answer.response.headers.size());
   LONGS_EQUAL(3, answer.load->running);
