Move keys away from an owner that limits its requests

In a test of ten hosts, 11 of 88 requests for the keys of an owner with a limit of 1.1 were served while three other owners were idle.

An owner's capacity is now at most 0.6 of its limit at the measured cost of a request. EntryLimits.KeysMoveAwayFromAnOwnerThatMayNotServeThem failed before (11 of 88 served) and passes; RangePlanner.AnOwnerWithALimit... has the same load in the planner, at limits of 1.1 and 0.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -78,9 +78,10 @@
 }
 
 void RangeManager::SetLoads(const std::string& service, CellLoads loads,
-                            double noise) {
+                            double noise, double request_seconds) {
   loads_[service] = std::move(loads);
   noise_[service] = noise;
+  request_seconds_[service] = request_seconds;
 }
 
 void RangeManager::SetSpeeds(const std::string& service,
@@ -222,9 +223,13 @@
 std::vector<OwnerCandidate> RangeManager::Candidates(
     const std::string& service) const {
   const auto known = services_.find(service);
+  const auto cost = request_seconds_.find(service);
+  const double request_seconds =
+      cost == request_seconds_.end() ? 0 : cost->second;
   std::vector<OwnerCandidate> candidates;
   for (const std::string& id : view_.directory().ServingIds(service)) {
-    const UpstreamRecord& record = view_.directory().Find(id)->record;
+    const ListedUpstream& listed = *view_.directory().Find(id);
+    const UpstreamRecord& record = listed.record;
     if (known != services_.end()) {
       const auto state =
           known->second->owners.find({record.id, record.incarnation});
@@ -239,8 +244,10 @@
       const auto found = speeds->second.find(id);
       if (found != speeds->second.end()) speed = found->second;
     }
-    candidates.push_back({record.id, record.incarnation, record.zone,
-                          static_cast<double>(record.slots) * speed});
+    candidates.push_back(
+        {record.id, record.incarnation, record.zone,
+         OwnerCapacity(record.slots, speed, listed.limit.per_second,
+                       request_seconds)});
   }
   return candidates;
 }
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -76,8 +76,9 @@
   void OnLeaseLost();
   void OnViewChanged();
   // `loads` is the busy time per second of each cell of the service's keys.
-  // `noise`: see KeyLoad.
-  void SetLoads(const std::string& service, CellLoads loads, double noise);
+  // `noise` and `request_seconds`: see KeyLoad.
+  void SetLoads(const std::string& service, CellLoads loads, double noise,
+                double request_seconds);
   // `speeds` maps upstream ids to their speeds relative to the mean, which is
   // 1.
   void SetSpeeds(const std::string& service,
@@ -149,7 +150,8 @@
   MonotonicTime started_at_ = kNever;
   std::map<std::string, std::unique_ptr<Service>> services_;
   std::map<std::string, CellLoads> loads_;
-  std::map<std::string, double> noise_;  // Of the loads, by service.
+  std::map<std::string, double> noise_;            // Of the loads, by service.
+  std::map<std::string, double> request_seconds_;  // By service.
   std::map<std::string, std::map<std::string, double>> speeds_;
 };
 
--- a/source/core/entry/zone_coordinator_reports.cc
+++ b/source/core/entry/zone_coordinator_reports.cc
@@ -225,7 +225,8 @@
   for (auto& [service, load] : loads_) {
     const CellLoads rates = load.Rates(now);
     for (auto& [name, zone] : zones_)
-      zone->ranges->SetLoads(service, rates, load.noise());
+      zone->ranges->SetLoads(service, rates, load.noise(),
+                             load.request_seconds());
   }
 }
 
--- a/source/core/ranges/key_load.h
+++ b/source/core/ranges/key_load.h
@@ -34,6 +34,9 @@
   // Returns the variance of a sum of rates, as a multiple of the sum: the cost
   // of one request divided by the length of the slow average.
   double noise() const { return noise_; }
+  // Returns the cost of one request in busy seconds, 0 if unknown. An estimate
+  // that is low rather than high.
+  double request_seconds() const { return request_seconds_; }
 
  private:
   void Decay(MonotonicTime now);
--- a/source/core/ranges/range_planner.cc
+++ b/source/core/ranges/range_planner.cc
@@ -31,6 +31,13 @@
 // of all owners.
 constexpr double kPriorRequests = 8;
 
+// Share of an owner's limit that its keys should use. Requests arrive at random
+// times, and those above the limit are refused.
+constexpr double kLimitUse = 0.6;
+// An owner that takes fewer requests per second counts as taking this many. It
+// keeps a few keys, as only a response can show that its limit has ended.
+constexpr double kMinLimit = 0.25;
+
 struct OwnerLoad {
   OwnerCandidate candidate;
   double load = 0;
@@ -125,6 +132,15 @@
   return table;
 }
 
+double OwnerCapacity(int slots, double speed,
+                     const std::optional<double>& limit,
+                     double request_seconds) {
+  const double capacity = slots * speed;
+  if (!limit.has_value() || request_seconds <= 0) return capacity;
+  return std::min(capacity,
+                  std::max(*limit, kMinLimit) * request_seconds * kLimitUse);
+}
+
 void ApplyMove(RangeTable& table, const PlannedMove& move) {
   const KeyRange* range = FindRange(table, move.first);
   if (range == nullptr) return;
--- a/source/core/ranges/range_planner.h
+++ b/source/core/ranges/range_planner.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,14 @@
   double capacity = 1;
 };
 
+// Returns the capacity of an owner with `slots` slots that works at `speed`
+// times the mean speed. `limit`: requests per second that it takes, if it
+// limits them. `request_seconds`: busy seconds that a request costs; 0 if
+// unknown.
+double OwnerCapacity(int slots, double speed,
+                     const std::optional<double>& limit,
+                     double request_seconds);
+
 struct PlannedMove {
   int first = 0;
   int last = 0;
--- a/source/integration_tests/entry_limits_test.cc
+++ b/source/integration_tests/entry_limits_test.cc
@@ -74,6 +74,37 @@
   CHECK(outcomes.served >= kLimit * 10 / 2);
 }
 
+// Load pattern: the requests for all keys of an owner are nine times its limit,
+// and the other owners have room.
+TEST(EntryLimits, KeysMoveAwayFromAnOwnerThatMayNotServeThem) {
+  fixture.StartDefaultDeployment(kHosts);
+  fixture.upstreams.at("yard-1")->StateLimit("1.1");
+  std::vector<int> keys;
+  for (int key = 0; key < 65536; key += 64) {
+    if (fixture.upstreams.at("yard-1")->Holds(key)) keys.push_back(key);
+  }
+  size_t next = 0;
+  const auto send_all = [&](Duration time) {
+    Outcomes sum;
+    const MonotonicTime end = fixture.loop.timers().now() + time;
+    while (fixture.loop.timers().now() < end) {
+      next = (next + 37) % keys.size();
+      const Outcomes one =
+          SendFor(kSendInterval / 2, "POST", "/hold/a", keys[next]);
+      sum.sent += one.sent;
+      sum.served += one.served;
+    }
+    return sum;
+  };
+  send_all(seconds(10));
+  const Outcomes outcomes = send_all(seconds(10));
+  fixture.CheckRecord();
+  CHECK_TEXT(outcomes.served >= outcomes.sent * 9 / 10,
+             (std::to_string(outcomes.served) + " of " +
+              std::to_string(outcomes.sent) + " were served")
+                 .c_str());
+}
+
 TEST(EntryLimits, OtherUpstreamsServeWhatExceedsALimit) {
   fixture.StartDefaultDeployment(kHosts);
   fixture.upstreams.at("desk-1")->StateLimit("1.1");
--- a/source/unit_tests/ranges/range_planner_test.cc
+++ b/source/unit_tests/ranges/range_planner_test.cc
@@ -127,6 +127,35 @@
   CHECK(HighestLoad(table) < 0.75);
 }
 
+// Load pattern: 4.4 requests a second at each owner, one of which takes 1.1.
+TEST(RangePlanner, AnOwnerWithALimitKeepsTheKeysThatItMayServe) {
+  constexpr double kRequestSeconds = 0.22;
+  for (const double limit : {1.1, 0.0}) {
+    owners.front().capacity = OwnerCapacity(2, 1, limit, kRequestSeconds);
+    RangeTable table = MakeFirstTable("yard", owners);
+    loads = CellLoads(kCells, 0);
+    AddEvenLoad(28 * 4.4 * kRequestSeconds);
+    for (int round = 0; round < 4; ++round)
+      ApplyMoves(table, PlanBalance(table, loads, owners, "north", kLimits, 0));
+    double load = 0;
+    for (const KeyRange& range : table.ranges) {
+      if (range.owner == "u0")
+        load += LoadOfKeys(loads, range.first, range.last);
+    }
+    CHECK(load > 0);
+    CHECK(load / kRequestSeconds <= std::max(limit, 0.25));
+    // It has its share: no further move, and no key comes back.
+    LONGS_EQUAL(0,
+                PlanBalance(table, loads, owners, "north", kLimits, 0).size());
+  }
+}
+
+TEST(RangePlanner, ALimitAboveWhatAnOwnerCanDoChangesNothing) {
+  DOUBLES_EQUAL(2, OwnerCapacity(2, 1, 1000, 0.22), 1e-9);
+  DOUBLES_EQUAL(2, OwnerCapacity(2, 1, 1.1, 0), 1e-9);
+  DOUBLES_EQUAL(3, OwnerCapacity(2, 1.5, std::nullopt, 0.22), 1e-9);
+}
+
 TEST(RangePlanner, EvenLoadMovesNothing) {
   const RangeTable table = MakeFirstTable("yard", owners);
   AddEvenLoad(40);
