--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -18,6 +18,10 @@
 constexpr Duration kRequestInterval = milliseconds(25);
 // Upper bound of the time between two faults.
 constexpr Duration kMaxFaultInterval = milliseconds(900);
+// The same for limits, which have a random sequence of their own, so that the
+// other faults of a seed do not depend on them.
+constexpr Duration kMaxLimitInterval = seconds(6);
+constexpr uint64_t kLimitSeedOffset = 1'000'000;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -28,7 +32,9 @@
 }  // namespace
 
 Soak::Soak(EntryFixture& fixture, uint64_t seed)
-    : fixture_(fixture), random_(seed) {}
+    : fixture_(fixture),
+      random_(seed),
+      limit_random_(seed + kLimitSeedOffset) {}
 
 std::vector<std::string> Soak::Run(Duration time) {
   constexpr std::array<Action, 14> actions = {&Soak::KillHost,
@@ -48,6 +54,7 @@
   fixture_.StartDefaultDeployment(kHosts);
   const MonotonicTime end = Now() + time;
   MonotonicTime next = Now();
+  MonotonicTime next_limit = Now();
   while (Now() < end) {
     SendRequest();
     fixture_.RunFor(kRequestInterval);
@@ -57,6 +64,12 @@
       fault_ends_.erase(fault_ends_.begin());
       end_fault();
     }
+    if (Now() >= next_limit) {
+      StateLimit();
+      next_limit =
+          Now() +
+          milliseconds(limit_random_.Below(ToMilliseconds(kMaxLimitInterval)));
+    }
     if (Now() < next) continue;
     (this->*actions.at(random_.Below(actions.size())))();
     next =
@@ -232,6 +245,22 @@
   });
 }
 
+// The upstream itself checks that the hosts keep its limit.
+void Soak::StateLimit() {
+  constexpr std::array<const char*, 4> limits = {"0", "1.1", "4", "20"};
+  const bool keyed = limit_random_.Below(2) == 0;
+  const std::string id =
+      keyed ? "yard-" + std::to_string(1 + limit_random_.Below(4))
+            : "desk-" + std::to_string(1 + limit_random_.Below(2));
+  const char* limit = limits.at(limit_random_.Below(limits.size()));
+  const auto duration = seconds(4 + limit_random_.Below(6));
+  if (crashed_.contains(id)) return;
+  fixture_.upstreams.at(id)->StateLimit(limit);
+  fault_ends_.emplace(Now() + duration, [this, id] {
+    if (!crashed_.contains(id)) fixture_.upstreams.at(id)->StateLimit("");
+  });
+}
+
 void Soak::SendRequest() {
   struct Kind {
     const char* method;
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -54,6 +54,7 @@
   void ReplaceUpstream(const std::string& id);
   void IgnoreCommands();
   void LoseResponses();
+  void StateLimit();
 
   // Calls `end` after a random time below `longest`, to end a fault.
   void EndLater(Duration longest, std::function<void()> end);
@@ -72,6 +73,7 @@
 
   EntryFixture& fixture_;
   Random random_;
+  Random limit_random_;  // For StateLimit.
   int version_ = 1;
   // Functions that end the current faults, by the time at which they run.
   std::multimap<MonotonicTime, std::function<void()>> fault_ends_;
