Give an available permit to a request that cannot wait

Requests of services without keys ask with no time to wait. The giver compared that time with its clock a moment later and refused them all: with both upstreams of a service at a limit of 2 a second none of its requests was served (EntryLimits.LimitsOfAllUpstreamsAreUsed: 0 in 20 s). A permit that is available now is given; a waiter that could be too late is refused when it arrives, and its host ignores a permit that comes too late.

The test and PermitQueue.AWaiterWithoutTimeToWait... pass; the first failed before. OtherUpstreamsServe... had hidden it, as it has an upstream without a limit.

--- a/source/core/balance/permit_queue.cc
+++ b/source/core/balance/permit_queue.cc
@@ -107,7 +107,7 @@
   const std::vector<PermitWaiter> ordered = InServiceOrder(queue);
   size_t remaining = 0;
   for (const PermitWaiter& waiter : ordered) {
-    if (remaining == 0 && queue.available >= 1 && waiter.until >= now) {
+    if (remaining == 0 && queue.available >= 1) {
       queue.available -= 1;
       CountServed(queue, waiter.rank);
       Remove(queue, waiter.ticket);
--- a/source/unit_tests/balance/permit_queue_test.cc
+++ b/source/unit_tests/balance/permit_queue_test.cc
@@ -210,6 +210,18 @@
   CHECK(replay.arrived >= 10);
 }
 
+TEST(PermitQueue, AWaiterWithoutTimeToWaitGetsAPermitThatIsAvailable) {
+  const MonotonicTime now{seconds(1)};
+  SetRate(queue, 1, now);
+  const MonotonicTime later = now + seconds(2);
+  AddWaiter(queue, {1, 0, later - milliseconds(1)});
+  AddWaiter(queue, {2, 0, later - milliseconds(1)});
+  const auto outcomes = TakeOutcomes(queue, later);
+  LONGS_EQUAL(2, outcomes.size());
+  CHECK(outcomes[0].granted);
+  CHECK_FALSE(outcomes[1].granted);
+}
+
 TEST(PermitQueue, AWaiterThatCannotBeServedInTimeIsRefusedAtOnce) {
   const MonotonicTime now{seconds(1)};
   SetRate(queue, 1, now);
