Let very large limits cost nothing, and bound what permit messages may hold

A limit above 1,000 requests a second counts as none. Ranks and waiting times that come from another host are clamped, and a corrupt hop count is not forwarded further.

--- a/source/core/balance/permit_queue.cc
+++ b/source/core/balance/permit_queue.cc
@@ -17,7 +17,8 @@
 constexpr size_t kMaxWaiters = 64;
 // Each rank gets this part of the permits of the next more urgent one.
 constexpr double kRankShare = 0.5;
-constexpr int kMaxWeightedRank = 6;
+// Less urgent ranks count as this one.
+constexpr int kLowestRank = 6;
 // Refused waiters return within this time, when the demand may have changed.
 constexpr Duration kMaxReturnDelay = std::chrono::seconds(5);
 
@@ -35,9 +36,7 @@
   queue.refilled_at = now;
 }
 
-double CostOf(int rank) {
-  return std::pow(1 / kRankShare, std::clamp(rank, 0, kMaxWeightedRank));
-}
+double CostOf(int rank) { return std::pow(1 / kRankShare, rank); }
 
 // Returns the waiters in the order of service.
 std::vector<PermitWaiter> InServiceOrder(const PermitQueue& queue) {
@@ -99,6 +98,7 @@
 
 void AddWaiter(PermitQueue& queue, const PermitWaiter& waiter) {
   queue.waiters.push_back(waiter);
+  queue.waiters.back().rank = std::clamp(waiter.rank, 0, kLowestRank);
 }
 
 std::vector<PermitOutcome> TakeOutcomes(PermitQueue& queue, MonotonicTime now) {
--- a/source/core/entry/permit_broker.cc
+++ b/source/core/entry/permit_broker.cc
@@ -18,6 +18,8 @@
 // When it is worth asking again if no host gives permits. A zone gets a new
 // lease holder within 3.5 s.
 constexpr Duration kRetryWithoutGiver = std::chrono::milliseconds(1000);
+// Longer than requests wait for permits; protects against corrupt messages.
+constexpr Duration kMaxWait = std::chrono::seconds(10);
 // From an asker by its lease holder to the upstream's, and one more while a
 // lease changes hands.
 constexpr uint32_t kMaxHops = 3;
@@ -117,7 +119,7 @@
     Decide(request, giver);
     return;
   }
-  if (giver.address.empty() || request.hops + 1 >= kMaxHops) {
+  if (giver.address.empty() || request.hops >= kMaxHops - 1) {
     Reply({request.upstream, request.incarnation},
           {request.address, request.id}, false, kRetryWithoutGiver);
     return;
@@ -150,8 +152,9 @@
   if (!waits) {
     const uint64_t ticket = next_ticket_++;
     state.askers[ticket] = asker;
-    AddWaiter(state.queue, {ticket, request.rank,
-                            now + std::chrono::milliseconds(request.wait_ms)});
+    const Duration wait = std::min<Duration>(
+        std::chrono::milliseconds(request.wait_ms), kMaxWait);
+    AddWaiter(state.queue, {ticket, request.rank, now + wait});
   }
   Serve(upstream);
 }
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -2,6 +2,7 @@
 // which requests are retried, and how a crash of the upstream is detected.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "common/event_log.h"
@@ -17,6 +18,9 @@
 // A process that crashes closes its sockets one after the other. After this
 // time its listening socket is closed, too.
 constexpr Duration kCrashProbeDelay = std::chrono::milliseconds(50);
+// A higher limit, per second, counts as none: an upstream gets fewer requests,
+// and asking for permits would only cost time.
+constexpr double kMaxLimit = 1000;
 
 }  // namespace
 
@@ -82,9 +86,11 @@
   const bool ended = ran && listed != nullptr &&
                      listed->limit.per_second.has_value() &&
                      pending.sent_at > listed->limit.stated_at;
-  if (!answer.limit.per_second.has_value() && !ended) return;
+  std::optional<double> limit = answer.limit.per_second;
+  if (limit.has_value() && *limit > kMaxLimit) limit.reset();
+  if (!limit.has_value() && !ended) return;
   handlers_.on_limit(upstream.id, upstream.incarnation,
-                     {answer.limit.per_second, loop_.timers().now()});
+                     {limit, loop_.timers().now()});
 }
 
 void RequestForwarder::OnNotRun(PendingRequest& pending,
