Save up two permits for an upstream, so that more of a small limit is used

The bound has room for it: 4 L + 2, and 6 L + 4 while two hosts give permits; the replays of PermitQueue pass.

--- a/source/core/balance/permit_queue.cc
+++ b/source/core/balance/permit_queue.cc
@@ -6,9 +6,11 @@
 namespace mimosadeal {
 namespace {
 
-// Permits are saved up for this time, in seconds, and at least one is. The
-// platform allows all hosts together 1.5 times the limit and 5 requests in 4 s.
+// Permits are saved up for this time, in seconds, and at least kMinSaved are,
+// because requests arrive at random times. The platform allows all hosts
+// together 1.5 times the limit and 5 requests in 4 s.
 constexpr double kSavedSeconds = 0.5;
+constexpr double kMinSaved = 2;
 // Least rate at which permits are given, per second. The platform's allowance
 // has room for it even at a limit of 0.
 constexpr double kMinRate = 0.25;
@@ -88,7 +90,9 @@
 
 }  // namespace
 
-double MaxAvailable(double rate) { return std::max(1.0, rate * kSavedSeconds); }
+double MaxAvailable(double rate) {
+  return std::max(kMinSaved, rate * kSavedSeconds);
+}
 
 void SetRate(PermitQueue& queue, double limit, MonotonicTime now) {
   Refill(queue, now);
