Tell all hosts of a limit also while the store does not confirm the lease

A holder that is not confirmed now forwards them as well, to other zones by the addresses that it last knew. Its half of the limit holds also for the least rate of a limit of 0, and at such rates one permit is saved, not two.

--- a/source/core/balance/permit_queue.cc
+++ b/source/core/balance/permit_queue.cc
@@ -6,11 +6,13 @@
 namespace mimosadeal {
 namespace {
 
-// Permits are saved up for this time, in seconds, and at least kMinSaved are,
-// because requests arrive at random times. The platform allows all hosts
-// together 1.5 times the limit and 5 requests in 4 s.
+// Permits are saved up for kSavedSeconds, because requests arrive at random
+// times; kFewSaved of them for as long as kFewSavedSeconds, and one in any
+// case. The platform allows all hosts together 1.5 times the limit and 5
+// requests in 4 s.
 constexpr double kSavedSeconds = 0.5;
-constexpr double kMinSaved = 2;
+constexpr double kFewSaved = 2;
+constexpr double kFewSavedSeconds = 4;
 // Least rate at which permits are given, per second. The platform's allowance
 // has room for it even at a limit of 0.
 constexpr double kMinRate = 0.25;
@@ -91,12 +93,14 @@
 }  // namespace
 
 double MaxAvailable(double rate) {
-  return std::max(kMinSaved, rate * kSavedSeconds);
+  return std::max(std::clamp(rate * kFewSavedSeconds, 1.0, kFewSaved),
+                  rate * kSavedSeconds);
 }
 
-void SetRate(PermitQueue& queue, double limit, MonotonicTime now) {
+void SetRate(PermitQueue& queue, double limit, double share,
+             MonotonicTime now) {
   Refill(queue, now);
-  queue.rate = std::max(limit, kMinRate);
+  queue.rate = std::max(limit, kMinRate) * share;
   queue.available = std::min(queue.available, MaxAvailable(queue.rate));
 }
 
--- a/source/core/balance/permit_queue.h
+++ b/source/core/balance/permit_queue.h
@@ -49,9 +49,10 @@
 double MaxAvailable(double rate);
 
 // Changes the rate. `limit`: requests per second that the upstream takes, at
-// least 0. Even at 0 a permit is given from time to time, as only a response
-// can show that the limit has ended.
-void SetRate(PermitQueue& queue, double limit, MonotonicTime now);
+// least 0; `share`: the part of it that this queue gives. Even at 0 a permit is
+// given from time to time, as only a response can show that the limit has
+// ended.
+void SetRate(PermitQueue& queue, double limit, double share, MonotonicTime now);
 
 // Adds a waiter. A full queue refuses the last waiter in the order of service.
 void AddWaiter(PermitQueue& queue, const PermitWaiter& waiter);
--- a/source/core/entry/permit_broker.cc
+++ b/source/core/entry/permit_broker.cc
@@ -192,7 +192,7 @@
   }
   GiverState& state = found->second;
   const MonotonicTime now = loop_.timers().now();
-  SetRate(state.queue, *limit->per_second * giver.share, now);
+  SetRate(state.queue, *limit->per_second, giver.share, now);
   for (const PermitOutcome& outcome : TakeOutcomes(state.queue, now)) {
     const auto asker = state.askers.extract(outcome.ticket);
     Reply(upstream, asker.mapped(), outcome.granted, outcome.retry_after);
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -172,6 +172,8 @@
   // Sends what this host knows of the upstream's limit to the followers and the
   // other zones, as far as `scope` allows.
   void ForwardLimit(const std::string& upstream, ReportScope scope);
+  // Whether this host forwards news of limits to its zone.
+  bool SpreadsLimits() const;
   // Sends all limits that this host knows to a new follower.
   void SendLimits(const std::string& address);
   LimitReport MakeLimitReport(const ListedUpstream& upstream,
--- a/source/core/entry/zone_coordinator_limits.cc
+++ b/source/core/entry/zone_coordinator_limits.cc
@@ -84,7 +84,7 @@
                                   int64_t incarnation,
                                   const UpstreamLimit& stated) {
   if (!view_.NoteLimit(upstream, incarnation, stated)) return;
-  if (home().lease->active()) {
+  if (SpreadsLimits()) {
     ForwardLimit(upstream, ReportScope::kOtherZones);
     return;
   }
@@ -101,10 +101,17 @@
       !view_.NoteLimit(report.upstream, report.incarnation, *stated)) {
     return;
   }
-  if (home().lease->active())
+  if (SpreadsLimits())
     ForwardLimit(report.upstream, static_cast<ReportScope>(report.scope));
 }
 
+// The followers know no other holder while the store does not confirm the
+// lease.
+bool ZoneCoordinator::SpreadsLimits() const {
+  const LeaseManager& lease = *home().lease;
+  return lease.active() || lease.lease().process == options_.process;
+}
+
 LimitReport ZoneCoordinator::MakeLimitReport(const ListedUpstream& upstream,
                                              ReportScope scope) const {
   return {upstream.record.id, upstream.record.incarnation,
@@ -122,10 +129,13 @@
   }
   transport_->SendToAll(addresses, MakeLimitReport(listed, ReportScope::kHost));
   if (scope != ReportScope::kOtherZones) return;
+  std::map<std::string, std::string> holders = former_holders_;
+  for (const auto& [name, zone] : zones_)
+    holders[name] = zone->lease->lease().address;
+  holders.erase(options_.zone);
   addresses.clear();
-  for (const auto& [name, zone] : zones_) {
-    const std::string& address = zone->lease->lease().address;
-    if (!zone->home && !address.empty() && address != options_.inner_address)
+  for (const auto& [name, address] : holders) {
+    if (!address.empty() && address != options_.inner_address)
       addresses.push_back(address);
   }
   transport_->SendToAll(addresses, MakeLimitReport(listed, ReportScope::kZone));
--- a/source/integration_tests/entry_limits_test.cc
+++ b/source/integration_tests/entry_limits_test.cc
@@ -222,6 +222,23 @@
   CHECK(outcomes.served >= 2);
 }
 
+// One host reads the limit. The lease holder cannot confirm its lease, but is
+// the only one that can tell the others.
+TEST(EntryLimits, ALimitIsKnownToAllHostsWhileTheStoreDoesNotRespond) {
+  fixture.StartDefaultDeployment(kHosts);
+  const int key = OwnedKey("yard-1");
+  fixture.store->faults().silent = true;
+  fixture.store->CancelWatches();
+  fixture.RunFor(seconds(3));
+  fixture.upstreams.at("yard-1")->StateLimit("0");
+  LONGS_EQUAL(200,
+              fixture.SendAndWait(Host(1), "GET", "/lookup/a", key).status);
+  fixture.RunFor(milliseconds(2600));
+  next_host_ = 1;
+  SendFor(seconds(2), "GET", "/lookup/a", key);
+  fixture.CheckRecord();
+}
+
 // Somebody has to go on asking, or the limit would stand for ever.
 TEST(EntryLimits, AnUpstreamThatStatesNoLimitAnyMoreGetsAllRequestsAgain) {
   fixture.StartDefaultDeployment(kHosts);
--- a/source/unit_tests/balance/permit_queue_test.cc
+++ b/source/unit_tests/balance/permit_queue_test.cc
@@ -140,7 +140,7 @@
     replay = {};
     replay.hosts = c.hosts;
     replay.demand = c.demand;
-    SetRate(queue, c.limit, replay.now);
+    SetRate(queue, c.limit, 1, replay.now);
     replay.RunFor(seconds(120), {&queue});
     CheckBound(c.limit);
     CHECK(static_cast<double>(replay.arrived) >= 0.8 * c.limit * 120);
@@ -150,17 +150,17 @@
 // The former giver goes on with half of the limit while its successor, which
 // begins without saved permits, gives the whole limit.
 TEST(PermitQueue, TwoGiversAtAChangeStayWithinTheBound) {
-  for (const double limit : {1.1, 5.0, 20.0}) {
+  for (const double limit : {0.0, 1.1, 5.0, 20.0}) {
     queue = {};
     replay = {};
     replay.hosts = 295;
     replay.demand = 3 * limit + 5;
-    SetRate(queue, limit, replay.now);
+    SetRate(queue, limit, 1, replay.now);
     for (int change = 0; change < 20; ++change) {
       replay.RunFor(seconds(6), {&queue});
-      SetRate(queue, limit / 2, replay.now);
+      SetRate(queue, limit, 0.5, replay.now);
       PermitQueue successor;
-      SetRate(successor, limit, replay.now);
+      SetRate(successor, limit, 1, replay.now);
       replay.RunFor(seconds(5), {&queue, &successor});
       queue = successor;
     }
@@ -169,7 +169,7 @@
 }
 
 TEST(PermitQueue, AGiverThatWasFrozenHasNotSavedUpPermits) {
-  SetRate(queue, 20, replay.now);
+  SetRate(queue, 20, 1, replay.now);
   replay.demand = 100;
   replay.RunFor(seconds(5), {&queue});
   replay.now += seconds(60);
@@ -178,10 +178,10 @@
 }
 
 TEST(PermitQueue, ALimitThatHalvesBindsAtOnce) {
-  SetRate(queue, 20, replay.now);
+  SetRate(queue, 20, 1, replay.now);
   replay.demand = 100;
   replay.RunFor(seconds(10), {&queue});
-  SetRate(queue, 10, replay.now);
+  SetRate(queue, 10, 1, replay.now);
   replay.RunFor(kWindow, {&queue});
   replay.most = 0;
   replay.RunFor(seconds(10), {&queue});
@@ -190,7 +190,7 @@
 
 // Load pattern: ten times as many requests as the upstream takes.
 TEST(PermitQueue, UrgentRanksGoFirstAndNoneIsStarved) {
-  SetRate(queue, 1.1, replay.now);
+  SetRate(queue, 1.1, 1, replay.now);
   replay.demand = 11;
   replay.RunFor(seconds(600), {&queue});
   RankCounts all;
@@ -204,7 +204,7 @@
 }
 
 TEST(PermitQueue, AtALimitOfZeroAPermitIsGivenFromTimeToTime) {
-  SetRate(queue, 0, replay.now);
+  SetRate(queue, 0, 1, replay.now);
   replay.RunFor(seconds(60), {&queue});
   CheckBound(0);
   CHECK(replay.arrived >= 10);
@@ -212,7 +212,7 @@
 
 TEST(PermitQueue, AWaiterWithoutTimeToWaitGetsAPermitThatIsAvailable) {
   const MonotonicTime now{seconds(1)};
-  SetRate(queue, 1, now);
+  SetRate(queue, 1, 1, now);
   const MonotonicTime later = now + seconds(2);
   AddWaiter(queue, {1, 0, later - milliseconds(1)});
   AddWaiter(queue, {2, 0, later - milliseconds(1)});
@@ -226,7 +226,7 @@
 
 TEST(PermitQueue, AWaiterThatCannotBeServedInTimeIsRefusedAtOnce) {
   const MonotonicTime now{seconds(1)};
-  SetRate(queue, 1, now);
+  SetRate(queue, 1, 1, now);
   AddWaiter(queue, {1, 0, now + milliseconds(1500)});
   AddWaiter(queue, {2, 0, now + milliseconds(1500)});
   AddWaiter(queue, {3, 0, now + milliseconds(1500)});
