Give each process of the entry tests a loopback network of its own

The network was the process id modulo 160, so two groups that ran at once could have the same addresses: a run of EntryLimits and one of LimitsOfAllUpstreamsAreUsed aborted at their start beside others (the store's address was in use). A lock on a file for each network keeps them apart.

--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -1,6 +1,8 @@
 #include "entry_fixture.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fcntl.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -25,14 +27,27 @@
 constexpr int kKeys = 65536;
 constexpr Duration kStartLimit = std::chrono::seconds(15);
 
-// Returns a loopback address in a network that depends on the process id,
-// because test groups run in parallel as separate processes.
-std::string Address(int network, int number) {
+// Returns the number of a loopback network that no other process of this
+// program uses, because test groups run in parallel as separate processes.
+int ReserveNetwork() {
   constexpr int first = 64;
   constexpr int count = 160;
-  const int network_number = first + static_cast<int>(getpid() % count);
-  return "127." + std::to_string(network_number) + "." +
-         std::to_string(network) + "." + std::to_string(number);
+  for (int i = 0; i < count; ++i) {
+    const int number = first + static_cast<int>((getpid() + i) % count);
+    const std::string path =
+        "/tmp/mimosadeal-network-" + std::to_string(number);
+    const int fd = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    // Stays open, and so locked, until the process exits.
+    if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) return number;
+    if (fd >= 0) close(fd);
+  }
+  return first;
+}
+
+std::string Address(int network, int number) {
+  static const int reserved = ReserveNetwork();
+  return "127." + std::to_string(reserved) + "." + std::to_string(network) +
+         "." + std::to_string(number);
 }
 
 std::string MakeDirectory() {
