Send a waiting request once when the view changes

A request was tried again for each change without another look at whether it still waited. No path is known by which it could have been sent meanwhile, but a request that is not idempotent must not depend on that.

--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -345,12 +345,11 @@
 void RequestForwarder::OnViewChanged() {
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
-    if (pending->waiting || WaitsForFormerOwner(*pending))
-      waiting.push_back(exchange);
+    if (MayTryAgain(*pending)) waiting.push_back(exchange);
   }
   for (const ExchangeId exchange : waiting) {
     const auto found = pending_.find(exchange);
-    if (found == pending_.end()) continue;
+    if (found == pending_.end() || !MayTryAgain(*found->second)) continue;
     found->second->permit_asked_for.clear();
     TrySend(*found->second);
   }
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -136,9 +136,9 @@
   void AskForPermit(PendingRequest& pending, const ListedUpstream& upstream);
   void OnPermit(ExchangeId exchange, const UpstreamRecord& upstream,
                 const PermitDecision& decision);
-  // Whether the request waits for a permit for an upstream that does not own
-  // its key any more.
-  bool WaitsForFormerOwner(PendingRequest& pending);
+  // Whether a change of the view may help the request: it waits for an owner of
+  // its key, or for a permit for an upstream that does not own it any more.
+  bool MayTryAgain(PendingRequest& pending);
   // Returns the time until which requests may be sent to the upstream; kForever
   // while it serves.
   MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
--- a/source/core/entry/request_forwarder_permits.cc
+++ b/source/core/entry/request_forwarder_permits.cc
@@ -109,7 +109,8 @@
   }
 }
 
-bool RequestForwarder::WaitsForFormerOwner(PendingRequest& pending) {
+bool RequestForwarder::MayTryAgain(PendingRequest& pending) {
+  if (pending.waiting) return true;
   if (pending.permit_asked_for.empty() || !pending.service->keyed) return false;
   const KeyRange* range = nullptr;
   const ListedUpstream* owner = FindOwner(pending, &range);
