Log partial reads of the store and requests to lapsed upstreams

No line told whether a watch's response brought all changes, and a request to an upstream whose registration had lapsed made no line at all, so the hypotheses of the incident could not be told apart. view.read gives the number and revisions of the changes of a large response; request.sent-to-lapsed tells how long the registration had been gone at most, and when the host heard of it, with a histogram of the latter.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -53,6 +53,9 @@
 constexpr Duration kForgetMissingAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
+// Responses of a watch with fewer changes make no line.
+constexpr size_t kMinLoggedChanges = 50;
+
 // Stands in the log for an upstream without a limit.
 constexpr double kNoLimit = -1;
 
@@ -106,6 +109,9 @@
                                          const std::string& reason) {
       OnReachable(kind, reachable, reason);
     };
+    handlers.on_watched = [this, kind](const WatchedChanges& changes) {
+      OnWatched(kind, changes);
+    };
     // While the store is unreachable, only the registry's watch retries.
     if (kind != ViewKind::kRegistry)
       handlers.may_retry = [this] { return store_reachable(); };
@@ -386,6 +392,16 @@
       {{"watch", NameOf(kViewKindNames, kind)}, {"reason", reason}});
 }
 
+void DeploymentView::OnWatched(ViewKind kind, const WatchedChanges& changes) {
+  if (changes.count < kMinLoggedChanges) return;
+  log_.LogStateChange("view.read", {{"watch", NameOf(kViewKindNames, kind)},
+                                    {"changes", uint64_t{changes.count}},
+                                    {"from", changes.from_revision},
+                                    {"last", changes.last_revision},
+                                    {"store", changes.store_revision},
+                                    {"took_ms", changes.took}});
+}
+
 void DeploymentView::Notify() {
   // Runs the listeners at most once per iteration of the event loop, and never
   // within a watcher's callback.
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -126,6 +126,7 @@
     return *watchers_.at(static_cast<size_t>(kind));
   }
   void OnReachable(ViewKind kind, bool reachable, const std::string& reason);
+  void OnWatched(ViewKind kind, const WatchedChanges& changes);
   // Schedules the listeners.
   void Notify();
   void Advance();
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -55,6 +55,13 @@
                     "that is sent to it all the same")
               .Register(*registry_)
               .Add({}, LatencyBuckets())),
+      sent_to_lapsed_seconds_(
+          prometheus::BuildHistogram()
+              .Name("mimosadeal_sent_to_lapsed_seconds")
+              .Help("Time from learning that an upstream's registration "
+                    "lapsed to a request that is sent to it all the same")
+              .Register(*registry_)
+              .Add({}, LatencyBuckets())),
       sent_to_limited_(prometheus::BuildCounter()
                            .Name("mimosadeal_sent_to_limited_total")
                            .Help("Requests sent to upstreams that have stated "
@@ -107,6 +114,10 @@
   sent_to_leaving_seconds_.Observe(ToSeconds(after));
 }
 
+void EntryMetrics::ObserveSentToLapsed(Duration after) {
+  sent_to_lapsed_seconds_.Observe(ToSeconds(after));
+}
+
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
 void EntryMetrics::ObservePermit(std::string_view outcome) {
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -53,6 +53,9 @@
   // A request was sent to an upstream `after` this host learned that it is
   // leaving.
   void ObserveSentToLeaving(Duration after);
+  // A request was sent to an upstream `after` this host learned that its
+  // registration lapsed.
+  void ObserveSentToLapsed(Duration after);
   // A request was sent to an upstream that has stated a limit.
   void ObserveSentToLimited();
   // A permit for such a request was given or refused; see
@@ -71,6 +74,7 @@
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Histogram& sent_to_leaving_seconds_;
+  prometheus::Histogram& sent_to_lapsed_seconds_;
   prometheus::Counter& sent_to_limited_;
   prometheus::Family<prometheus::Counter>& permits_;
   // Metrics by label values, so that each is looked up in its family only once.
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -257,6 +257,8 @@
   request.require_new_connection = tried_before && !pending.idempotent();
   if (upstream.limit.per_second.has_value())
     NoteSentToLimited(pending, upstream);
+  if (const RegistrationLapse* lapse = view_.directory().FindLapse(id))
+    NoteSentToLapsed(pending, *lapse);
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
@@ -292,6 +294,20 @@
                    {"sends", pending.sends}});
 }
 
+void RequestForwarder::NoteSentToLapsed(const PendingRequest& pending,
+                                        const RegistrationLapse& lapse) {
+  const MonotonicTime now = loop_.timers().now();
+  metrics_.ObserveSentToLapsed(now - lapse.since);
+  log_.LogRequest(
+      "request.sent-to-lapsed",
+      {{"id", pending.request.id},
+       {"upstream", pending.tried.back()},
+       {"left_ms_before_at_most", now - lapse.changed_after},
+       {"heard_ms_before", now - lapse.since},
+       {"registry",
+        view_.Revisions().at(static_cast<size_t>(ViewKind::kRegistry))}});
+}
+
 void RequestForwarder::LogSentToLeaving(const PendingRequest& pending,
                                         const ListedUpstream& upstream,
                                         MonotonicTime chosen_at,
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -29,6 +29,7 @@
 struct ListedUpstream;
 struct NextChance;
 struct PermitDecision;
+struct RegistrationLapse;
 struct UpstreamLimit;
 
 struct RequestForwarderOptions {
@@ -148,6 +149,9 @@
   void LogSentToLeaving(const PendingRequest& pending,
                         const ListedUpstream& upstream, MonotonicTime chosen_at,
                         const ExchangeResult& result);
+  // Logs a request that is being sent to an upstream whose registration lapsed.
+  void NoteSentToLapsed(const PendingRequest& pending,
+                        const RegistrationLapse& lapse);
   // Logs a request that is being sent to an upstream with a limit.
   void NoteSentToLimited(const PendingRequest& pending,
                          const ListedUpstream& upstream);
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -108,8 +108,8 @@
                            now - store_reachable_since < lapse_grace_time_);
   if (around_outage &&
       found->second.availability == UpstreamAvailability::kServing) {
-    lapses_.try_emplace(id,
-                        Lapse{now,
+    lapses_.try_emplace(
+        id, RegistrationLapse{now,
                               (store_reachable ? store_reachable_since : now) +
                                   lapse_grace_time_,
                               changed_after});
@@ -176,6 +176,12 @@
   return found == upstreams_.end() ? nullptr : &found->second;
 }
 
+const RegistrationLapse* UpstreamDirectory::FindLapse(
+    const std::string& id) const {
+  const auto found = lapses_.find(id);
+  return found == lapses_.end() ? nullptr : &found->second;
+}
+
 std::vector<std::string> UpstreamDirectory::ServingIds(
     const std::string& service) const {
   std::vector<std::string> ids;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -41,6 +41,14 @@
   UpstreamLimit limit;  // As stated by this incarnation.
 };
 
+// A registration that disappeared around an outage of the store.
+struct RegistrationLapse {
+  MonotonicTime since = kNever;  // When this host noticed it.
+  MonotonicTime until = kNever;  // End of the grace time.
+  // The registration was still there at this time; kNever if unknown.
+  MonotonicTime changed_after = kNever;
+};
+
 class UpstreamDirectory {
  public:
   // `lapse_grace_time`: the time after the store is reachable again in which a
@@ -81,6 +89,9 @@
   void OnStoreReachable(MonotonicTime store_reachable_since);
 
   const ListedUpstream* Find(const std::string& id) const;
+  // Returns the lapse of the upstream's registration; null if it has not lapsed
+  // or the grace time has ended.
+  const RegistrationLapse* FindLapse(const std::string& id) const;
   const std::map<std::string, ListedUpstream>& all() const {
     return upstreams_;
   }
@@ -96,12 +107,6 @@
  private:
   void OnServingChanged();
 
-  struct Lapse {
-    MonotonicTime since = kNever;  // When this host noticed it.
-    MonotonicTime until = kNever;  // End of the grace time.
-    MonotonicTime changed_after = kNever;
-  };
-
   Duration lapse_grace_time_;
   Duration lapsed_use_time_;
   std::map<std::string, ListedUpstream> upstreams_;
@@ -111,7 +116,7 @@
   // Ids of missing upstreams, which Advance deletes later.
   std::vector<std::string> missing_;
   // Registrations that disappeared around an outage of the store, by id.
-  std::map<std::string, Lapse> lapses_;
+  std::map<std::string, RegistrationLapse> lapses_;
 };
 
 }  // namespace mimosadeal
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -163,6 +163,12 @@
     return;
   }
   const bool any = !changes.value().changes.empty();
+  if (any && handlers_.on_watched) {
+    handlers_.on_watched({changes.value().changes.size(), revision_,
+                          changes.value().changes.back().revision,
+                          changes.value().store_revision,
+                          loop_.timers().now() - call_sent_at_});
+  }
   // A response without changes means that the store waited for the whole time.
   const MonotonicTime after = current_at_;
   OnSuccess(any || !reachable_ ? Duration::zero() : timing_.wait);
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -37,6 +37,15 @@
   uint64_t after_revision = 0;
 };
 
+// A watch's response with changes.
+struct WatchedChanges {
+  size_t count = 0;
+  uint64_t from_revision = 0;   // The watch asked for changes after this.
+  uint64_t last_revision = 0;   // Of the last change.
+  uint64_t store_revision = 0;  // As stated by the response.
+  Duration took{};              // From the call to its response.
+};
+
 struct KindWatcherHandlers {
   // One object was created, changed or removed.
   std::function<void(const StoredObject&, const ChangeBound&)> on_change;
@@ -48,6 +57,8 @@
   std::function<void(bool reachable, const std::string& reason)> on_reachable;
   // Returns whether to retry after a failed call. Empty means always.
   std::function<bool()> may_retry;
+  // A watch's response had changes. Runs before they are applied.
+  std::function<void(const WatchedChanges&)> on_watched;
 };
 
 struct KindWatcherTiming {
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -28,7 +28,7 @@
          last_bound = bound;
          if (object.deleted) removed.push_back(object.name);
        },
-       nullptr, nullptr, nullptr, nullptr}};
+       nullptr, nullptr, nullptr, nullptr, nullptr}};
 
   StoredObject Object(const std::string& name, uint64_t revision,
                       bool deleted = false) {
