Add failing tests: a host that catches up takes a part of the changes for all

Callers saw requests served by upstreams that had left. The stand-in store can now send a long history in parts, as the platform does. The unit tests show the two halves: it waits between the parts, and it counts the first as the whole.

--- a/source/integration_tests/entry_leaving_test.cc
+++ b/source/integration_tests/entry_leaving_test.cc
@@ -14,6 +14,10 @@
 
 // As in the fixture's settings.
 constexpr Duration kDrainBound = seconds(2);
+// A host must keep its bounds again this long after the end of a partition.
+constexpr Duration kRecoveryTime = seconds(3);
+constexpr size_t kMaxWatchEvents = 100;
+constexpr int kMissedChanges = 2000;
 
 class EntryLeavingTest : public EntryTest {
  public:
@@ -107,5 +111,34 @@
   fixture.CheckRecord();
 }
 
+// Guards against a host that takes a part of the changes for all of them: the
+// store sends a long history in parts, and the host must not need long for it.
+TEST(EntryLeaving,
+     ALeavingOwnerGetsNothingAfterTheBoundFromAHostThatCatchesUp) {
+  fixture.StartDefaultDeployment(4);
+  for (const auto& [name, upstream] : fixture.upstreams)
+    upstream->SetWork(milliseconds(5));
+  const int key = OwnedKey("yard-3");
+  fixture.upstreams.at("yard-3")->faults().ignore_releases = true;
+  fixture.store->faults().max_watch_events = kMaxWatchEvents;
+  for (const char* host : {"host-1", "host-3"})
+    fixture.SetStorePartition(host, true);
+  fixture.RunFor(seconds(1));
+  for (int change = 0; change < kMissedChanges; ++change)
+    fixture.store->Put("servers", "unreadable", {{"seq", change}});
+  fixture.RunFor(seconds(4));
+  for (const char* host : {"host-1", "host-3"})
+    fixture.SetStorePartition(host, false);
+  fixture.RunFor(kRecoveryTime);
+  fixture.upstreams.at("yard-3")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  const Duration last =
+      LastRunAfter(left, Host(1), key, "yard-3", milliseconds(5000));
+  CHECK_TEXT(last <= kDrainBound,
+             ("reached after " + std::to_string(ToMilliseconds(last)) + " ms")
+                 .c_str());
+  fixture.CheckRecord();
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -116,12 +116,16 @@
 
 bool DeploymentStore::RespondToWatch(const Watch& watch, bool timed_out) {
   nlohmann::json events = nlohmann::json::array();
+  uint64_t as_of = revision_;
   for (const Event& event : history_) {
-    if (event.kind == watch.kind && event.revision > watch.revision)
-      events.push_back({{"removed", event.removed}, {"object", event.object}});
+    if (event.kind != watch.kind || event.revision <= watch.revision) continue;
+    events.push_back({{"removed", event.removed}, {"object", event.object}});
+    if (events.size() != faults_.max_watch_events) continue;
+    as_of = event.revision;
+    break;
   }
   if (events.empty() && !timed_out) return false;
-  Respond(watch.exchange, 200, {{"events", events}, {"asOf", revision_}});
+  Respond(watch.exchange, 200, {{"events", events}, {"asOf", as_of}});
   return true;
 }
 
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -23,6 +23,9 @@
   bool refuse = false;
   // This many writes take effect, but get no response.
   int lose_write_responses = 0;
+  // A watch's response has at most this many events; the next watch gets the
+  // others. 0 for no limit.
+  size_t max_watch_events = 0;
 };
 
 class DeploymentStore {
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -1,9 +1,11 @@
-// Tests of a copy that is fed by another host.
+// Tests of a copy that is fed by another host, and of one that reads a store
+// that sends its history in parts.
 #include "store/kind_watcher.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include "net/event_loop.h"
+#include "net/exchange_server.h"
 #include "platform/store_codec.h"
 #include "store/object_store.h"
 
@@ -94,5 +96,91 @@
   LONGS_EQUAL(20, last_bound.after_revision);
 }
 
+constexpr uint64_t kNewestRevision = 20;
+constexpr uint64_t kChangesPerResponse = 4;
+
+// A store with one object, which each of its revisions changed. Each response
+// to a watch has at most kChangesPerResponse changes.
+class ScriptedStore {
+ public:
+  ScriptedStore(EventLoop& loop, const SocketAddress& address) {
+    HttpServerHandlers handlers;
+    handlers.on_request = [this](ExchangeId id, HttpRequest&& request) {
+      Respond(id, request.query);
+    };
+    handlers.on_abandoned = [](ExchangeId) {};
+    handlers.make_refusal = [](int, const std::string&) {
+      return HttpResponse{};
+    };
+    auto made = ExchangeServer::Listen(
+        loop, address,
+        {{16384, 65536}, std::chrono::seconds(9), std::chrono::seconds(9), 9},
+        std::move(handlers));
+    CHECK(made.has_value());
+    server_ = std::move(made.value());
+  }
+
+ private:
+  static nlohmann::json Object(uint64_t revision) {
+    return {{"metadata", {{"name", "a"}, {"rev", revision}}},
+            {"spec", nlohmann::json::object()}};
+  }
+
+  void Respond(ExchangeId id, const std::string& query) {
+    nlohmann::json body;
+    const uint64_t from = std::stoull(query.substr(sizeof("watch=") - 1));
+    const uint64_t last = std::min(from + kChangesPerResponse, kNewestRevision);
+    body = {{"events", nlohmann::json::array()}, {"asOf", last}};
+    for (uint64_t revision = from + 1; revision <= last; ++revision)
+      body["events"].push_back({{"object", Object(revision)}});
+    HttpResponse response;
+    response.status = 200;
+    response.body = body.dump();
+    server_->Respond(id, response);
+  }
+
+  std::unique_ptr<ExchangeServer> server_;
+};
+
+TEST_GROUP(PartialHistory) {
+  EventLoop loop{{32, 8, 65536}};
+  SocketAddress address{"127.0.4.2", 18499};
+  ScriptedStore scripted{loop, address};
+  ObjectStore store{loop, address, platform::MakeStoreProtocol(),
+                    std::chrono::seconds(1)};
+  // The delay is longer than the tests run.
+  KindWatcherTiming timing{std::chrono::seconds(5), std::chrono::seconds(9),
+                           std::chrono::seconds(9), std::chrono::seconds(9)};
+  KindWatcher watcher{loop, store, "things", timing, {}};
+
+  // Starts a watcher that was fed up to revision 1, and runs the loop until it
+  // has the revision, for at most a second.
+  void ReadUntil(uint64_t revision) {
+    watcher.ApplyFed({true, 0, 1, {{"a", 1, false, nullptr}}}, kNever);
+    watcher.Start();
+    const MonotonicTime end = loop.timers().now() + std::chrono::seconds(1);
+    const TimerId tick =
+        loop.timers().Every(std::chrono::milliseconds(10), [] {});
+    while (watcher.revision() < revision && loop.timers().now() < end)
+      loop.RunOnce();
+    loop.timers().Cancel(tick);
+  }
+};
+
+// Guards against news that comes late to a host that was disconnected, because
+// it waits before it reads each further part of a long history.
+TEST(PartialHistory, ALongHistoryIsReadWithoutWaitingBetweenItsParts) {
+  ReadUntil(kNewestRevision);
+  LONGS_EQUAL(kNewestRevision, watcher.revision());
+}
+
+// Guards against a copy that counts as up to date after the first part of a
+// long history: a change may then appear newer than it is.
+TEST(PartialHistory, APartOfTheChangesDoesNotShowThatTheCopyIsUpToDate) {
+  ReadUntil(1 + kChangesPerResponse);
+  LONGS_EQUAL(1 + kChangesPerResponse, watcher.revision());
+  CHECK(watcher.current_at() == kNever);
+}
+
 }  // namespace
 }  // namespace mimosadeal
