Read a long history without waiting, and count no part of it as the whole

Cause: the store sends at most 500 changes in a response to a watch. A host took each response as proof that its copy matched the store when it had asked for it, and waited 150 to 400 ms before it asked for more. So it heard late, and the time from which the use of a leaving owner is bounded was false by as much, on it and on all that it fed.

Now a response of 50 changes or more is followed at once by the next watch and shows nothing about how current the copy is; an empty one counts for the time that the store waited only if it came after that time. What the host can show otherwise, by the times of writes with lower revisions, counts for a whole copy too, so that a busy registry does not lose its proof.

The unit tests failed before, also with the parts of 100 changes that they use now: a response of 4 counts as whole by intent.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -197,7 +197,10 @@
 }
 
 MonotonicTime DeploymentView::current_at(ViewKind kind) const {
-  return watcher(kind).current_at();
+  // The copy has all changes up to its revision, so it matched the store when
+  // a write with an earlier revision was sent.
+  return std::max(watcher(kind).current_at(),
+                  revision_clock_.Before(watcher(kind).revision() + 1));
 }
 
 void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int kBackoffFactor = 2;
+// A response with fewer changes has all of them: the store sends a long history
+// in parts of some hundreds of changes.
+constexpr size_t kMinPartChanges = 50;
 // Interval of asking may_retry. It may wait for another watcher that probes the
 // store.
 constexpr Duration kMayRetryInterval = std::chrono::milliseconds(50);
@@ -94,6 +97,7 @@
 void KindWatcher::List() {
   const uint64_t call_id = ++call_id_;
   call_sent_at_ = loop_.timers().now();
+  call_wait_ = Duration::zero();
   store_.List(kind_, [this, call_id](Result<ObjectPage> page) {
     if (call_id == call_id_) OnList(std::move(page));
   });
@@ -104,7 +108,8 @@
   call_sent_at_ = loop_.timers().now();
   // While the store is unreachable, asks for an immediate response: a waiting
   // watch would show late that the store is reachable again.
-  store_.Watch(kind_, revision_, reachable_ ? timing_.wait : Duration::zero(),
+  call_wait_ = reachable_ ? timing_.wait : Duration::zero();
+  store_.Watch(kind_, revision_, call_wait_,
                [this, call_id](Result<ObjectChanges> changes) {
                  if (call_id == call_id_) OnChanges(std::move(changes));
                });
@@ -116,7 +121,8 @@
     return;
   }
   const MonotonicTime after = current_at_;
-  OnSuccess(Duration::zero());
+  OnSuccess();
+  NoteCurrent(call_sent_at_);
   history_lost_ = false;
   ReplaceAll(page.value().objects, after);
   revision_ = std::max<uint64_t>({1, revision_, page.value().store_revision});
@@ -169,9 +175,15 @@
                           changes.value().store_revision,
                           loop_.timers().now() - call_sent_at_});
   }
-  // A response without changes means that the store waited for the whole time.
   const MonotonicTime after = current_at_;
-  OnSuccess(any || !reachable_ ? Duration::zero() : timing_.wait);
+  OnSuccess();
+  const bool part = changes.value().changes.size() >= kMinPartChanges;
+  if (!part) {
+    // Not the time of arrival: this process may have read the response late.
+    const bool store_waited =
+        !any && answered_at_ - call_sent_at_ >= call_wait_;
+    NoteCurrent(call_sent_at_ + (store_waited ? call_wait_ : Duration::zero()));
+  }
   KindUpdate update;
   update.base = content_revision_;
   update.objects = std::move(changes.value().changes);
@@ -183,7 +195,8 @@
     if (handlers_.on_update) handlers_.on_update(update);
     if (handlers_.on_synced) handlers_.on_synced();
   }
-  Schedule(any ? timing_.batch_delay : Duration::zero(), [this] { Watch(); });
+  Schedule(any && !part ? timing_.batch_delay : Duration::zero(),
+           [this] { Watch(); });
 }
 
 void KindWatcher::Apply(const StoredObject& object, const ChangeBound& bound) {
@@ -199,11 +212,9 @@
   if (handlers_.on_change) handlers_.on_change(object, bound);
 }
 
-void KindWatcher::OnSuccess(Duration waited) {
+void KindWatcher::OnSuccess() {
   retry_delay_ = timing_.first_retry;
   answered_at_ = loop_.timers().now();
-  // Not the time of arrival: this process may have read the response late.
-  NoteCurrent(std::min(answered_at_, call_sent_at_ + waited));
   if (reachable_) return;
   reachable_ = true;
   reachable_since_ = loop_.timers().now();
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -105,7 +105,8 @@
   // first.
   MonotonicTime answered_at() const { return answered_at_; }
   // The last time at which this copy is known to have matched the store, by the
-  // store's responses and NoteCurrent; kNever if unknown.
+  // store's responses and NoteCurrent; kNever if unknown. A response with a
+  // part of the changes shows nothing.
   MonotonicTime current_at() const { return current_at_; }
   // Notes that, according to another host, a copy no newer than this one
   // matched the store at `at`.
@@ -132,8 +133,7 @@
   void Apply(const StoredObject& object, const ChangeBound& bound);
   void OnFailure(const Error& error);
   void Retry();
-  // `waited`: for how long the store held the call at least.
-  void OnSuccess(Duration waited);
+  void OnSuccess();
   void Schedule(Duration delay, std::function<void()> next);
 
   EventLoop& loop_;
@@ -151,7 +151,8 @@
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
   bool history_lost_ = false;  // The next call must be a list.
-  Duration retry_delay_{};     // Delay before the next retry, without jitter.
+  Duration call_wait_{};    // For which the last call asked the store to wait.
+  Duration retry_delay_{};  // Delay before the next retry, without jitter.
   uint64_t timer_ = 0;
   // Identifies the latest call; responses to earlier ones are ignored.
   uint64_t call_id_ = 0;
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -96,8 +96,8 @@
   LONGS_EQUAL(20, last_bound.after_revision);
 }
 
-constexpr uint64_t kNewestRevision = 20;
-constexpr uint64_t kChangesPerResponse = 4;
+constexpr uint64_t kNewestRevision = 1000;
+constexpr uint64_t kChangesPerResponse = 100;
 
 // A store with one object, which each of its revisions changed. Each response
 // to a watch has at most kChangesPerResponse changes.
