Count the use of a lapsed registration from the outage, not from the news

An upstream whose registration went around an outage of the store got requests for 1.3 s from when a host heard of it, however late that was.

The time now counts from the end of the outage, or from the latest time at which the registration was certainly still there if that is later, and never from later than the news. It binds the sending of a request that waits for its connection, too, and the choice among upstreams without keys, not only the timer that changes the listing (each 250 ms).

--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -141,7 +141,7 @@
   // its key, or for a permit for an upstream that does not own it any more.
   bool MayTryAgain(PendingRequest& pending);
   // Returns the time until which requests may be sent to the upstream; kForever
-  // while it serves.
+  // while it serves and is registered.
   MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
   void Send(PendingRequest& pending, const ListedUpstream& upstream);
   // Logs a request that was sent to a leaving upstream. `upstream`: its entry
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -35,7 +35,11 @@
 
 MonotonicTime RequestForwarder::UsableUntil(
     const ListedUpstream& upstream) const {
-  if (upstream.availability == UpstreamAvailability::kServing) return kForever;
+  if (upstream.availability == UpstreamAvailability::kServing) {
+    const RegistrationLapse* lapse =
+        view_.directory().FindLapse(upstream.record.id);
+    return lapse == nullptr ? kForever : lapse->use_until;
+  }
   const bool unusable =
       upstream.availability == UpstreamAvailability::kLapsed ||
       upstream.left_after == kNever;
@@ -100,7 +104,8 @@
       continue;
     }
     const UpstreamLoad& load = pool_.LoadOf(record);
-    if (load.connect_backoff_until > now) continue;
+    if (load.connect_backoff_until > now || now >= UsableUntil(*listed))
+      continue;
     if (load.rest_until > now) {
       next = Sooner(next, {load.rest_until, RefusalReason::kResting});
       continue;
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -108,11 +108,17 @@
                            now - store_reachable_since < lapse_grace_time_);
   if (around_outage &&
       found->second.availability == UpstreamAvailability::kServing) {
-    lapses_.try_emplace(
-        id, RegistrationLapse{now,
-                              (store_reachable ? store_reachable_since : now) +
-                                  lapse_grace_time_,
-                              changed_after});
+    RegistrationLapse lapse;
+    lapse.since = now;
+    lapse.until =
+        (store_reachable ? store_reachable_since : now) + lapse_grace_time_;
+    lapse.changed_after = changed_after;
+    MonotonicTime present_at = changed_after;
+    if (store_reachable)
+      present_at = std::max(present_at, store_reachable_since);
+    if (present_at == kNever) present_at = now;
+    lapse.use_until = std::min(now, present_at) + lapsed_use_time_;
+    lapses_.try_emplace(id, lapse);
     return false;
   }
   if (found->second.availability == UpstreamAvailability::kMissing)
@@ -131,7 +137,7 @@
     ListedUpstream& listed = upstreams_[at->first];
     if (at->second.until > now) {
       if (listed.availability == UpstreamAvailability::kServing &&
-          now - at->second.since >= lapsed_use_time_) {
+          now >= at->second.use_until) {
         listed.availability = UpstreamAvailability::kLapsed;
         changed = true;
       }
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -43,8 +43,9 @@
 
 // A registration that disappeared around an outage of the store.
 struct RegistrationLapse {
-  MonotonicTime since = kNever;  // When this host noticed it.
-  MonotonicTime until = kNever;  // End of the grace time.
+  MonotonicTime since = kNever;      // When this host noticed it.
+  MonotonicTime until = kNever;      // End of the grace time.
+  MonotonicTime use_until = kNever;  // Until then the upstream gets requests.
   // The registration was still there at this time; kNever if unknown.
   MonotonicTime changed_after = kNever;
 };
@@ -53,7 +54,9 @@
  public:
   // `lapse_grace_time`: the time after the store is reachable again in which a
   // registration may be absent before its upstream counts as missing.
-  // `lapsed_use_time`: the time for which such an upstream still gets requests.
+  // `lapsed_use_time`: the time for which such an upstream still gets requests,
+  // from the latest time at which the registration was certainly still there,
+  // or from the end of the outage if that is later.
   // It is limited because a host that was itself disconnected cannot tell this
   // from an outage of the store, and must not keep using upstreams that left
   // meanwhile.
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -82,6 +82,30 @@
   LONGS_EQUAL(1, directory.ServingIds("yard").size());
 }
 
+// Guards against requests to an upstream that left, from a host that heard of
+// it late: the time of use was counted from the news.
+TEST(UpstreamDirectory, LateNewsDoesNotLengthenTheUseOfALapsedUpstream) {
+  directory.Update(Record(), now, current_at);
+  CHECK_FALSE(directory.Remove("u1", now, now - milliseconds(1000),
+                               now - milliseconds(1200), true));
+  CHECK_FALSE(directory.Advance(now + milliseconds(299), seconds(60)));
+  LONGS_EQUAL(1, directory.ServingIds("yard").size());
+  CHECK(directory.Advance(now + milliseconds(300), seconds(60)));
+  LONGS_EQUAL(0, directory.ServingIds("yard").size());
+}
+
+// A registration that went while the store was away may have gone at any time
+// of the outage, which says nothing about the upstream.
+TEST(UpstreamDirectory, TheUseOfALapsedUpstreamCountsFromTheOutagesEnd) {
+  directory.Update(Record(), now, current_at);
+  CHECK_FALSE(directory.Remove("u1", now, now - seconds(9),
+                               now - milliseconds(100), true));
+  CHECK_FALSE(directory.Advance(now + milliseconds(1199), seconds(60)));
+  LONGS_EQUAL(1, directory.ServingIds("yard").size());
+  CHECK(directory.Advance(now + milliseconds(1200), seconds(60)));
+  LONGS_EQUAL(0, directory.ServingIds("yard").size());
+}
+
 // Guards against a second grace time for the same upstream: requests would
 // reach it for longer than the drain bound allows.
 TEST(UpstreamDirectory, AMissingUpstreamIsMissingSinceItsRegistrationLapsed) {
