Do not take a page of unreadable objects for the last one of a list

A page of a list whose objects were all unreadable gave no position for the next page, and the list seemed complete: every upstream on a later page would have counted as removed.

--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -333,6 +333,20 @@
   CHECK(changes.value().changes[0].deleted);
 }
 
+// Guards against a list that seems complete after a page without a readable
+// object: all objects on later pages would count as removed.
+TEST(PlatformStore, APageOfUnreadableObjectsIsNotTheLastOne) {
+  const auto page = store.read_page(Response(
+      200,
+      R"({"items":[{"metadata":{"name":"a","rev":"x"}}],"more":true,"asOf":9})"));
+  CHECK(page.has_value());
+  CHECK(page.value().objects.empty());
+  STRCMP_EQUAL("a", page.value().next.c_str());
+  CHECK(store.read_page(Response(200, R"({"items":[{}],"more":true,"asOf":9})"))
+            .error()
+            .code == ErrorCode::kMalformed);
+}
+
 TEST(PlatformStore, MapsStatusesToErrors) {
   CHECK(store.read_changes(Response(410)).error().code == ErrorCode::kNotFound);
   CHECK(store.read_object(Response(409)).error().code == ErrorCode::kConflict);
