Read the store's era and log each restore

No line told that the store had been restored from a copy, so the hypotheses of the incident had to be told apart by revisions that go back. store.era tells of each restore; an era that cannot be read, or is lower than before, changes nothing and makes one line. No decision uses the era yet.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -97,6 +97,13 @@
       protocol_(protocol),
       log_(log),
       directory_(kLapseGrace, kLapseUsePeriod) {
+  store.SetEraHandler([this](const EraObservation& observation) {
+    log_.LogStateChange(
+        observation.error.empty() ? "store.era" : "store.era-unusable",
+        {{"era", observation.era},
+         {"before", observation.before},
+         {"reason", observation.error}});
+  });
   const auto make_watcher = [&](ViewKind kind, const std::string& stored_kind,
                                 auto apply_change) {
     KindWatcherHandlers handlers;
--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -76,12 +76,37 @@
           // The idle connections are probably broken too.
           idle_.clear();
         }
+        if (result.failure == ClientFailure::kNone) NoteEra(result.response);
         if (finished->client->reusable() && idle_.size() < kMaxIdleConnections)
           idle_.push_back(std::move(finished->client));
         finished->done(result);
       });
 }
 
+void ObjectStore::NoteEra(const HttpResponse& response) {
+  const Result<uint64_t> read = protocol_.read_era(response);
+  // A store that was never restored need not state an era.
+  if (!read.has_value() && read.error().code == ErrorCode::kNotFound &&
+      era_ == 0) {
+    return;
+  }
+  EraObservation observation{era_, era_, ""};
+  if (!read.has_value()) {
+    observation.error = DescribeError(read.error());
+  } else if (read.value() < era_) {
+    observation.error = "the store's era is lower than before";
+  } else if (read.value() > era_) {
+    era_ = read.value();
+    observation.era = era_;
+    era_error_reported_ = false;
+  } else {
+    return;
+  }
+  if (!observation.error.empty() && std::exchange(era_error_reported_, true))
+    return;
+  if (on_era_) on_era_(observation);
+}
+
 void ObjectStore::List(const std::string& kind, Callback<ObjectPage> callback) {
   ContinueList(kind, {}, std::move(callback));
 }
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -22,6 +22,13 @@
   uint64_t failures = 0;
 };
 
+// What a response of the store showed about its era.
+struct EraObservation {
+  uint64_t era = 0;     // The newest known, this one included.
+  uint64_t before = 0;  // The newest known before.
+  std::string error;    // Why the response's own was not used; else empty.
+};
+
 enum class ReadConsistency : uint8_t {
   kNewest,
   kMayBeStale,  // The object may be seconds old; costs the platform less.
@@ -53,6 +60,14 @@
   // Aborts the waiting watches; their callbacks get kUnavailable.
   void CancelWatches();
 
+  // `handler` runs when a response shows a later era, or one that cannot be
+  // used for the first time since.
+  void SetEraHandler(std::function<void(const EraObservation&)> handler) {
+    on_era_ = std::move(handler);
+  }
+  // How often the store was restored from a copy, as far as known.
+  uint64_t era() const { return era_; }
+
   const StoreCounts& counts() const { return counts_; }
 
  private:
@@ -62,6 +77,7 @@
              std::function<void(const ExchangeResult&)> done);
   void ContinueList(const std::string& kind, ObjectPage collected,
                     Callback<ObjectPage> callback);
+  void NoteEra(const HttpResponse& response);
   // Returns a reusable idle connection, or a new one.
   std::unique_ptr<ExchangeClient> TakeConnection();
 
@@ -70,6 +86,9 @@
   StoreProtocol protocol_;
   Duration call_timeout_;
   StoreCounts counts_;
+  uint64_t era_ = 0;  // Invariant: never decreases.
+  bool era_error_reported_ = false;
+  std::function<void(const EraObservation&)> on_era_;
   std::list<std::unique_ptr<Call>> calls_;
   std::list<std::unique_ptr<ExchangeClient>> idle_;
 };
--- a/source/core/store/store_protocol.h
+++ b/source/core/store/store_protocol.h
@@ -35,6 +35,10 @@
   Result<ObjectPage> (*read_page)(const HttpResponse& response);
   Result<ObjectChanges> (*read_changes)(const HttpResponse& response);
   Result<StoredObject> (*read_object)(const HttpResponse& response);
+  // Reads how often the store was restored from a copy, from any response.
+  // Errors: kNotFound when the response does not state it; kMalformed when it
+  // states it twice, or as anything but a number up to kMaxStoreEra.
+  Result<uint64_t> (*read_era)(const HttpResponse& response);
 };
 
 }  // namespace mimosadeal
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -347,6 +347,20 @@
             .code == ErrorCode::kMalformed);
 }
 
+TEST(PlatformStore, AnEraIsReadOnlyFromOneNumber) {
+  HttpResponse response = Response(410);
+  CHECK(store.read_era(response).error().code == ErrorCode::kNotFound);
+  response.headers = {{"store-era", "7"}};
+  LONGS_EQUAL(7, store.read_era(response).value());
+  for (const char* value : {"", "-1", "x", "7x", "1e3", "99999999999"}) {
+    response.headers = {{"store-era", value}};
+    CHECK_TEXT(store.read_era(response).error().code == ErrorCode::kMalformed,
+               value);
+  }
+  response.headers = {{"store-era", "7"}, {"store-era", "7"}};
+  CHECK(store.read_era(response).error().code == ErrorCode::kMalformed);
+}
+
 TEST(PlatformStore, MapsStatusesToErrors) {
   CHECK(store.read_changes(Response(410)).error().code == ErrorCode::kNotFound);
   CHECK(store.read_object(Response(409)).error().code == ErrorCode::kConflict);
