Order an upstream's registrations by their report numbers

After the store is restored from a copy, it names upstreams as ready that have left since, or whose registration was removed. A report that is not later than the one before the departure now changes nothing. An upstream that was only away renews its registration, which the store does not report; so one that stays listed for longer than it lasts without renewal counts again.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -79,7 +79,7 @@
 
 bool DifferInWarmupOnly(UpstreamRecord before, const UpstreamRecord& after) {
   before.warmup_left = after.warmup_left;
-  return before == after;
+  return IsSameState(before, after);
 }
 
 KindWatcherTiming Timing(ViewKind kind) {
@@ -284,6 +284,8 @@
   const MonotonicTime changed_after =
       std::max(bound.after, revision_clock_.Before(bound.after_revision + 1));
   if (object.deleted) {
+    if (const auto last = protocol_.read_registration(object); last.has_value())
+      directory_.NoteReport(last.value());
     const KindWatcher& registry = watcher(ViewKind::kRegistry);
     // If only this host was partitioned from the store, other hosts report that
     // the store was reachable earlier, or always.
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -11,6 +11,10 @@
 // same, so that small changes are not reported to all hosts.
 constexpr double kLimitTolerance = 0.1;
 
+// A registration that its upstream does not renew is removed within this many
+// grace times.
+constexpr int kReappearanceFactor = 2;
+
 bool IsSameLimit(const std::optional<double>& known,
                  const std::optional<double>& stated) {
   if (!known.has_value() || !stated.has_value()) return known == stated;
@@ -25,6 +29,19 @@
   listed.left_after = changed_after;
 }
 
+// Returns whether the registration is older than the departure of its upstream,
+// as in a copy from which the store was restored. An upstream that returns
+// registers with a later report.
+bool IsBeforeDeparture(const ListedUpstream& known,
+                       const UpstreamRecord& record) {
+  if (known.record.incarnation != record.incarnation || record.report == 0)
+    return false;
+  if (known.availability == UpstreamAvailability::kDraining)
+    return record.report < known.record.report;
+  return known.availability == UpstreamAvailability::kMissing &&
+         record.report <= known.record.report;
+}
+
 void EndDeparture(ListedUpstream& listed) {
   listed.leaving_since = kNever;
   listed.left_after = kNever;
@@ -34,8 +51,17 @@
 
 bool UpstreamDirectory::Update(const UpstreamRecord& record, MonotonicTime now,
                                MonotonicTime changed_after) {
-  lapses_.erase(record.id);
   ListedUpstream& listed = upstreams_[record.id];
+  if (IsBeforeDeparture(listed, record)) {
+    if (listed.availability == UpstreamAvailability::kMissing)
+      reappeared_.try_emplace(record.id, Reappearance{record, now});
+    return false;
+  }
+  lapses_.erase(record.id);
+  reappeared_.erase(record.id);
+  const int64_t last_report = listed.record.incarnation == record.incarnation
+                                  ? listed.record.report
+                                  : 0;
   if (listed.record.incarnation != record.incarnation) {
     listed.announced_leaving = false;
     listed.limit = {};
@@ -44,7 +70,7 @@
   const auto availability = record.draining || listed.announced_leaving
                                 ? UpstreamAvailability::kDraining
                                 : UpstreamAvailability::kServing;
-  const bool changed = !(listed.record == record) ||
+  const bool changed = !IsSameState(listed.record, record) ||
                        listed.availability != availability ||
                        listed.availability_since == kNever;
   if (listed.availability != availability ||
@@ -53,6 +79,7 @@
     listed.availability_since = now;
   }
   listed.record = record;
+  listed.record.report = std::max(record.report, last_report);
   listed.availability = availability;
   if (availability == UpstreamAvailability::kServing) {
     EndDeparture(listed);
@@ -97,10 +124,19 @@
   return true;
 }
 
+void UpstreamDirectory::NoteReport(const UpstreamRecord& record) {
+  const auto found = upstreams_.find(record.id);
+  if (found == upstreams_.end()) return;
+  UpstreamRecord& known = found->second.record;
+  if (known.incarnation == record.incarnation)
+    known.report = std::max(known.report, record.report);
+}
+
 bool UpstreamDirectory::Remove(const std::string& id, MonotonicTime now,
                                MonotonicTime changed_after,
                                MonotonicTime store_reachable_since,
                                bool store_reachable) {
+  reappeared_.erase(id);
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return false;
   const bool around_outage =
@@ -152,6 +188,15 @@
     at = lapses_.erase(at);
     changed = true;
   }
+  std::vector<UpstreamRecord> returned;
+  for (const auto& [id, reappearance] : reappeared_) {
+    if (now - reappearance.since >= lapse_grace_time_ * kReappearanceFactor)
+      returned.push_back(reappearance.record);
+  }
+  for (UpstreamRecord& record : returned) {
+    record.report = upstreams_[record.id].record.report + 1;
+    changed |= Update(record, now, kNever);
+  }
   std::erase_if(missing_, [&](const std::string& id) {
     const auto found = upstreams_.find(id);
     if (found == upstreams_.end() ||
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -65,8 +65,10 @@
         lapsed_use_time_(lapsed_use_time) {}
 
   // Update and Remove return whether anything changed that routing or ownership
-  // depends on. `changed_after`: the registration changed later than this;
-  // kNever if unknown.
+  // depends on. An earlier report of the same incarnation, as from a copy from
+  // which the store was restored, changes nothing; nor does a missing
+  // upstream's last one. `changed_after`: the registration changed later than
+  // this; kNever if unknown.
   bool Update(const UpstreamRecord& record, MonotonicTime now,
               MonotonicTime changed_after);
   // `store_reachable_since`: when the store became reachable again; kNever if
@@ -74,6 +76,9 @@
   bool Remove(const std::string& id, MonotonicTime now,
               MonotonicTime changed_after, MonotonicTime store_reachable_since,
               bool store_reachable);
+  // Notes the number of the last report of an upstream whose registration is
+  // being removed.
+  void NoteReport(const UpstreamRecord& record);
   // Records that this incarnation of the upstream announced in a response that
   // it is leaving. Returns whether it served until now.
   bool MarkLeaving(const std::string& id, int64_t incarnation,
@@ -84,8 +89,10 @@
   bool NoteLimit(const std::string& id, int64_t incarnation,
                  const UpstreamLimit& stated);
   // Marks upstreams as missing whose registration lapsed longer ago than the
-  // grace time, and deletes those that have been missing for longer than
-  // `delete_after`. Returns whether an availability changed.
+  // grace time, lists missing ones again whose registration has reappeared for
+  // longer than it lasts without renewal, and deletes those that have been
+  // missing for longer than `delete_after`. Returns whether an availability
+  // changed.
   bool Advance(MonotonicTime now, Duration delete_after);
   // To be called when it is known that the store has been reachable since
   // `store_reachable_since`; kNever if it always was. Shortens the grace times.
@@ -120,6 +127,12 @@
   std::vector<std::string> missing_;
   // Registrations that disappeared around an outage of the store, by id.
   std::map<std::string, RegistrationLapse> lapses_;
+  // Missing upstreams that the store lists again with an earlier report, by id.
+  struct Reappearance {
+    UpstreamRecord record;
+    MonotonicTime since = kNever;
+  };
+  std::map<std::string, Reappearance> reappeared_;
 };
 
 }  // namespace mimosadeal
--- a/source/core/fleet/upstream_record.h
+++ b/source/core/fleet/upstream_record.h
@@ -22,8 +22,18 @@
   bool draining = false;
   // The upstream is slow for this long, from the time of this report.
   Duration warmup_left{};
-
-  bool operator==(const UpstreamRecord&) const = default;
+  // Number of this report among those of the incarnation; 0 if not stated.
+  int64_t report = 0;
 };
 
+// Returns whether two registrations say the same, whichever report is newer.
+inline bool IsSameState(const UpstreamRecord& left,
+                        const UpstreamRecord& right) {
+  return left.id == right.id && left.incarnation == right.incarnation &&
+         left.service == right.service && left.address == right.address &&
+         left.zone == right.zone && left.slots == right.slots &&
+         left.draining == right.draining &&
+         left.warmup_left == right.warmup_left;
+}
+
 }  // namespace mimosadeal
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -92,7 +92,7 @@
               {"slots", options_.slots},
               {"state", state},
               {"warmupLeft", "0ms"},
-              {"seq", 1},
+              {"seq", ++reports_},
               {"born", incarnation_}});
 }
 
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -138,6 +138,7 @@
   DeploymentRecord& record_;
   DeploymentUpstreamOptions options_;
   int64_t incarnation_ = 0;
+  int reports_ = 0;  // Sent by this incarnation.
   UpstreamFaults faults_;
   std::unique_ptr<ExchangeServer> server_;
   // Expires with this object, so that timers that fire later do not use it.
--- a/source/unit_tests/fleet/upstream_directory_test.cc
+++ b/source/unit_tests/fleet/upstream_directory_test.cc
@@ -185,6 +185,42 @@
   CHECK(directory.Find("u1")->leaving_since == now + seconds(3));
 }
 
+// Guards against the copy from which a store was restored: it may name an
+// upstream as ready that has left since.
+TEST(UpstreamDirectory, AnEarlierReportDoesNotEndADeparture) {
+  UpstreamRecord ready = Record(1);
+  ready.report = 3;
+  UpstreamRecord draining = Record(1, true);
+  draining.report = 4;
+  directory.Update(ready, now, current_at);
+  directory.Update(draining, now, current_at);
+  CHECK_FALSE(directory.Update(ready, now + seconds(1), current_at));
+  LONGS_EQUAL(0, directory.ServingIds("yard").size());
+  directory.Remove("u1", now + seconds(2), current_at, kNever, true);
+  CHECK_FALSE(directory.Update(draining, now + seconds(3), current_at));
+  CHECK(directory.Find("u1")->availability == UpstreamAvailability::kMissing);
+  ready.report = 5;
+  CHECK(directory.Update(ready, now + seconds(4), current_at));
+  LONGS_EQUAL(1, directory.ServingIds("yard").size());
+  // The reports of another incarnation are numbered anew.
+  UpstreamRecord restarted = Record(2);
+  restarted.report = 1;
+  CHECK(directory.Update(restarted, now + seconds(5), current_at));
+}
+
+// A store that was restored from a copy may name an upstream that returns later
+// and renews that registration, which is not reported.
+TEST(UpstreamDirectory, AReappearedRegistrationCountsOnceItIsRenewed) {
+  UpstreamRecord ready = Record(1);
+  ready.report = 3;
+  directory.Update(ready, now, current_at);
+  directory.Remove("u1", now + seconds(1), current_at, kNever, true);
+  CHECK_FALSE(directory.Update(ready, now + seconds(2), current_at));
+  CHECK_FALSE(directory.Advance(now + milliseconds(6599), seconds(60)));
+  CHECK(directory.Advance(now + milliseconds(6600), seconds(60)));
+  LONGS_EQUAL(1, directory.ServingIds("yard").size());
+}
+
 TEST(UpstreamDirectory,
      AMissingUpstreamIsKeptFromItsRemovalNotFromItsAnnouncement) {
   directory.Update(Record(1, true), now, current_at);
