Keep apart the histories of a store that was restored from a copy

Cause: a position in the store's history was its revision alone. After a restore the counter goes back and its numbers are assigned again. Copies, feeds, leases and tables compared the numbers of two histories, so the newer history lost; a watch got 410, listed, kept its old copy and asked again at once. Class: a belief that does not say of which history it is.

- A revision has the store's era as its high part (store/store_revision), set where responses are read and taken off where calls are made.
What compared revisions stays as it is and is right.
A write that expects a revision of an earlier era is a conflict, a watch from one has lost its history, and responses of an earlier era are refused.
- A second list shortly after a first one is delayed.
- Generations have the era as their high part, so none is assigned twice (weighed: asking the upstreams, which the protocol cannot).
- A table of the copy does not replace a newer one that a host knows.
Each lease holder claims its zone's ranges again, by what it knew before the restore; a holder that took over since waits until every earlier grant has expired.
- A lease of the copy does not replace a later one; its revision does, for the next write.
A lease or table that the copy lacks is created again.

Evidence: store.era, range-table.restored-copy, .claiming-again and lease.restored-copy.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "net/event_loop.h"
 #include "store/object_store.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -387,7 +388,23 @@
 
 void DeploymentView::ApplyTable(RangeTable table) {
   RangeTable& existing = range_tables_[table.service];
+  uint64_t& stored_revision = stored_revisions_[table.service];
+  stored_revision = std::max(stored_revision, table.revision);
   if (existing.revision >= table.revision) return;
+  if (existing.revision != 0 &&
+      EraOfRevision(existing.revision) != EraOfRevision(table.revision)) {
+    tables_before_restore_[table.service] = existing;
+    // Each write of a table raises the generation.
+    if (table.last_generation < existing.last_generation) {
+      log_.LogStateChange("range-table.restored-copy",
+                          {{"service", table.service},
+                           {"revision", table.revision},
+                           {"generation", table.last_generation},
+                           {"known_generation", existing.last_generation}});
+      Notify();
+      return;
+    }
+  }
   existing = std::move(table);
   log_.LogStateChange(
       "range-table.in-force",
@@ -397,6 +414,17 @@
   Notify();
 }
 
+uint64_t DeploymentView::stored_revision(const std::string& service) const {
+  const auto found = stored_revisions_.find(service);
+  return found == stored_revisions_.end() ? 0 : found->second;
+}
+
+const RangeTable* DeploymentView::table_before_restore(
+    const std::string& service) const {
+  const auto found = tables_before_restore_.find(service);
+  return found == tables_before_restore_.end() ? nullptr : &found->second;
+}
+
 void DeploymentView::OnReachable(ViewKind kind, bool reachable,
                                  const std::string& reason) {
   log_.LogStateChange(
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -89,8 +89,20 @@
   // Null until a configuration was read.
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   const UpstreamDirectory& directory() const { return directory_; }
-  // Returns null when the service has no table yet.
+  // Returns the newest table that this host knows, or null when the service has
+  // none yet. After the store was restored from a copy it may be newer than the
+  // store's.
   const RangeTable* table(const std::string& service) const;
+  // Returns the revision that a write of the service's table must expect; 0 if
+  // the store has no table.
+  uint64_t stored_revision(const std::string& service) const;
+  // Returns the last table of the era before that of the store's table; null if
+  // this host has seen no restore of the store.
+  const RangeTable* table_before_restore(const std::string& service) const;
+  // The store has no table of the service any more.
+  void NoteTableMissing(const std::string& service) {
+    stored_revisions_[service] = 0;
+  }
   // Whether this host's copy of the tables, or of the registry, is complete.
   bool tables_synced() const;
   bool registry_synced() const;
@@ -111,7 +123,7 @@
                  const UpstreamLimit& stated);
 
   // Replaces the service's table with one that this or another host wrote to
-  // the store, unless it is older.
+  // the store, unless it is older, or a copy's that was restored.
   void ApplyTable(RangeTable table);
 
  private:
@@ -141,6 +153,9 @@
   UpstreamDirectory directory_;
   RevisionClock revision_clock_;
   std::map<std::string, RangeTable> range_tables_;
+  // By service; see the functions of these names.
+  std::map<std::string, uint64_t> stored_revisions_;
+  std::map<std::string, RangeTable> tables_before_restore_;
   std::vector<std::function<void()>> listeners_;
   MonotonicTime last_upstream_added_at_ = kNever;
   // Last argument of NoteStoreReachable, and when it was given.
--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -5,6 +5,7 @@
 #include "common/event_log.h"
 #include "net/event_loop.h"
 #include "store/object_store.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -234,8 +235,11 @@
       lease_read_ = true;  // The zone's own hosts create the lease first.
       return;
     }
+    // If the store was restored from a copy without the lease, terms go on.
+    const uint64_t term = lease_.term;
     lease_ = {};
     lease_.zone = options_.zone;
+    lease_.term = term;
     holder_stopped_ = true;  // There is no holder.
     loop_.timers().After(lease_read_ ? Duration::zero()
                                      : RandomDelay() + options_.takeover_delay,
@@ -262,9 +266,26 @@
     lease_.revision = object.revision;
     return;
   }
+  if (IsRestoredCopy(decoded.value())) {
+    log_.LogStateChange("lease.restored-copy",
+                        {{"zone", options_.zone},
+                         {"holder", decoded.value().holder},
+                         {"term", decoded.value().term},
+                         {"known_holder", lease_.holder},
+                         {"known_term", lease_.term}});
+    // The next write replaces it by a later lease.
+    lease_.revision = object.revision;
+    return;
+  }
   SetLease(decoded.value());
 }
 
+bool LeaseManager::IsRestoredCopy(const ZoneLease& stored) const {
+  return lease_.revision != 0 &&
+         EraOfRevision(stored.revision) > EraOfRevision(lease_.revision) &&
+         stored.term < lease_.term;
+}
+
 void LeaseManager::OnHolderNotice(const ZoneLease& lease) {
   if (resigned_ || is_holder() || lease.revision <= lease_.revision) return;
   ObserveLease(observation_, lease.revision, loop_.timers().now());
@@ -273,6 +294,7 @@
 }
 
 void LeaseManager::SetLease(const ZoneLease& lease) {
+  if (lease.process != options_.process) other_held_ = true;
   if (lease.process != lease_.process) {
     log_.LogStateChange("lease.holder", {{"zone", options_.zone},
                                          {"holder", lease.holder},
@@ -336,6 +358,10 @@
   if (resigned_) return;
   const MonotonicTime now = loop_.timers().now();
   if (!written.has_value()) {
+    if (written.error().code == ErrorCode::kNotFound) {
+      // The store was restored from a copy without the lease.
+      lease_.revision = 0;
+    }
     if (written.error().code != ErrorCode::kConflict) {
       LogFailure("lease.not-written", written.error());
       next_renewal_at_ = now + kRenewalRetryDelay;
@@ -369,7 +395,7 @@
     log_.LogStateChange("lease.gained", {{"zone", options_.zone},
                                          {"term", lease_.term},
                                          {"takeover", takeover}});
-    handlers_.on_gained();
+    handlers_.on_gained(!std::exchange(other_held_, false));
   }
 }
 
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -52,8 +52,9 @@
   std::function<bool()> store_reachable;
   // How many hosts may attempt a takeover at the same time.
   std::function<size_t()> candidate_count;
-  // This host became the holder.
-  std::function<void()> on_gained;
+  // This host became the holder. `continued`: no other host has held the lease
+  // since it held it last.
+  std::function<void(bool continued)> on_gained;
   // The store accepted this host's write of the lease, sent at `sent_at`, as
   // `revision`.
   std::function<void(uint64_t revision, MonotonicTime sent_at)> on_written;
@@ -98,6 +99,9 @@
   void NoteHolderStopped();
   void OnRead(Result<StoredObject> read);
   void ApplyStoredLease(const StoredObject& object);
+  // Whether the store's lease is that of a copy from which the store was
+  // restored, and a later one is known.
+  bool IsRestoredCopy(const ZoneLease& stored) const;
   void SetLease(const ZoneLease& lease);
   void TryTakeover();
   void TakeOverIfFree();
@@ -122,7 +126,8 @@
   bool lease_read_ = false;      // The store has responded to a read.
   bool holder_stopped_ = false;  // The holder's process stopped or resigned.
   bool resigned_ = false;
-  bool gained_ = false;  // on_gained was called, and on_lost not since.
+  bool gained_ = false;     // on_gained was called, and on_lost not since.
+  bool other_held_ = true;  // Another process held it since this one did.
   bool write_pending_ = false;
   int read_failures_ = 0;  // Consecutive failed reads and takeovers.
   bool read_pending_ = false;
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -9,7 +9,9 @@
 #include "entry/lease_manager.h"
 #include "entry/range_manager_state.h"
 #include "net/event_loop.h"
+#include "ranges/table_restore.h"
 #include "store/object_store.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -48,8 +50,9 @@
 
 RangeManager::~RangeManager() { loop_.timers().Cancel(timer_); }
 
-void RangeManager::OnLeaseGained() {
+void RangeManager::OnLeaseGained(bool continued) {
   running_ = true;
+  if (!continued) claimed_eras_.clear();
   ++epoch_;
   started_at_ = loop_.timers().now();
   // This host's record of its grants became invalid when it lost the lease. A
@@ -107,8 +110,12 @@
     if (service == nullptr) {
       service = std::make_unique<Service>();
       service->name = name;
-      service->claimed = no_earlier_grants_;
+      service->claimed =
+          no_earlier_grants_ &&
+          !HasEarlierRanges(*view_.table(name), options_.zone, store_.era());
+      if (service->claimed) claimed_eras_[name] = store_.era();
     }
+    if (service->claimed) NoteRestore(*service);
     if (service->claimed) {
       UpdateService(*service);
     } else {
@@ -117,6 +124,28 @@
   }
 }
 
+void RangeManager::NoteRestore(Service& service) {
+  if (claimed_eras_[service.name] == store_.era()) return;
+  service.claimed = false;
+  service.moves.clear();
+  log_.LogStateChange("range-table.claiming-again",
+                      {{"service", service.name},
+                       {"era", store_.era()},
+                       {"claimed_in_era", claimed_eras_[service.name]}});
+}
+
+bool RangeManager::MayClaimTable(const std::string& name) const {
+  if (claimed_eras_.contains(name) ||
+      !HasEarlierRanges(*view_.table(name), options_.zone, store_.era())) {
+    return true;
+  }
+  const auto longest_hold = Duration(
+      static_cast<int64_t>(static_cast<double>(options_.longest_hold.count()) *
+                           (1 + options_.clock_guard)));
+  return loop_.timers().now() >=
+         started_at_ + options_.lease_duration + longest_hold + options_.margin;
+}
+
 void RangeManager::CreateTable(const ServiceConfig& config) {
   const MonotonicTime now = loop_.timers().now();
   std::vector<OwnerCandidate> candidates = Candidates(config.name);
@@ -138,6 +167,9 @@
   if (service->write_pending || now < service->next_write_at) return;
   service->write_pending = true;
   RangeTable table = MakeFirstTable(config.name, std::move(candidates));
+  BeginEra(table, store_.era());
+  for (KeyRange& range : table.ranges)
+    range.generation = ++table.last_generation;
   log_.LogStateChange("range-table.created",
                       {{"service", config.name},
                        {"ranges", static_cast<uint64_t>(table.ranges.size())}});
@@ -151,11 +183,21 @@
 void RangeManager::ClaimTable(const std::string& name) {
   Service& service = *services_.at(name);
   const MonotonicTime now = loop_.timers().now();
-  if (service.write_pending || now < service.next_write_at) return;
+  if (service.write_pending || now < service.next_write_at ||
+      !MayClaimTable(name)) {
+    return;
+  }
   service.write_pending = true;
   // Changing the table makes all conditional writes fail that an earlier lease
   // holder may still have in flight.
   RangeTable table = *view_.table(name);
+  BeginEra(table, store_.era());
+  const RangeTable* known = view_.table_before_restore(name);
+  const auto claimed = claimed_eras_.find(name);
+  const bool restored =
+      claimed != claimed_eras_.end() && claimed->second != store_.era();
+  if (restored && known != nullptr)
+    table = RestoreZone(table, *known, options_.zone);
   ++table.last_generation;
   // An upstream may have restarted under its id since an earlier lease holder
   // granted its ranges. The new incarnation must not accept them with an old
@@ -163,7 +205,8 @@
   for (KeyRange& range : table.ranges) {
     if (range.zone == options_.zone) range.generation = ++table.last_generation;
   }
-  store_.Write({kRangeTableKind, name, table.revision, EncodeRangeTable(table)},
+  store_.Write({kRangeTableKind, name, view_.stored_revision(name),
+                EncodeRangeTable(table)},
                [this, name, epoch = epoch_](Result<StoredObject> written) {
                  if (epoch == epoch_) OnTableClaimed(name, std::move(written));
                });
@@ -193,6 +236,8 @@
             if (const auto table = DecodeTable(read.value()))
               view_.ApplyTable(*table);
           } else {
+            if (read.error().code == ErrorCode::kNotFound)
+              view_.NoteTableMissing(name);
             log_.LogStateChange(
                 "range-table.not-read",
                 {{"service", name}, {"reason", DescribeError(read.error())}});
@@ -204,6 +249,7 @@
   const auto table = DecodeTable(written.value());
   if (!table.has_value()) return;
   service->claimed = true;
+  claimed_eras_[name] = EraOfRevision(table->revision);
   if (on_table_written_) on_table_written_(*table);
   view_.ApplyTable(*table);
   Tick();
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -46,6 +46,8 @@
   Duration renew{};        // Between renewals of a grant.
   double clock_guard = 0;  // See HoldTracker.
   Duration margin{};       // See HoldTracker.
+  // For which an earlier lease holder may act after its last confirmed renewal.
+  Duration lease_duration{};
   // For which an owner does not reply to grants before its keys move.
   Duration owner_timeout{};
   BalanceLimits balance;
@@ -72,7 +74,8 @@
   void SetTableHandler(std::function<void(const RangeTable&)> handler) {
     on_table_written_ = std::move(handler);
   }
-  void OnLeaseGained();
+  // `continued`: no other host has held the lease since this one held it last.
+  void OnLeaseGained(bool continued);
   void OnLeaseLost();
   void OnViewChanged();
   // `loads` is the busy time per second of each cell of the service's keys.
@@ -91,6 +94,13 @@
 
   void Tick();
   void ClaimTable(const std::string& service);
+  // Whether what this host knows of the owners of the zone's ranges is certain.
+  // It is not if the store was restored from a copy since another host held the
+  // lease, until all grants from before have expired.
+  bool MayClaimTable(const std::string& service) const;
+  // Makes a service whose table was last claimed before a restore claim it
+  // again. Its moves are given up.
+  void NoteRestore(Service& service);
   void OnTableClaimed(const std::string& service, Result<StoredObject> written);
   void CreateTable(const ServiceConfig& config);
   void UpdateService(Service& service);
@@ -143,6 +153,9 @@
   bool running_ = false;
   bool ran_before_ = false;  // This process has held the zone's lease before.
   bool no_earlier_grants_ = false;  // No host has sent grants in the zone yet.
+  // The store's era in which this host last claimed each service's table. Empty
+  // after another host has held the lease.
+  std::map<std::string, uint64_t> claimed_eras_;
   // Incremented when the lease is gained or lost. Replies to calls of an
   // earlier epoch are ignored.
   uint64_t epoch_ = 0;
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -152,12 +152,13 @@
   }
   MergeNeighbours(table, options_.zone);
   service.write_pending = true;
-  store_.Write(
-      {kRangeTableKind, service.name, table.revision, EncodeRangeTable(table)},
-      [this, name = service.name, written,
-       epoch = epoch_](Result<StoredObject> result) {
-        if (epoch == epoch_) OnTableWritten(name, written, std::move(result));
-      });
+  store_.Write({kRangeTableKind, service.name,
+                view_.stored_revision(service.name), EncodeRangeTable(table)},
+               [this, name = service.name, written,
+                epoch = epoch_](Result<StoredObject> result) {
+                 if (epoch == epoch_)
+                   OnTableWritten(name, written, std::move(result));
+               });
 }
 
 void RangeManager::OnTableWritten(
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -156,10 +156,10 @@
   handlers.on_written = [this](uint64_t revision, MonotonicTime sent_at) {
     view_.NoteWrite(revision, sent_at);
   };
-  handlers.on_gained = [this, self] {
+  handlers.on_gained = [this, self](bool continued) {
     if (self->home) UpdateFeedState();
     if (self->home) AnnounceLease();
-    self->ranges->OnLeaseGained();
+    self->ranges->OnLeaseGained(continued);
     if (self->home) AddOtherZones();
   };
   handlers.on_lost = [this, self] {
@@ -175,6 +175,7 @@
   ranges.renew = kGrantRenewInterval;
   ranges.clock_guard = kClockGuard;
   ranges.margin = kGrantMargin;
+  ranges.lease_duration = kLeaseTiming.duration;
   ranges.owner_timeout = kOwnerTimeout;
   ranges.balance = kBalanceLimits;
   ranges.balance_interval = kBalanceInterval;
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -11,6 +11,7 @@
 #include "entry/zone_coordinator_state.h"
 #include "net/event_loop.h"
 #include "ranges/range_table.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -78,7 +79,11 @@
 
 void ZoneCoordinator::AnnounceTable(const RangeTable& written) {
   const RangeTable* before = view_.table(written.service);
-  if (before == nullptr) return;
+  // After a restore of the store, other hosts may not have the same base.
+  if (before == nullptr ||
+      EraOfRevision(before->revision) != EraOfRevision(written.revision)) {
+    return;
+  }
   Forward(TableStepNotice{
       written.service, written.revision,
       EncodeRangeTableStep(StepBetween(*before, written)).dump(),
@@ -136,6 +141,13 @@
     if (object.deleted) continue;
     auto read = DecodeRangeTable(object.name, object.revision, object.content);
     if (!read.has_value()) continue;  // The view logs the error.
+    const RangeTable* known = view_.table(object.name);
+    if (known != nullptr &&
+        EraOfRevision(known->revision) < EraOfRevision(object.revision)) {
+      // A copy from which the store was restored, which no host uses as a base.
+      sent_tables_.erase(object.name);
+      continue;
+    }
     const auto before = sent_tables_.find(object.name);
     if (!update.full && before != sent_tables_.end())
       object.content =
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -123,6 +123,7 @@
   const MonotonicTime after = current_at_;
   OnSuccess();
   NoteCurrent(call_sent_at_);
+  listed_at_ = loop_.timers().now();
   history_lost_ = false;
   ReplaceAll(page.value().objects, after);
   revision_ = std::max<uint64_t>({1, revision_, page.value().store_revision});
@@ -162,7 +163,13 @@
   if (!changes.has_value()) {
     if (changes.error().code == ErrorCode::kNotFound) {
       history_lost_ = true;
-      List();
+      // A list shortly after another one does not help.
+      if (listed_at_ != kNever &&
+          loop_.timers().now() - listed_at_ < timing_.longest_retry) {
+        Schedule(AddJitter(timing_.longest_retry), [this] { Retry(); });
+      } else {
+        List();
+      }
       return;
     }
     OnFailure(changes.error());
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -150,7 +150,8 @@
   MonotonicTime call_sent_at_ = kNever;  // When the last call was sent.
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
-  bool history_lost_ = false;  // The next call must be a list.
+  bool history_lost_ = false;         // The next call must be a list.
+  MonotonicTime listed_at_ = kNever;  // When the last list was complete.
   Duration call_wait_{};    // For which the last call asked the store to wait.
   Duration retry_delay_{};  // Delay before the next retry, without jitter.
   uint64_t timer_ = 0;
--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "net/event_loop.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -28,6 +29,11 @@
       unknown ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable, text);
 }
 
+void SetEra(std::vector<StoredObject>& objects, uint64_t era) {
+  for (StoredObject& object : objects)
+    object.revision = MakeStoreRevision(era, object.revision);
+}
+
 }  // namespace
 
 struct ObjectStore::Call {
@@ -83,6 +89,15 @@
       });
 }
 
+Result<uint64_t> ObjectStore::ResponseEra(const HttpResponse& response) const {
+  const Result<uint64_t> read = protocol_.read_era(response);
+  if (read.has_value() && read.value() < era_) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "the response is from before the store was restored");
+  }
+  return era_;
+}
+
 void ObjectStore::NoteEra(const HttpResponse& response) {
   const Result<uint64_t> read = protocol_.read_era(response);
   // A store that was never restored need not state an era.
@@ -116,31 +131,46 @@
   ++counts_.reads;
   ExchangeRequest request = protocol_.list(kind, collected.next);
   request.timeout = call_timeout_;
-  auto done = [this, kind, collected = std::move(collected),
-               callback =
-                   std::move(callback)](const ExchangeResult& result) mutable {
-    if (result.failure != ClientFailure::kNone) {
-      callback(MakeFailure(result, false));
-      return;
-    }
-    Result<ObjectPage> page = protocol_.read_page(result.response);
-    if (!page.has_value()) {
-      callback(page.error());
-      return;
-    }
-    // The first page's revision: a watch from it reports every change that
-    // later pages may lack.
-    if (collected.store_revision == 0)
-      collected.store_revision = page.value().store_revision;
-    for (StoredObject& object : page.value().objects)
-      collected.objects.push_back(std::move(object));
-    collected.next = page.value().next;
-    if (collected.next.empty()) {
-      callback(std::move(collected));
-    } else {
-      ContinueList(kind, std::move(collected), std::move(callback));
-    }
-  };
+  const uint64_t list_era = EraOfRevision(collected.store_revision);
+  const bool is_first_page = collected.store_revision == 0;
+  auto done =
+      [this, kind, list_era, is_first_page, collected = std::move(collected),
+       callback = std::move(callback)](const ExchangeResult& result) mutable {
+        if (result.failure != ClientFailure::kNone) {
+          callback(MakeFailure(result, false));
+          return;
+        }
+        Result<ObjectPage> page = protocol_.read_page(result.response);
+        if (!page.has_value()) {
+          callback(page.error());
+          return;
+        }
+        const Result<uint64_t> era = ResponseEra(result.response);
+        if (!era.has_value()) {
+          callback(era.error());
+          return;
+        }
+        if (!is_first_page && era.value() != list_era) {
+          callback(MakeError(ErrorCode::kUnavailable,
+                             "the store was restored between two pages"));
+          return;
+        }
+        page.value().store_revision =
+            MakeStoreRevision(era.value(), page.value().store_revision);
+        SetEra(page.value().objects, era.value());
+        // The first page's revision: a watch from it reports every change that
+        // later pages may lack.
+        if (collected.store_revision == 0)
+          collected.store_revision = page.value().store_revision;
+        for (StoredObject& object : page.value().objects)
+          collected.objects.push_back(std::move(object));
+        collected.next = page.value().next;
+        if (collected.next.empty()) {
+          callback(std::move(collected));
+        } else {
+          ContinueList(kind, std::move(collected), std::move(callback));
+        }
+      };
   Start(std::move(request), false, std::move(done));
 }
 
@@ -156,21 +186,48 @@
           if (result.failure != ClientFailure::kNone) {
             callback(MakeFailure(result, false));
           } else {
-            callback(protocol_.read_object(result.response));
+            callback(ReadObject(result.response));
           }
         });
 }
 
+Result<StoredObject> ObjectStore::ReadObject(
+    const HttpResponse& response) const {
+  BOOST_OUTCOME_TRY(object, protocol_.read_object(response));
+  BOOST_OUTCOME_TRY(era, ResponseEra(response));
+  object.revision = MakeStoreRevision(era, object.revision);
+  return object;
+}
+
 void ObjectStore::Write(ObjectWrite write, Callback<StoredObject> callback) {
+  const uint64_t expected = write.expected_revision;
+  // After a restore, the number may belong to another version of the object.
+  const Error outdated = MakeError(
+      ErrorCode::kConflict, "the store was restored since the object was read");
+  if (expected != 0 && EraOfRevision(expected) != era_) {
+    loop_.Post(
+        [callback = std::move(callback), outdated] { callback(outdated); });
+    return;
+  }
   ++counts_.writes;
+  write.expected_revision = CounterOfRevision(expected);
   ExchangeRequest request = protocol_.write(write);
   request.timeout = call_timeout_;
   Start(std::move(request), false,
-        [this, callback = std::move(callback)](const ExchangeResult& result) {
+        [this, expected, outdated,
+         callback = std::move(callback)](const ExchangeResult& result) {
           if (result.failure != ClientFailure::kNone) {
             callback(MakeFailure(result, true));
+            return;
+          }
+          Result<StoredObject> written = ReadObject(result.response);
+          const bool restored = written.has_value() && expected != 0 &&
+                                EraOfRevision(written.value().revision) !=
+                                    EraOfRevision(expected);
+          if (restored) {
+            callback(outdated);
           } else {
-            callback(protocol_.read_object(result.response));
+            callback(std::move(written));
           }
         });
 }
@@ -178,18 +235,33 @@
 void ObjectStore::Watch(const std::string& kind, uint64_t revision,
                         Duration wait, Callback<ObjectChanges> callback) {
   ++counts_.watches;
-  ExchangeRequest request = protocol_.watch(kind, revision, wait);
+  ExchangeRequest request =
+      protocol_.watch(kind, CounterOfRevision(revision), wait);
   request.timeout = wait + kWatchTimeoutMargin;
   Start(std::move(request), true,
-        [this, callback = std::move(callback)](const ExchangeResult& result) {
+        [this, revision,
+         callback = std::move(callback)](const ExchangeResult& result) {
           if (result.failure != ClientFailure::kNone) {
             callback(MakeFailure(result, false));
           } else {
-            callback(protocol_.read_changes(result.response));
+            callback(ReadChanges(result.response, revision));
           }
         });
 }
 
+Result<ObjectChanges> ObjectStore::ReadChanges(const HttpResponse& response,
+                                               uint64_t from) const {
+  BOOST_OUTCOME_TRY(changes, protocol_.read_changes(response));
+  BOOST_OUTCOME_TRY(era, ResponseEra(response));
+  if (era != EraOfRevision(from)) {
+    return MakeError(ErrorCode::kNotFound,
+                     "the store was restored since that revision");
+  }
+  changes.store_revision = MakeStoreRevision(era, changes.store_revision);
+  SetEra(changes.changes, era);
+  return changes;
+}
+
 void ObjectStore::CancelWatches() {
   std::vector<std::unique_ptr<Call>> cancelled;
   for (auto position = calls_.begin(); position != calls_.end();) {
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -1,5 +1,6 @@
 // The client of the platform's store. It makes each call once, with a timeout,
-// and counts the calls, since the platform charges for them.
+// and counts the calls, since the platform charges for them. Its revisions are
+// those of store/store_revision.h.
 #pragma once
 
 #include <cstdint>
@@ -50,11 +51,12 @@
   void Get(const std::string& kind, const std::string& name,
            Callback<StoredObject> callback,
            ReadConsistency consistency = ReadConsistency::kNewest);
-  // Errors: kConflict; kUnavailable when nothing was written; kUnknownOutcome
-  // when the write may have taken effect or may still do so.
+  // Errors: kConflict, also when the store was restored since the object was
+  // read; kUnavailable when nothing was written; kUnknownOutcome when the write
+  // may have taken effect or may still do so.
   void Write(ObjectWrite write, Callback<StoredObject> callback);
   // Waits up to `wait` for changes after `revision`. Errors: kNotFound when the
-  // store no longer has the changes after `revision`.
+  // store no longer has the changes after `revision`, or was restored since.
   void Watch(const std::string& kind, uint64_t revision, Duration wait,
              Callback<ObjectChanges> callback);
   // Aborts the waiting watches; their callbacks get kUnavailable.
@@ -78,6 +80,13 @@
   void ContinueList(const std::string& kind, ObjectPage collected,
                     Callback<ObjectPage> callback);
   void NoteEra(const HttpResponse& response);
+  // Returns the era of what the response says. Errors: kUnavailable if it is
+  // earlier than the newest known.
+  Result<uint64_t> ResponseEra(const HttpResponse& response) const;
+  Result<StoredObject> ReadObject(const HttpResponse& response) const;
+  // `from`: the revision of the watch.
+  Result<ObjectChanges> ReadChanges(const HttpResponse& response,
+                                    uint64_t from) const;
   // Returns a reusable idle connection, or a new one.
   std::unique_ptr<ExchangeClient> TakeConnection();
 
--- a/source/integration_tests/entry_restore_test.cc
+++ b/source/integration_tests/entry_restore_test.cc
@@ -23,6 +23,8 @@
 constexpr uint64_t kMaxCalls = 40;
 // More than the hosts and the store assign during a test.
 constexpr int kLostRevisions = 1000;
+constexpr int kKeys = 65536;
+constexpr int kKeyStep = 11003;
 // Grants of the longest hold expire within it.
 constexpr Duration kLongestHoldEnd = seconds(11);
 
@@ -51,15 +53,20 @@
     fixture.store->RewriteLost();
   }
 
-  // Sends requests to all hosts for `time`. Returns how many failed in the last
-  // second.
+  // Sends requests one after the other, to all hosts and for keys of all
+  // owners, for `time`. Returns how many failed in the last second.
   int ServeFor(Duration time) {
     const MonotonicTime end = fixture.loop.timers().now() + time;
     int failures = 0;
-    while (fixture.loop.timers().now() < end) {
-      const int failed =
-          CountFailures("GET", "/lookup/") + CountFailures("POST", "/hold/");
-      if (end - fixture.loop.timers().now() < seconds(1)) failures += failed;
+    for (int key = 0; fixture.loop.timers().now() < end;
+         key = (key + kKeyStep) % kKeys) {
+      for (const auto& [name, host] : fixture.hosts) {
+        const bool served =
+            fixture.SendAndWait(*host, "GET", "/lookup/a", key).status == 200 &&
+            fixture.SendAndWait(*host, "POST", "/hold/a", key).status == 200;
+        if (!served && end - fixture.loop.timers().now() < seconds(1))
+          ++failures;
+      }
     }
     return failures;
   }
@@ -121,6 +128,21 @@
   fixture.CheckRecord();
 }
 
+// Guards against writes of the table that expect revisions of the lost history.
+TEST(EntryRestore, KeysOfALeavingOwnerMoveAfterTheStoreWasRestored) {
+  fixture.StartDefaultDeployment(4);
+  TakeCopy();
+  fixture.upstreams.at("yard-3")->Report("draining");
+  fixture.RunFor(seconds(1));
+  RestoreStoreAndRewrite();
+  fixture.RunFor(seconds(3));
+  fixture.upstreams.at("yard-1")->Report("draining");
+  fixture.RunFor(kChangeDeadline);
+  LONGS_EQUAL(-1, OwnedKey("yard-1"));
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+
 // The copy names an earlier holder of the lease, which has been started again.
 TEST(EntryRestore, AnEarlierHolderInTheCopyGetsNoAuthorityFromIt) {
   fixture.StartDefaultDeployment(4);
