--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -144,6 +144,24 @@
   }
 }
 
+TEST(PlatformUpstream, ARegistrationWithANumberOutOfRangeIsRejected) {
+  const auto with = [](const std::string& field, const std::string& value) {
+    std::string text = kRegistration;
+    return text.replace(text.find(field), field.size(), value);
+  };
+  for (const char* slots :
+       {"4294967296", "-1", "1e9", "99999999999999999999"}) {
+    CHECK_TEXT(!ReadRegistration(
+                    Registration(with(R"("slots":2)",
+                                      std::string(R"("slots":)") + slots)))
+                    .has_value(),
+               slots);
+  }
+  for (const char* port : {":0", ":-1", ":65536", ":99999999999"})
+    CHECK_TEXT(!ReadRegistration(Registration(with(":8080", port))).has_value(),
+               port);
+}
+
 TEST(PlatformUpstream, ARequestCarriesTheUpstreamAndTheTimeLeft) {
   CallerRequest request;
   request.id = "9c41";
@@ -347,6 +365,35 @@
             .code == ErrorCode::kMalformed);
 }
 
+// Guards against one odd object, of another writer, that makes a whole list
+// unreadable or ends the process.
+TEST(PlatformStore, OneUnreadableObjectHidesNoOthers) {
+  const std::string nested(400000, '[');
+  const std::string closed(400000, ']');
+  const std::string deep = R"({"a":)" + nested + closed + R"(,"b":"]}"})";
+  for (const std::string& odd :
+       {deep, std::string(R"({"slots":1e999})"), std::string("-1e999"),
+        std::string(R"({"address":"10.1.0.9:99999","service":"[[\"{"})")}) {
+    const std::string object =
+        R"({"metadata":{"name":"odd","rev":5},"spec":)" + odd + "}";
+    const std::string other = R"({"metadata":{"name":"b","rev":6},"spec":)" +
+                              std::string(kRegistration) + "}";
+    const auto page = store.read_page(Response(
+        200, R"({"items":[)" + object + "," + other + R"(],"asOf":9})"));
+    CHECK(page.has_value());
+    LONGS_EQUAL(2, page.value().objects.size());
+    StoredObject copy = page.value().objects[0];
+    CHECK(copy.content.dump().size() < 1000);
+    CHECK_FALSE(ReadRegistration(copy).has_value());
+    CHECK(ReadRegistration(page.value().objects[1]).has_value());
+    const auto changes = store.read_changes(
+        Response(200, R"({"events":[{"object":)" + object + R"(},{"object":)" +
+                          other + R"(}],"asOf":9})"));
+    CHECK(changes.has_value());
+    LONGS_EQUAL(2, changes.value().changes.size());
+  }
+}
+
 TEST(PlatformStore, AnEraIsReadOnlyFromOneNumber) {
   HttpResponse response = Response(410);
   CHECK(store.read_era(response).error().code == ErrorCode::kNotFound);
