Count the wait of a new lease holder from when it took the lease over

A holder that took over around a restore waits until earlier grants have expired. Nobody else granted anything meanwhile, so the time counts from the takeover.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -52,7 +52,10 @@
 
 void RangeManager::OnLeaseGained(bool continued) {
   running_ = true;
-  if (!continued) claimed_eras_.clear();
+  if (!continued) {
+    claimed_eras_.clear();
+    held_since_ = loop_.timers().now();
+  }
   ++epoch_;
   started_at_ = loop_.timers().now();
   // This host's record of its grants became invalid when it lost the lease. A
@@ -143,7 +146,7 @@
       static_cast<int64_t>(static_cast<double>(options_.longest_hold.count()) *
                            (1 + options_.clock_guard)));
   return loop_.timers().now() >=
-         started_at_ + options_.lease_duration + longest_hold + options_.margin;
+         held_since_ + options_.lease_duration + longest_hold + options_.margin;
 }
 
 void RangeManager::CreateTable(const ServiceConfig& config) {
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -161,6 +161,8 @@
   uint64_t epoch_ = 0;
   uint64_t timer_ = 0;
   MonotonicTime started_at_ = kNever;
+  // Since when no other host has held the lease; kNever before the first.
+  MonotonicTime held_since_ = kNever;
   std::map<std::string, std::unique_ptr<Service>> services_;
   std::map<std::string, CellLoads> loads_;
   std::map<std::string, double> noise_;            // Of the loads, by service.
