Let hosts of the former build ignore messages with eras in their revisions

A host of the former build that is fed by one of this build takes revisions with an era for the store's, and cannot read the store itself any more. With another protocol version the two ignore each other's messages; each reads the store, as without a lease holder, and the lease stays with whoever renews it.

--- a/source/core/inner/frame.h
+++ b/source/core/inner/frame.h
@@ -14,7 +14,9 @@
 namespace mimosadeal {
 
 inline constexpr uint16_t kFrameMagic = 0x4D44;
-inline constexpr uint8_t kProtocolVersion = 1;
+// Hosts ignore frames of other versions. In 2, revisions have the store's era
+// as their high part (store/store_revision.h).
+inline constexpr uint8_t kProtocolVersion = 2;
 inline constexpr size_t kFrameHeaderBytes = 8;
 // Fits into the largest UDP datagram over IPv4.
 inline constexpr size_t kMaxDatagramBytes = 60 * 1024;
