--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -22,6 +22,9 @@
 // other faults of a seed do not depend on them.
 constexpr Duration kMaxLimitInterval = seconds(6);
 constexpr uint64_t kLimitSeedOffset = 1'000'000;
+// The same for restores of the store from a copy.
+constexpr Duration kMaxRestoreInterval = seconds(12);
+constexpr uint64_t kRestoreSeedOffset = 2'000'000;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -34,7 +37,8 @@
 Soak::Soak(EntryFixture& fixture, uint64_t seed)
     : fixture_(fixture),
       random_(seed),
-      limit_random_(seed + kLimitSeedOffset) {}
+      limit_random_(seed + kLimitSeedOffset),
+      restore_random_(seed + kRestoreSeedOffset) {}
 
 std::vector<std::string> Soak::Run(Duration time) {
   constexpr std::array<Action, 14> actions = {&Soak::KillHost,
@@ -55,6 +59,7 @@
   const MonotonicTime end = Now() + time;
   MonotonicTime next = Now();
   MonotonicTime next_limit = Now();
+  MonotonicTime next_restore = Now();
   while (Now() < end) {
     SendRequest();
     fixture_.RunFor(kRequestInterval);
@@ -70,6 +75,11 @@
           Now() +
           milliseconds(limit_random_.Below(ToMilliseconds(kMaxLimitInterval)));
     }
+    if (Now() >= next_restore) {
+      RestoreStore();
+      next_restore = Now() + milliseconds(restore_random_.Below(
+                                 ToMilliseconds(kMaxRestoreInterval)));
+    }
     if (Now() < next) continue;
     (this->*actions.at(random_.Below(actions.size())))();
     next =
@@ -245,6 +255,23 @@
   });
 }
 
+// The store is away for a moment and returns with a copy some seconds old. What
+// operators and upstreams wrote since is written again.
+void Soak::RestoreStore() {
+  fixture_.store->TakeCopy();
+  const auto copy_age = milliseconds(500 + restore_random_.Below(8000));
+  const auto absence = milliseconds(restore_random_.Below(2500));
+  fault_ends_.emplace(Now() + copy_age, [this] {
+    fixture_.store->faults().refuse = true;
+    fixture_.store->CancelWatches();
+  });
+  fault_ends_.emplace(Now() + copy_age + absence, [this] {
+    fixture_.store->faults().refuse = false;
+    fixture_.store->RestoreCopy();
+    fixture_.store->RewriteLost();
+  });
+}
+
 // The upstream itself checks that the hosts keep its limit.
 void Soak::StateLimit() {
   constexpr std::array<const char*, 4> limits = {"0", "1.1", "4", "20"};
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -55,6 +55,7 @@
   void IgnoreCommands();
   void LoseResponses();
   void StateLimit();
+  void RestoreStore();
 
   // Calls `end` after a random time below `longest`, to end a fault.
   void EndLater(Duration longest, std::function<void()> end);
@@ -73,7 +74,8 @@
 
   EntryFixture& fixture_;
   Random random_;
-  Random limit_random_;  // For StateLimit.
+  Random limit_random_;    // For StateLimit.
+  Random restore_random_;  // For RestoreStore.
   int version_ = 1;
   // Functions that end the current faults, by the time at which they run.
   std::multimap<MonotonicTime, std::function<void()>> fault_ends_;
