--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -131,49 +131,48 @@
   ++counts_.reads;
   ExchangeRequest request = protocol_.list(kind, collected.next);
   request.timeout = call_timeout_;
-  const uint64_t list_era = EraOfRevision(collected.store_revision);
-  const bool is_first_page = collected.store_revision == 0;
-  auto done =
-      [this, kind, list_era, is_first_page, collected = std::move(collected),
-       callback = std::move(callback)](const ExchangeResult& result) mutable {
-        if (result.failure != ClientFailure::kNone) {
-          callback(MakeFailure(result, false));
-          return;
-        }
-        Result<ObjectPage> page = protocol_.read_page(result.response);
-        if (!page.has_value()) {
-          callback(page.error());
-          return;
-        }
-        const Result<uint64_t> era = ResponseEra(result.response);
-        if (!era.has_value()) {
-          callback(era.error());
-          return;
-        }
-        if (!is_first_page && era.value() != list_era) {
-          callback(MakeError(ErrorCode::kUnavailable,
-                             "the store was restored between two pages"));
-          return;
-        }
-        page.value().store_revision =
-            MakeStoreRevision(era.value(), page.value().store_revision);
-        SetEra(page.value().objects, era.value());
-        // The first page's revision: a watch from it reports every change that
-        // later pages may lack.
-        if (collected.store_revision == 0)
-          collected.store_revision = page.value().store_revision;
-        for (StoredObject& object : page.value().objects)
-          collected.objects.push_back(std::move(object));
-        collected.next = page.value().next;
-        if (collected.next.empty()) {
-          callback(std::move(collected));
-        } else {
-          ContinueList(kind, std::move(collected), std::move(callback));
-        }
-      };
+  auto done = [this, kind, collected = std::move(collected),
+               callback =
+                   std::move(callback)](const ExchangeResult& result) mutable {
+    if (result.failure != ClientFailure::kNone) {
+      callback(MakeFailure(result, false));
+      return;
+    }
+    Result<ObjectPage> page =
+        ReadPage(result.response, collected.store_revision);
+    if (!page.has_value()) {
+      callback(page.error());
+      return;
+    }
+    // The first page's revision: a watch from it reports every change that
+    // later pages may lack.
+    if (collected.store_revision == 0)
+      collected.store_revision = page.value().store_revision;
+    for (StoredObject& object : page.value().objects)
+      collected.objects.push_back(std::move(object));
+    collected.next = page.value().next;
+    if (collected.next.empty()) {
+      callback(std::move(collected));
+    } else {
+      ContinueList(kind, std::move(collected), std::move(callback));
+    }
+  };
   Start(std::move(request), false, std::move(done));
 }
 
+Result<ObjectPage> ObjectStore::ReadPage(const HttpResponse& response,
+                                         uint64_t list_revision) const {
+  BOOST_OUTCOME_TRY(page, protocol_.read_page(response));
+  BOOST_OUTCOME_TRY(era, ResponseEra(response));
+  if (list_revision != 0 && EraOfRevision(list_revision) != era) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "the store was restored between two pages of a list");
+  }
+  page.store_revision = MakeStoreRevision(era, page.store_revision);
+  SetEra(page.objects, era);
+  return page;
+}
+
 void ObjectStore::Get(const std::string& kind, const std::string& name,
                       Callback<StoredObject> callback,
                       ReadConsistency consistency) {
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -83,6 +83,9 @@
   // Returns the era of what the response says. Errors: kUnavailable if it is
   // earlier than the newest known.
   Result<uint64_t> ResponseEra(const HttpResponse& response) const;
+  // `list_revision`: of the list's first page; 0 if this is the first.
+  Result<ObjectPage> ReadPage(const HttpResponse& response,
+                              uint64_t list_revision) const;
   Result<StoredObject> ReadObject(const HttpResponse& response) const;
   // `from`: the revision of the watch.
   Result<ObjectChanges> ReadChanges(const HttpResponse& response,
