--- /dev/null
+++ b/source/core/balance/upstream_paths.h
@@ -0,0 +1,45 @@
+// This host's evidence of whether it can open connections to the upstreams of
+// one service. A failure at one upstream may be the upstream's; failures at
+// several, with no success since, show that this host has lost its paths.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "common/boot_clock.h"
+
+namespace mimosadeal {
+
+// Evidence that is older than this counts no more.
+inline constexpr Duration kPathEvidenceAge = std::chrono::seconds(3);
+// Failures at this many upstreams, or at all of a smaller service, show that
+// the paths are lost. Up to two upstreams often fail together.
+inline constexpr size_t kMinFailedPaths = 3;
+
+struct ServicePaths {
+  // When a connection to any upstream of the service was last established.
+  MonotonicTime connected_at = kNever;
+  // When connecting last failed, by upstream. Holds no upstream to which a
+  // later connection was established.
+  std::map<std::string, MonotonicTime> failed_at;
+};
+
+void NoteConnected(ServicePaths& paths, const std::string& upstream,
+                   MonotonicTime now);
+void NoteConnectFailed(ServicePaths& paths, const std::string& upstream,
+                       MonotonicTime now);
+
+// Whether the latest attempt to connect to the upstream failed recently.
+bool IsUnreached(const ServicePaths& paths, const std::string& upstream,
+                 MonotonicTime now);
+
+// Returns the number of upstreams that connecting failed to recently, and since
+// the last success at any of the service.
+size_t CountFailedPaths(const ServicePaths& paths, MonotonicTime now);
+
+// Whether this host has lost its paths to the service, which has `upstreams`
+// serving upstreams.
+bool IsCutOff(const ServicePaths& paths, size_t upstreams, MonotonicTime now);
+
+}  // namespace mimosadeal
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 11> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 12> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -23,6 +23,7 @@
     {EntryGauge::kStoreFailures, "mimosadeal_store_failures"},
     {EntryGauge::kZoneLeasesHeld, "mimosadeal_zone_leases_held"},
     {EntryGauge::kReady, "mimosadeal_ready"},
+    {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
 }};
 
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -33,6 +33,7 @@
   kStoreFailures,
   kZoneLeasesHeld,
   kReady,
+  kServicesCutOff,
   kLogLinesDropped,
 };
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -12,6 +12,7 @@
 #include "common/version.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/upstream_pool.h"
 #include "entry/zone_coordinator.h"
@@ -143,6 +144,7 @@
   EntryMetrics metrics_;
   std::unique_ptr<ObjectStore> store_;
   std::unique_ptr<DeploymentView> view_;
+  std::unique_ptr<PathMonitor> paths_;
   std::unique_ptr<UpstreamPool> pool_;
   std::unique_ptr<RequestForwarder> forwarder_;
   std::unique_ptr<ZoneCoordinator> coordinator_;
@@ -181,6 +183,7 @@
   store_ = std::make_unique<ObjectStore>(loop_, address, protocol_.store,
                                          kStoreTimeout);
   view_ = std::make_unique<DeploymentView>(loop_, *store_, protocol_, log_);
+  paths_ = std::make_unique<PathMonitor>(loop_, *view_, log_);
 }
 
 void EntryNode::Impl::MakeForwarder() {
@@ -228,8 +231,8 @@
     coordinator_->AddSpeed(service, upstream, expected, taken);
   };
   forwarder_ = std::make_unique<RequestForwarder>(
-      loop_, protocol_, *view_, *pool_, metrics_, log_, std::move(options),
-      std::move(handlers));
+      loop_, protocol_, *view_, *pool_, *paths_, metrics_, log_,
+      std::move(options), std::move(handlers));
 }
 
 Result<void> EntryNode::Impl::MakeCoordinator() {
@@ -246,9 +249,10 @@
                              const std::string& upstream_incarnation) {
     forwarder_->NoteCrash(fingerprint, upstream_incarnation);
   };
-  BOOST_OUTCOME_TRY(coordinator, ZoneCoordinator::Start(
-                                     loop_, *store_, protocol_, *view_, log_,
-                                     std::move(options), std::move(handlers)));
+  BOOST_OUTCOME_TRY(
+      coordinator,
+      ZoneCoordinator::Start(loop_, *store_, protocol_, *view_, *paths_, log_,
+                             std::move(options), std::move(handlers)));
   coordinator_ = std::move(coordinator);
   return outcome::success();
 }
@@ -408,6 +412,7 @@
       {EntryGauge::kZoneLeasesHeld,
        static_cast<uint64_t>(coordinator_->leases_held())},
       {EntryGauge::kReady, ready() ? 1U : 0U},
+      {EntryGauge::kServicesCutOff, paths_->cut_off_services()},
       {EntryGauge::kLogLinesDropped, log_.dropped()},
   };
   for (const auto& [gauge, value] : values)
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/lease_manager.h"
+#include "entry/path_monitor.h"
 #include "entry/range_manager_state.h"
 #include "net/event_loop.h"
 #include "ranges/table_restore.h"
@@ -26,11 +27,13 @@
 
 RangeManager::RangeManager(EventLoop& loop, ObjectStore& store,
                            const DeploymentProtocol& protocol,
-                           DeploymentView& view, const LeaseManager& lease,
-                           EventLog& log, RangeManagerOptions options)
+                           DeploymentView& view, PathMonitor& paths,
+                           const LeaseManager& lease, EventLog& log,
+                           RangeManagerOptions options)
     : loop_(loop),
       store_(store),
       view_(view),
+      paths_(paths),
       lease_(lease),
       log_(log),
       options_(std::move(options)),
@@ -306,6 +309,9 @@
   if (!understood) {
     if (result.written && !result.replied)
       holds_.OnUnanswered(range_owner, sent_at, hold);
+    // Tells a silent upstream from a lost path to it.
+    const ListedUpstream* listed = view_.directory().Find(range_owner.id);
+    if (listed != nullptr && !result.replied) paths_.Check(listed->record);
     if (state.silent_since == kNever) {
       state.silent_since = sent_at;
       log_.LogStateChange("owner.silent",
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -37,6 +37,7 @@
 class EventLoop;
 class LeaseManager;
 class ObjectStore;
+class PathMonitor;
 
 struct RangeManagerOptions {
   std::string zone;
@@ -58,7 +59,7 @@
  public:
   RangeManager(EventLoop& loop, ObjectStore& store,
                const DeploymentProtocol& protocol, DeploymentView& view,
-               const LeaseManager& lease, EventLog& log,
+               PathMonitor& paths, const LeaseManager& lease, EventLog& log,
                RangeManagerOptions options);
   ~RangeManager();
   RangeManager(const RangeManager&) = delete;
@@ -143,6 +144,7 @@
   EventLoop& loop_;
   ObjectStore& store_;
   DeploymentView& view_;
+  PathMonitor& paths_;
   const LeaseManager& lease_;
   EventLog& log_;
   RangeManagerOptions options_;
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/path_monitor.h"
 #include "entry/request_forwarder_state.h"
 #include "net/event_loop.h"
 #include "routing/no_route.h"
@@ -46,14 +47,15 @@
 RequestForwarder::RequestForwarder(EventLoop& loop,
                                    const DeploymentProtocol& protocol,
                                    const DeploymentView& view,
-                                   UpstreamPool& pool, EntryMetrics& metrics,
-                                   EventLog& log,
+                                   UpstreamPool& pool, PathMonitor& paths,
+                                   EntryMetrics& metrics, EventLog& log,
                                    RequestForwarderOptions options,
                                    RequestForwarderHandlers handlers)
     : loop_(loop),
       protocol_(protocol),
       view_(view),
       pool_(pool),
+      paths_(paths),
       metrics_(metrics),
       log_(log),
       options_(std::move(options)),
@@ -269,18 +271,28 @@
         const auto found = pending_.find(exchange);
         if (leaving.has_value() && found != pending_.end())
           LogSentToLeaving(*found->second, *leaving, chosen_at, result);
-        UpstreamLoad* known = pool_.FindLoad(record);
-        if (known != nullptr && result.failure == ClientFailure::kNone) {
-          OnConnected(*known);
-        } else if (known != nullptr &&
-                   result.failure == ClientFailure::kNotConnected &&
-                   !result.reused) {
-          OnConnectFailure(*known, loop_.timers().now());
-        }
+        NoteConnection(record, result);
         OnResult(exchange, record, std::move(result));
       });
 }
 
+void RequestForwarder::NoteConnection(const UpstreamRecord& upstream,
+                                      const ExchangeResult& result) {
+  UpstreamLoad* load = pool_.FindLoad(upstream);
+  const bool failed =
+      result.failure == ClientFailure::kNotConnected && !result.reused;
+  if (load != nullptr && result.failure == ClientFailure::kNone)
+    OnConnected(*load);
+  if (load != nullptr && failed) OnConnectFailure(*load, loop_.timers().now());
+  if (result.reused) return;
+  if (result.request_written) {
+    paths_.OnConnected(upstream);
+  } else if (failed && result.end != StreamEnd::kReset) {
+    // An upstream above its limit of connections resets them.
+    paths_.OnConnectFailed(upstream);
+  }
+}
+
 void RequestForwarder::NoteSentToLimited(const PendingRequest& pending,
                                          const ListedUpstream& upstream) {
   metrics_.ObserveSentToLimited();
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -24,6 +24,7 @@
 class EntryMetrics;
 class EventLog;
 class EventLoop;
+class PathMonitor;
 struct ChoiceCandidate;
 struct KeyRange;
 struct ListedUpstream;
@@ -77,7 +78,7 @@
  public:
   RequestForwarder(EventLoop& loop, const DeploymentProtocol& protocol,
                    const DeploymentView& view, UpstreamPool& pool,
-                   EntryMetrics& metrics, EventLog& log,
+                   PathMonitor& paths, EntryMetrics& metrics, EventLog& log,
                    RequestForwarderOptions options,
                    RequestForwarderHandlers handlers);
   ~RequestForwarder();
@@ -144,6 +145,9 @@
   // while it serves and is registered.
   MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
   void Send(PendingRequest& pending, const ListedUpstream& upstream);
+  // Records whether a connection to the upstream could be opened.
+  void NoteConnection(const UpstreamRecord& upstream,
+                      const ExchangeResult& result);
   // Logs a request that was sent to a leaving upstream. `upstream`: its entry
   // in the directory when this host selected it at `chosen_at`.
   void LogSentToLeaving(const PendingRequest& pending,
@@ -192,6 +196,7 @@
   const DeploymentProtocol& protocol_;
   const DeploymentView& view_;
   UpstreamPool& pool_;
+  PathMonitor& paths_;
   EntryMetrics& metrics_;
   EventLog& log_;
   RequestForwarderOptions options_;
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -62,13 +62,14 @@
 
 ZoneCoordinator::ZoneCoordinator(EventLoop& loop, ObjectStore& store,
                                  const DeploymentProtocol& protocol,
-                                 DeploymentView& view, EventLog& log,
-                                 ZoneCoordinatorOptions options,
+                                 DeploymentView& view, PathMonitor& paths,
+                                 EventLog& log, ZoneCoordinatorOptions options,
                                  ZoneCoordinatorHandlers handlers)
     : loop_(loop),
       store_(store),
       protocol_(protocol),
       view_(view),
+      paths_(paths),
       log_(log),
       options_(std::move(options)),
       handlers_(std::move(handlers)) {}
@@ -80,11 +81,11 @@
 
 Result<std::unique_ptr<ZoneCoordinator>> ZoneCoordinator::Start(
     EventLoop& loop, ObjectStore& store, const DeploymentProtocol& protocol,
-    DeploymentView& view, EventLog& log, ZoneCoordinatorOptions options,
-    ZoneCoordinatorHandlers handlers) {
+    DeploymentView& view, PathMonitor& paths, EventLog& log,
+    ZoneCoordinatorOptions options, ZoneCoordinatorHandlers handlers) {
   std::unique_ptr<ZoneCoordinator> coordinator(
-      new ZoneCoordinator(loop, store, protocol, view, log, std::move(options),
-                          std::move(handlers)));
+      new ZoneCoordinator(loop, store, protocol, view, paths, log,
+                          std::move(options), std::move(handlers)));
   ZoneCoordinator* self = coordinator.get();
   BOOST_OUTCOME_TRY(address, ParseSocketAddress(self->options_.inner_address));
   InnerTransportOptions transport;
@@ -179,8 +180,8 @@
   ranges.owner_timeout = kOwnerTimeout;
   ranges.balance = kBalanceLimits;
   ranges.balance_interval = kBalanceInterval;
-  self->ranges = std::make_unique<RangeManager>(loop_, store_, protocol_, view_,
-                                                *self->lease, log_, ranges);
+  self->ranges = std::make_unique<RangeManager>(
+      loop_, store_, protocol_, view_, paths_, *self->lease, log_, ranges);
   self->ranges->SetLeavingHandler(
       [this](const UpstreamIncarnation& leaving_upstream) {
         ReportLeaving(leaving_upstream.id, leaving_upstream.incarnation);
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -30,6 +30,7 @@
 class EventLoop;
 class LeaseManager;
 class ObjectStore;
+class PathMonitor;
 class RangeManager;
 
 struct ZoneCoordinatorOptions {
@@ -91,8 +92,8 @@
   // Errors: kIo when the inner address cannot be listened on.
   static Result<std::unique_ptr<ZoneCoordinator>> Start(
       EventLoop& loop, ObjectStore& store, const DeploymentProtocol& protocol,
-      DeploymentView& view, EventLog& log, ZoneCoordinatorOptions options,
-      ZoneCoordinatorHandlers handlers);
+      DeploymentView& view, PathMonitor& paths, EventLog& log,
+      ZoneCoordinatorOptions options, ZoneCoordinatorHandlers handlers);
   ~ZoneCoordinator();
   ZoneCoordinator(const ZoneCoordinator&) = delete;
   ZoneCoordinator& operator=(const ZoneCoordinator&) = delete;
@@ -127,7 +128,8 @@
 
   ZoneCoordinator(EventLoop& loop, ObjectStore& store,
                   const DeploymentProtocol& protocol, DeploymentView& view,
-                  EventLog& log, ZoneCoordinatorOptions options,
+                  PathMonitor& paths, EventLog& log,
+                  ZoneCoordinatorOptions options,
                   ZoneCoordinatorHandlers handlers);
   void AddZone(const std::string& name, bool home);
   // Monitors the leases of the other zones. Called while this host holds the
@@ -197,6 +199,7 @@
   ObjectStore& store_;
   const DeploymentProtocol& protocol_;
   DeploymentView& view_;
+  PathMonitor& paths_;
   EventLog& log_;
   ZoneCoordinatorOptions options_;
   ZoneCoordinatorHandlers handlers_;
