Add failing tests: hosts without paths to upstreams, and late requests in a planned stop

The stand-in of a link can refuse connections, leave them unanswered and reset those that are open, and hosts can have such links to all upstreams by the routes of their settings, which were for hosts only.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -279,6 +279,14 @@
                                                  {"before", current}});
 }
 
+void DeploymentView::RouteUpstream(UpstreamRecord& record) const {
+  const auto route = address_routes_.find(record.address.ToString());
+  if (route == address_routes_.end()) return;
+  // The settings were checked when they were loaded.
+  const auto address = ParseSocketAddress(route->second);
+  if (address.has_value()) record.address = address.value();
+}
+
 void DeploymentView::OnRegistration(const StoredObject& object,
                                     const ChangeBound& bound) {
   const MonotonicTime now = loop_.timers().now();
@@ -310,7 +318,8 @@
                          {"reason", read.error().message}});
     return;
   }
-  const UpstreamRecord& record = read.value();
+  UpstreamRecord record = read.value();
+  RouteUpstream(record);
   const ListedUpstream* listed = directory_.Find(record.id);
   const bool known = listed != nullptr;
   const bool only_warmup_changed =
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -44,6 +44,11 @@
   DeploymentView(const DeploymentView&) = delete;
   DeploymentView& operator=(const DeploymentView&) = delete;
 
+  // Replaces addresses in registrations; see Settings::routes. To be called
+  // before Start.
+  void SetAddressRoutes(std::map<std::string, std::string> routes) {
+    address_routes_ = std::move(routes);
+  }
   void Start();
   // While `fed`, this host takes updates from ApplyFed and does not read the
   // store. `reason` is for the log.
@@ -128,6 +133,8 @@
 
  private:
   void OnConfiguration(const StoredObject& object);
+  // Replaces the upstream's address if the settings say so.
+  void RouteUpstream(UpstreamRecord& record) const;
   void OnRegistration(const StoredObject& object, const ChangeBound& bound);
   void OnTable(const StoredObject& object);
   // Decodes a whole table, or applies a table step (a table stored as its
@@ -146,6 +153,7 @@
   EventLoop& loop_;
   const DeploymentProtocol& protocol_;
   EventLog& log_;
+  std::map<std::string, std::string> address_routes_;
   std::array<std::unique_ptr<KindWatcher>, kViewKinds> watchers_;
   std::function<void(ViewKind, const KindUpdate&)> on_update_;
   bool fed_ = true;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -183,6 +183,7 @@
   store_ = std::make_unique<ObjectStore>(loop_, address, protocol_.store,
                                          kStoreTimeout);
   view_ = std::make_unique<DeploymentView>(loop_, *store_, protocol_, log_);
+  view_->SetAddressRoutes(settings_.routes);
   paths_ = std::make_unique<PathMonitor>(loop_, *view_, log_);
 }
 
--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -16,6 +16,8 @@
 constexpr int kStoreNetwork = 5;
 constexpr int kUpstreamNetwork = 6;
 constexpr int kHostNetwork = 7;
+// Added to a host's number for the network of its links to upstreams.
+constexpr int kUpstreamLinkNetwork = 20;
 constexpr uint16_t kStorePort = 18400;
 // Added to a host's number, which starts at 1, for the address of its link to
 // the store.
@@ -162,6 +164,7 @@
              << "bounds = \"drain=2000ms,grace=6s,holdMax=10000ms,"
              << "budgetSlack=100,retryBudgetRatio=0.2,budgetWindow=10s\"\n"
              << "[log]\nlines_per_second = 1000\n"
+             << (link_upstreams ? LinkUpstreams(*host) : "")
              << extra_settings[name];
   }
   host->process =
@@ -178,6 +181,38 @@
   hosts.at(host)->store_link->SetFaults(faults);
 }
 
+std::string EntryFixture::LinkUpstreams(EntryProcess& host) {
+  std::ostringstream settings;
+  settings << "[routes]\n";
+  int number = 0;
+  for (const auto& [id, upstream] : upstreams) {
+    const SocketAddress& target = upstream->options().address;
+    const SocketAddress address = {
+        Address(kUpstreamLinkNetwork + next_host_, ++number), kUpstreamPort};
+    auto link = FaultLink::Open(loop, address, target, kLinkSeed);
+    CHECK(link.has_value());
+    host.upstream_links[id] = std::move(link.value());
+    settings << "\"" << target.ToString() << "\" = \"" << address.ToString()
+             << "\"\n";
+  }
+  return settings.str();
+}
+
+void EntryFixture::SetUpstreamPartition(const std::string& host,
+                                        UpstreamCut cut) {
+  LinkFaults faults;
+  faults.cut_forward = cut == UpstreamCut::kSilent;
+  faults.cut_backward = cut == UpstreamCut::kSilent;
+  faults.reset_open = cut == UpstreamCut::kRefused;
+  if (cut == UpstreamCut::kSilent) {
+    faults.connecting = LinkConnecting::kUnanswered;
+  } else if (cut != UpstreamCut::kNone) {
+    faults.connecting = LinkConnecting::kRefused;
+  }
+  for (const auto& [id, link] : hosts.at(host)->upstream_links)
+    link->SetFaults(faults);
+}
+
 std::string EntryFixture::LeaseHolder(const std::string& zone) const {
   const nlohmann::json* lease = store->Find("zone-leases", zone);
   return lease == nullptr ? std::string()
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -29,9 +29,19 @@
   SocketAddress readiness;
   SocketAddress operators;
   std::unique_ptr<FaultLink> store_link;  // From the host to the store.
+  // To each upstream, by its id; see EntryFixture::link_upstreams.
+  std::map<std::string, std::unique_ptr<FaultLink>> upstream_links;
   ChildProcess process;
 };
 
+// How a partition between a host and all upstreams shows.
+enum class UpstreamCut : uint8_t {
+  kNone,
+  kSilent,   // Connections are silent, and new ones hang.
+  kRefused,  // Connections are reset, and new ones are refused.
+  kNewOnly,  // Connections live on, and new ones are refused.
+};
+
 struct CallerResponse {
   bool received = false;
   int status = 0;  // 0 while the request is in progress, -1 if it failed.
@@ -57,6 +67,8 @@
   EntryProcess& AddHost(const std::string& name, const std::string& zone);
   // Starts or ends a partition between the host and the store.
   void SetStorePartition(const std::string& host, bool partitioned);
+  // Starts or ends a partition between the host and all upstreams.
+  void SetUpstreamPartition(const std::string& host, UpstreamCut cut);
   // Returns the host that holds the zone's lease according to the store.
   std::string LeaseHolder(const std::string& zone) const;
   // Starts four keyed upstreams, two others and `hosts` hosts in two zones.
@@ -99,11 +111,16 @@
   std::map<std::string, std::unique_ptr<DeploymentUpstream>> upstreams;
   std::map<std::string, std::unique_ptr<EntryProcess>> hosts;
   std::string last_request_id;
+  // Gives each host that is added from now on links to the upstreams that there
+  // are, so that it can be partitioned from them.
+  bool link_upstreams = false;
   // Appended to the settings file of a host, by the host's name.
   std::map<std::string, std::string> extra_settings;
 
  private:
   void UpdatePeers();
+  // Opens the host's links to the upstreams, and returns its settings for them.
+  std::string LinkUpstreams(EntryProcess& host);
 
   std::string directory_;
   SocketAddress store_address_;
--- a/source/integration_tests/entry_leaving_test.cc
+++ b/source/integration_tests/entry_leaving_test.cc
@@ -3,8 +3,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "entry_fixture.h"
+#include "net/tcp_stream.h"
 
 namespace mimosadeal {
 namespace {
@@ -140,5 +142,50 @@
   fixture.CheckRecord();
 }
 
+// The host passed such a request on, and cut it off when its grace ended.
+TEST(EntryLeaving, ARequestThatIsReadLateInAPlannedStopIsRefusedAsNotRun) {
+  fixture.StartDefaultDeployment(3);
+  for (auto& [id, upstream] : fixture.upstreams) upstream->SetWork(seconds(2));
+  std::string received;
+  bool ended = false;
+  TcpStreamHandlers handlers;
+  handlers.on_data = [&received](std::string_view bytes) { received += bytes; };
+  handlers.on_end = [&ended](StreamEnd) { ended = true; };
+  auto stream =
+      TcpStream::Connect(fixture.loop, Host(1).callers, std::move(handlers));
+  CHECK(stream.has_value());
+  stream.value()->Write(
+      "POST /charge/late HTTP/1.1\r\nhost: lots.example\r\n"
+      "x-request-id: late\r\nx-request-deadline-ms: 8000\r\n"
+      "content-length: 4\r\n\r\nab");
+  fixture.RunFor(milliseconds(100));
+  Host(1).process.Signal(SIGTERM);
+  fixture.RunFor(milliseconds(4500));
+  stream.value()->Write("cd");
+  fixture.RunUntil([&ended] { return ended; }, seconds(3));
+  CHECK(received.starts_with("HTTP/1.1 503"));
+  CHECK(received.find("retry-after") != std::string::npos);
+  LONGS_EQUAL(0, RunCount("late"));
+}
+
+// The route allows more time than the grace has. The connection ended without a
+// response.
+TEST(EntryLeaving, ARequestThatOutlastsAPlannedStopGetsAResponse) {
+  fixture.StartDefaultDeployment(3);
+  nlohmann::json patient = fixture.Configuration(5);
+  for (auto& path : patient["virtualHosts"][0]["paths"])
+    path["timeout"] = "8000ms";
+  fixture.store->Put("config", "main", patient);
+  fixture.RunFor(kChangeDeadline);
+  for (auto& [id, upstream] : fixture.upstreams) upstream->SetWork(seconds(5));
+  Host(1).process.Signal(SIGTERM);
+  fixture.RunFor(milliseconds(2500));
+  const auto response =
+      fixture.Start(Host(1), "POST", "/charge/slow", -1, "", seconds(8));
+  fixture.RunUntil([&] { return response->status != 0; }, seconds(6));
+  LONGS_EQUAL(504, response->status);
+  LONGS_EQUAL(1, RunCount(fixture.last_request_id));
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- /dev/null
+++ b/source/integration_tests/entry_paths_test.cc
@@ -0,0 +1,147 @@
+// Tests of entry hosts that lose their paths to all upstreams, while the store,
+// the other hosts and their callers still reach them.
+#include <CppUTest/TestHarness.h>
+
+#include "entry_fixture.h"
+
+namespace mimosadeal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time after which a host that lost its paths has to serve its callers again.
+constexpr Duration kNoticeTime = seconds(3);
+
+size_t Count(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_GROUP_BASE(EntryPaths, EntryTest){
+    void StartLinkedDeployment(int hosts){fixture.AddDefaultUpstreams();
+fixture.link_upstreams = true;
+fixture.StartHosts(hosts);
+}  // namespace
+
+void Cut(const std::vector<std::string>& names, UpstreamCut cut) {
+  for (const std::string& name : names) fixture.SetUpstreamPartition(name, cut);
+}
+
+std::vector<std::string> HostsOf(const std::string& zone) {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : fixture.hosts) {
+    if (host->zone == zone) names.push_back(name);
+  }
+  return names;
+}
+
+std::string FollowerOf(const std::string& zone) {
+  for (const std::string& name : HostsOf(zone)) {
+    if (name != fixture.LeaseHolder(zone)) return name;
+  }
+  return "";
+}
+
+// Sends requests of all kinds to all hosts for `time`. Returns the number of
+// requests that failed.
+int FailuresFor(Duration time) {
+  int failures = 0;
+  const MonotonicTime end = fixture.loop.timers().now() + time;
+  while (fixture.loop.timers().now() < end) {
+    failures += CountFailures("GET", "/lookup/");
+    failures += CountFailures("POST", "/hold/");
+    failures += CountFailures("POST", "/charge/");
+  }
+  return failures;
+}
+
+size_t CountInLogs(const std::string& part) {
+  size_t count = 0;
+  for (const auto& [name, host] : fixture.hosts)
+    count += Count(fixture.HostLog(name), part);
+  return count;
+}
+
+void CheckCallersAreServed(const std::vector<std::string>& names,
+                           UpstreamCut cut) {
+  Cut(names, cut);
+  fixture.RunFor(kNoticeTime);
+  LONGS_EQUAL(0, FailuresFor(seconds(8)));
+  Cut(names, UpstreamCut::kNone);
+  fixture.RunFor(kNoticeTime);
+  LONGS_EQUAL(0, FailuresFor(seconds(2)));
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+};  // namespace mimosadeal
+
+// A host without paths refused all requests, though other hosts had paths.
+TEST(EntryPaths, CallersOfAHostWithRefusedPathsAreServed) {
+  StartLinkedDeployment(4);
+  CheckCallersAreServed({FollowerOf("north")}, UpstreamCut::kRefused);
+}
+
+// As above, while connections hang.
+TEST(EntryPaths, CallersOfAHostWithSilentPathsAreServed) {
+  StartLinkedDeployment(4);
+  CheckCallersAreServed({FollowerOf("north")}, UpstreamCut::kSilent);
+}
+
+// As above, while open connections live on.
+TEST(EntryPaths, CallersOfAHostThatCanOpenNoConnectionAreServed) {
+  StartLinkedDeployment(4);
+  CheckCallersAreServed({FollowerOf("north")}, UpstreamCut::kNewOnly);
+}
+
+// Without paths the holder renewed its lease, and no grant.
+TEST(EntryPaths, KeysStayServedWhenALeaseHolderLosesItsPaths) {
+  StartLinkedDeployment(4);
+  CheckCallersAreServed({fixture.LeaseHolder("north")}, UpstreamCut::kSilent);
+  LONGS_EQUAL(0, CountInLogs("the upstream does not respond"));
+}
+
+// No host of the zone can renew its grants, so another zone's has to.
+TEST(EntryPaths, AZoneIsServedWhenAllItsHostsLoseTheirPaths) {
+  StartLinkedDeployment(4);
+  CheckCallersAreServed(HostsOf("north"), UpstreamCut::kRefused);
+  LONGS_EQUAL(0, CountInLogs("the upstream does not respond"));
+}
+
+// Holders handed keys to upstreams that they did not reach, and on, without
+// end.
+TEST(EntryPaths, MovesEndSoonAfterHoldersLostTheirPaths) {
+  StartLinkedDeployment(4);
+  std::vector<std::string> holders = {fixture.LeaseHolder("north"),
+                                      fixture.LeaseHolder("south")};
+  Cut(holders, UpstreamCut::kRefused);
+  FailuresFor(seconds(8));
+  Cut(holders, UpstreamCut::kNone);
+  fixture.RunFor(kNoticeTime);
+  const size_t moves = CountInLogs("\"event\":\"range.moving\"");
+  LONGS_EQUAL(0, FailuresFor(seconds(4)));
+  LONGS_EQUAL(moves, CountInLogs("\"event\":\"range.moving\""));
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+
+// Requests that were in flight when the paths were lost counted as dangerous.
+TEST(EntryPaths, ALostPathDoesNotCountAsACrashOfTheUpstream) {
+  StartLinkedDeployment(4);
+  for (auto& [id, upstream] : fixture.upstreams)
+    upstream->SetWork(milliseconds(500));
+  const std::string host = FollowerOf("north");
+  for (int i = 0; i < 8; ++i)
+    fixture.Start(*fixture.hosts.at(host), "GET", "/lookup/same", 8192 * i);
+  fixture.RunFor(milliseconds(200));
+  Cut({host}, UpstreamCut::kRefused);
+  fixture.RunFor(kNoticeTime);
+  LONGS_EQUAL(0, CountInLogs("suspect.noted"));
+}
+
+}  // namespace
+}  // namespace mimosadeal
--- a/source/standins/fault_links.cc
+++ b/source/standins/fault_links.cc
@@ -1,6 +1,7 @@
 #include "fault_links.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr size_t kReadBytes = 64 * 1024;
+// The event loop closes a socket in one of its next iterations.
+constexpr Duration kListenRetryDelay = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -22,28 +25,87 @@
   bool closed = false;
 };
 
-FaultLink::FaultLink(EventLoop& loop, SocketAddress target, uint64_t seed)
-    : loop_(loop), target_(std::move(target)), random_(seed) {}
+FaultLink::FaultLink(EventLoop& loop, SocketAddress listen,
+                     SocketAddress target, uint64_t seed)
+    : loop_(loop),
+      listen_(std::move(listen)),
+      target_(std::move(target)),
+      random_(seed) {}
 
-FaultLink::~FaultLink() { *alive_ = false; }
+FaultLink::~FaultLink() {
+  *alive_ = false;
+  CloseHeldSockets();
+}
 
 Result<std::unique_ptr<FaultLink>> FaultLink::Open(EventLoop& loop,
                                                    const SocketAddress& listen,
                                                    const SocketAddress& target,
                                                    uint64_t seed) {
-  BOOST_OUTCOME_TRY(tcp, ListenTcp(listen));
   BOOST_OUTCOME_TRY(udp, BindUdp(listen));
-  std::unique_ptr<FaultLink> link(new FaultLink(loop, target, seed));
+  std::unique_ptr<FaultLink> link(new FaultLink(loop, listen, target, seed));
   FaultLink* self = link.get();
-  link->listener_ = std::make_unique<FdWatch>(
-      loop, tcp, FdWatch::Callbacks{[self] { self->OnAcceptable(); }, nullptr});
+  BOOST_OUTCOME_TRY(link->Listen());
   link->datagrams_ = std::make_unique<FdWatch>(
       loop, udp, FdWatch::Callbacks{[self] { self->OnDatagram(); }, nullptr});
   return link;
 }
 
+Result<void> FaultLink::Listen() {
+  if (faults_.connecting == LinkConnecting::kRefused) return outcome::success();
+  if (faults_.connecting == LinkConnecting::kUnanswered)
+    return ListenWithoutRoom();
+  BOOST_OUTCOME_TRY(tcp, ListenTcp(listen_));
+  listener_ = std::make_unique<FdWatch>(
+      loop_, tcp, FdWatch::Callbacks{[this] { OnAcceptable(); }, nullptr});
+  return outcome::success();
+}
+
+void FaultLink::ListenAgain() {
+  listener_.reset();
+  CloseHeldSockets();
+  if (Listen().has_value()) return;
+  loop_.timers().After(kListenRetryDelay, [this, alive = alive_] {
+    if (*alive) ListenAgain();
+  });
+}
+
+Result<void> FaultLink::ListenWithoutRoom() {
+  constexpr int fillers = 3;  // A backlog of 0 has room for one connection.
+  BOOST_OUTCOME_TRY(tcp, ListenTcp(listen_));
+  held_sockets_.push_back(tcp);
+  listen(tcp, 0);
+  for (int i = 0; i < fillers; ++i) {
+    BOOST_OUTCOME_TRY(filler, ConnectTcp(listen_));
+    held_sockets_.push_back(filler);
+  }
+  return outcome::success();
+}
+
+void FaultLink::CloseHeldSockets() {
+  for (const int fd : held_sockets_) close(fd);
+  held_sockets_.clear();
+}
+
+void FaultLink::ResetOpen() {
+  const linger reset_on_close = {1, 0};
+  for (const auto& stream : streams_) {
+    for (const auto* side : {&stream->client, &stream->target}) {
+      if (*side == nullptr) continue;
+      setsockopt((*side)->fd(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+                 sizeof(reset_on_close));
+      sockaddr unspecified{};
+      unspecified.sa_family = AF_UNSPEC;
+      connect((*side)->fd(), &unspecified, sizeof(unspecified));
+    }
+    CloseStream(*stream);
+  }
+}
+
 void FaultLink::SetFaults(const LinkFaults& faults) {
+  const bool connecting_changed = faults.connecting != faults_.connecting;
   faults_ = faults;
+  if (connecting_changed) ListenAgain();
+  if (faults.reset_open) ResetOpen();
   for (const auto& stream : streams_) {
     if (stream->closed) continue;
     Flush(*stream, true);
--- a/source/standins/fault_links.h
+++ b/source/standins/fault_links.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/ids.h"
 #include "net/event_loop.h"
@@ -16,6 +17,13 @@
 
 namespace mimosadeal {
 
+// What happens to a connection that is opened.
+enum class LinkConnecting : uint8_t {
+  kAccepted,
+  kRefused,
+  kUnanswered,  // The client's packets get no answer.
+};
+
 struct LinkFaults {
   // Holds back data from the client and drops datagrams.
   bool cut_forward = false;
@@ -27,6 +35,9 @@
   double datagram_duplication = 0;
   // Adds a random delay below this to each datagram.
   int datagram_reorder_ms = 0;
+  LinkConnecting connecting = LinkConnecting::kAccepted;
+  // Resets the open connections once.
+  bool reset_open = false;
 };
 
 class FaultLink {
@@ -45,8 +56,19 @@
   // One forwarded TCP connection.
   struct Stream;
 
-  FaultLink(EventLoop& loop, SocketAddress target, uint64_t seed);
+  FaultLink(EventLoop& loop, SocketAddress listen, SocketAddress target,
+            uint64_t seed);
 
+  // Opens the listening socket that the faults call for. Fails while the former
+  // one is being closed.
+  Result<void> Listen();
+  // Closes the listening socket, and opens another as soon as possible.
+  void ListenAgain();
+  // Opens a listening socket without room for connections, whose packets the
+  // kernel drops.
+  Result<void> ListenWithoutRoom();
+  void CloseHeldSockets();
+  void ResetOpen();
   void OnAcceptable();
   void OnDatagram();
   void SendDatagram(const std::string& datagram);
@@ -55,10 +77,14 @@
   void CloseStream(Stream& stream);
 
   EventLoop& loop_;
+  SocketAddress listen_;
   SocketAddress target_;
   Random random_;
   LinkFaults faults_;
   std::unique_ptr<FdWatch> listener_;
+  // The listening socket that accepts nothing, and the connections of this
+  // process that fill its backlog.
+  std::vector<int> held_sockets_;
   std::unique_ptr<FdWatch> datagrams_;
   std::list<std::unique_ptr<Stream>> streams_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
