--- a/source/core/balance/upstream_load.h
+++ b/source/core/balance/upstream_load.h
@@ -20,6 +20,9 @@
   // No request is sent before this time, because connecting failed.
   MonotonicTime connect_backoff_until = kNever;
   int connect_failures = 0;
+  // No other host is asked to send it a request before this time, because one
+  // did not reach it either.
+  MonotonicTime relay_backoff_until = kNever;
   // End of a rest: the upstream asked this host for no requests before it.
   MonotonicTime rest_until = kNever;
   // No permit to send it a request is available to this host before this time.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -73,6 +73,11 @@
                    .Name("mimosadeal_permits_total")
                    .Help("Permits for requests to upstreams with a limit, by "
                          "outcome")
+                   .Register(*registry_)),
+      relayed_(prometheus::BuildCounter()
+                   .Name("mimosadeal_relayed_total")
+                   .Help("Requests that another host was asked to send, by "
+                         "outcome")
                    .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
@@ -125,6 +130,10 @@
   permits_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObserveRelayed(std::string_view outcome) {
+  relayed_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -62,6 +62,8 @@
   // A permit for such a request was given or refused; see
   // RequestForwarder::OnPermit.
   void ObservePermit(std::string_view outcome);
+  // Another host was asked to send a request; see ExchangeRelay::OnReply.
+  void ObserveRelayed(std::string_view outcome);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -78,6 +80,7 @@
   prometheus::Histogram& sent_to_lapsed_seconds_;
   prometheus::Counter& sent_to_limited_;
   prometheus::Family<prometheus::Counter>& permits_;
+  prometheus::Family<prometheus::Counter>& relayed_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -12,6 +12,7 @@
 #include "common/version.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/exchange_relay.h"
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/upstream_pool.h"
@@ -35,6 +36,8 @@
 // Connecting to any zone takes 2 ms. The time-out is too short for a
 // retransmission, which is intended.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// See UpstreamPoolLimits. Many round trips to any zone.
+constexpr Duration kSlowConnect = std::chrono::milliseconds(150);
 // See UpstreamPoolLimits. Upstreams keep idle connections for some seconds.
 constexpr double kUsableIdleShare = 0.75;
 constexpr Duration kAssumedIdleTimeout = std::chrono::seconds(5);
@@ -124,6 +127,7 @@
   void MakeStore(const SocketAddress& address);
   Result<void> MakeCoordinator();
   void MakeForwarder();
+  void MakeRelay();
   Result<void> Listen();
   void OnViewChanged();
   bool ready() const;
@@ -146,6 +150,7 @@
   std::unique_ptr<DeploymentView> view_;
   std::unique_ptr<PathMonitor> paths_;
   std::unique_ptr<UpstreamPool> pool_;
+  std::unique_ptr<ExchangeRelay> relay_;
   std::unique_ptr<RequestForwarder> forwarder_;
   std::unique_ptr<ZoneCoordinator> coordinator_;
   std::unique_ptr<ExchangeServer> callers_;
@@ -191,9 +196,11 @@
   UpstreamPoolLimits limits;
   limits.text = {64 * 1024, static_cast<size_t>(settings_.max_response_bytes)};
   limits.connect_timeout = kConnectTimeout;
+  limits.slow_connect = kSlowConnect;
   limits.usable_idle_share = kUsableIdleShare;
   limits.assumed_idle_timeout = kAssumedIdleTimeout;
-  pool_ = std::make_unique<UpstreamPool>(loop_, limits);
+  pool_ = std::make_unique<UpstreamPool>(loop_, *paths_, limits);
+  MakeRelay();
   RequestForwarderOptions options;
   options.host = settings_.host_id;
   options.zone = settings_.zone;
@@ -232,10 +239,33 @@
     coordinator_->AddSpeed(service, upstream, expected, taken);
   };
   forwarder_ = std::make_unique<RequestForwarder>(
-      loop_, protocol_, *view_, *pool_, *paths_, metrics_, log_,
+      loop_, protocol_, *view_, *pool_, *paths_, *relay_, metrics_, log_,
       std::move(options), std::move(handlers));
 }
 
+void EntryNode::Impl::MakeRelay() {
+  ExchangeRelayHandlers handlers;
+  handlers.zone_hosts = [this] { return coordinator_->ZoneHosts(); };
+  handlers.other_holders = [this] { return coordinator_->OtherHolders(); };
+  handlers.holds_lease = [this] { return coordinator_->HoldsHomeLease(); };
+  handlers.usable_until = [this](const ListedUpstream& upstream) {
+    return forwarder_->UsableUntil(upstream);
+  };
+  handlers.on_closed_by_upstream = [this](uint64_t fingerprint,
+                                          const UpstreamRecord& upstream) {
+    forwarder_->CheckForCrash(fingerprint, upstream);
+  };
+  handlers.on_helper = [this] { forwarder_->OnHelper(); };
+  relay_ = std::make_unique<ExchangeRelay>(
+      loop_, protocol_, *view_, *pool_, *paths_, metrics_, log_,
+      ExchangeRelayOptions{settings_.zone, settings_.inner_address},
+      std::move(handlers));
+  paths_->SetListener([this] {
+    relay_->OnPathsChanged();
+    forwarder_->OnHelper();
+  });
+}
+
 Result<void> EntryNode::Impl::MakeCoordinator() {
   ZoneCoordinatorOptions options;
   options.host = settings_.host_id;
@@ -250,11 +280,19 @@
                              const std::string& upstream_incarnation) {
     forwarder_->NoteCrash(fingerprint, upstream_incarnation);
   };
+  handlers.on_relay_message = [this](ConnectionId connection,
+                                     const Frame& frame) {
+    relay_->OnMessage(connection, frame);
+  };
+  handlers.on_disconnected = [this](ConnectionId connection) {
+    relay_->OnDisconnected(connection);
+  };
   BOOST_OUTCOME_TRY(
       coordinator,
       ZoneCoordinator::Start(loop_, *store_, protocol_, *view_, *paths_, log_,
                              std::move(options), std::move(handlers)));
   coordinator_ = std::move(coordinator);
+  relay_->SetTransport(coordinator_->transport());
   return outcome::success();
 }
 
@@ -377,6 +415,7 @@
       {{"open_requests", static_cast<uint64_t>(forwarder_->pending())},
        {"connections", static_cast<uint64_t>(callers_->connection_count())}});
   coordinator_->Resign();
+  relay_->StopHelping();
   callers_->StopKeepAlive();
   loop_.timers().Every(kStopCheckInterval, [this] { ContinueStop(); });
 }
@@ -387,8 +426,8 @@
   // A request that arrives later could not be finished within the grace period.
   callers_->StopAccepting();
   callers_->CloseIdle();
-  const bool done =
-      callers_->open_exchanges() == 0 && callers_->connection_count() == 0;
+  const bool done = callers_->open_exchanges() == 0 &&
+                    callers_->connection_count() == 0 && relay_->helped() == 0;
   if (!done && elapsed < bounds_.stop_grace - kStopGraceReserve) return;
   log_.LogStateChange(
       "process.stop",
--- /dev/null
+++ b/source/core/entry/exchange_relay.cc
@@ -0,0 +1,436 @@
+#include "entry/exchange_relay.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+#include "common/event_log.h"
+#include "entry/deployment_view.h"
+#include "entry/entry_metrics.h"
+#include "entry/path_monitor.h"
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+namespace {
+
+constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+// Two lost datagrams in a row do not end an offer.
+constexpr Duration kOfferLifetime = std::chrono::milliseconds(1300);
+// Hosts of each zone that are asked. More spread the load no better.
+constexpr size_t kMaxProbedPerZone = 12;
+// Requests of other hosts in progress, which take memory and descriptors from
+// those of this host's own callers.
+constexpr size_t kMaxHelped = 128;
+// Calls in flight at upstreams above which no other host's are taken.
+constexpr size_t kMaxCallsToHelp = 250;
+constexpr uint32_t kNoSendLimit = std::numeric_limits<uint32_t>::max();
+// A request takes this long to the other host at most, unless a packet is lost.
+constexpr Duration kRelayTime = std::chrono::milliseconds(10);
+
+std::vector<WireHeader> ToWire(const HttpHeaders& headers) {
+  std::vector<WireHeader> wire;
+  for (const HttpHeader& header : headers)
+    wire.push_back({header.name, header.value});
+  return wire;
+}
+
+HttpHeaders FromWire(std::vector<WireHeader>&& wire) {
+  HttpHeaders headers;
+  for (WireHeader& header : wire)
+    headers.push_back({std::move(header.name), std::move(header.value)});
+  return headers;
+}
+
+uint32_t ToWireTime(Duration time) {
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(ToMilliseconds(time), 0, kNoSendLimit - 1));
+}
+
+// A value of the enumeration, or `last` for one that this build does not know.
+template <typename Enum>
+Enum FromWireEnum(uint8_t value, Enum last) {
+  return static_cast<Enum>(std::min(value, static_cast<uint8_t>(last)));
+}
+
+}  // namespace
+
+ExchangeRelay::ExchangeRelay(EventLoop& loop,
+                             const DeploymentProtocol& protocol,
+                             const DeploymentView& view, UpstreamPool& pool,
+                             PathMonitor& paths, EntryMetrics& metrics,
+                             EventLog& log, ExchangeRelayOptions options,
+                             ExchangeRelayHandlers handlers)
+    : loop_(loop),
+      protocol_(protocol),
+      view_(view),
+      pool_(pool),
+      paths_(paths),
+      metrics_(metrics),
+      log_(log),
+      options_(std::move(options)),
+      handlers_(std::move(handlers)),
+      random_(SystemSeed()),
+      next_id_(random_.Next()) {}
+
+ExchangeRelay::~ExchangeRelay() {
+  loop_.timers().Cancel(probe_timer_);
+  for (const auto& [id, call] : calls_) loop_.timers().Cancel(call.timer);
+}
+
+void ExchangeRelay::OnMessage(ConnectionId connection, const Frame& frame) {
+  const auto handle = [&](auto message, auto handler) {
+    auto decoded = DecodeBody<decltype(message)>(frame.body);
+    if (decoded.has_value()) {
+      handler(std::move(decoded.value()));
+      return;
+    }
+    log_.LogRequest("relay.malformed",
+                    {{"type", NameOf(kMessageTypeNames, frame.type)},
+                     {"reason", decoded.error().message}});
+  };
+  switch (frame.type) {
+    case MessageType::kRelayProbe:
+      handle(RelayProbe{}, [this](const RelayProbe& probe) { OnProbe(probe); });
+      return;
+    case MessageType::kRelayOffer:
+      handle(RelayOffer{}, [this](const RelayOffer& offer) { OnOffer(offer); });
+      return;
+    case MessageType::kRelayRequest:
+      // A datagram could arrive twice.
+      if (connection == kNoConnection) return;
+      handle(RelayRequest{}, [&](RelayRequest&& request) {
+        OnRequest(connection, std::move(request));
+      });
+      return;
+    case MessageType::kRelayReply:
+      handle(RelayReply{}, [this](const RelayReply& reply) { OnReply(reply); });
+      return;
+    case MessageType::kRelayCancel:
+      handle(RelayCancel{},
+             [&](const RelayCancel& cancel) { OnCancel(connection, cancel); });
+      return;
+    default:
+      return;
+  }
+}
+
+void ExchangeRelay::OnPathsChanged() {
+  if (probe_timer_ == 0 && paths_.cut_off_services() > 0) ProbeHelpers();
+}
+
+void ExchangeRelay::ProbeHelpers() {
+  probe_timer_ = 0;
+  DropSilentHelpers();
+  if (paths_.cut_off_services() == 0) {
+    helpers_.clear();
+    remote_hosts_.clear();
+    LogHelpers();
+    return;
+  }
+  const RelayProbe probe{options_.address, options_.zone};
+  const auto send = [&](const std::vector<std::string>& hosts, size_t most) {
+    const size_t start = hosts.empty() ? 0 : random_.Below(hosts.size());
+    for (size_t i = 0; i < std::min(most, hosts.size()); ++i)
+      transport_->SendDatagram(hosts[(start + i) % hosts.size()], probe);
+  };
+  const std::vector<std::string> holders = handlers_.other_holders();
+  send(handlers_.zone_hosts(), kMaxProbedPerZone);
+  send(holders, holders.size());
+  send({remote_hosts_.begin(), remote_hosts_.end()}, kMaxProbedPerZone);
+  probe_timer_ =
+      loop_.timers().After(kProbeInterval, [this] { ProbeHelpers(); });
+}
+
+void ExchangeRelay::DropSilentHelpers() {
+  const MonotonicTime now = loop_.timers().now();
+  std::set<ConnectionId> silent;
+  for (const auto& [id, call] : calls_) {
+    const auto helper = helpers_.find(call.helper);
+    if (helper != helpers_.end() &&
+        now - helper->second.offered_at > kOfferLifetime) {
+      silent.insert(call.connection);
+    }
+  }
+  std::erase_if(helpers_, [now](const auto& entry) {
+    return now - entry.second.offered_at > kOfferLifetime;
+  });
+  for (const ConnectionId connection : silent)
+    transport_->Disconnect(connection);
+  LogHelpers();
+}
+
+void ExchangeRelay::LogHelpers() {
+  const size_t count = helpers_.size();
+  const bool changed = (count == 0) != (logged_helpers_ == 0);
+  logged_helpers_ = count;
+  if (!changed) return;
+  log_.LogStateChange("relay.helpers",
+                      {{"helpers", static_cast<uint64_t>(count)},
+                       {"in_flight", static_cast<uint64_t>(calls_.size())}});
+}
+
+void ExchangeRelay::OnProbe(const RelayProbe& probe) {
+  if (!helping_ || helped_.size() >= kMaxHelped) return;
+  RelayOffer offer;
+  offer.address = options_.address;
+  offer.zone = options_.zone;
+  offer.services = paths_.ReachedServices();
+  if (probe.zone != options_.zone && handlers_.holds_lease()) {
+    offer.zone_hosts = handlers_.zone_hosts();
+    if (offer.zone_hosts.size() > kMaxProbedPerZone)
+      offer.zone_hosts.resize(kMaxProbedPerZone);
+  }
+  transport_->SendDatagram(probe.address, offer);
+}
+
+void ExchangeRelay::OnOffer(const RelayOffer& offer) {
+  if (probe_timer_ == 0) return;  // This host asks for no offers any more.
+  Helper& helper = helpers_[offer.address];
+  helper.services = {offer.services.begin(), offer.services.end()};
+  helper.zone = offer.zone;
+  helper.offered_at = loop_.timers().now();
+  remote_hosts_.insert(offer.zone_hosts.begin(), offer.zone_hosts.end());
+  const bool first = logged_helpers_ == 0;
+  LogHelpers();
+  if (first) handlers_.on_helper();
+}
+
+bool ExchangeRelay::HasHelper(const std::string& service) const {
+  const MonotonicTime now = loop_.timers().now();
+  return std::any_of(helpers_.begin(), helpers_.end(), [&](const auto& entry) {
+    return entry.second.services.contains(service) &&
+           now - entry.second.offered_at <= kOfferLifetime;
+  });
+}
+
+std::string ExchangeRelay::ChooseHelper(const std::string& service) {
+  const MonotonicTime now = loop_.timers().now();
+  // Traffic between zones is priced, so a helper of this host's zone may have
+  // one request more in flight.
+  constexpr int other_zone_cost = 1;
+  std::vector<std::string> best;
+  int least = std::numeric_limits<int>::max();
+  for (const auto& [address, helper] : helpers_) {
+    if (!helper.services.contains(service) ||
+        now - helper.offered_at > kOfferLifetime) {
+      continue;
+    }
+    const int cost =
+        helper.in_flight + (helper.zone == options_.zone ? 0 : other_zone_cost);
+    if (cost < least) best.clear();
+    least = std::min(least, cost);
+    if (cost == least) best.push_back(address);
+  }
+  return best.empty() ? std::string() : best[random_.Below(best.size())];
+}
+
+RelayCallId ExchangeRelay::Send(const UpstreamRecord& upstream,
+                                ExchangeRequest request, RelayContext context,
+                                Callback callback) {
+  const MonotonicTime now = loop_.timers().now();
+  const RelayCallId id = next_id_++;
+  RelayRequest message;
+  message.id = id;
+  message.upstream = upstream.id;
+  message.incarnation = upstream.incarnation;
+  message.request_id = std::move(context.request_id);
+  message.fingerprint = context.fingerprint;
+  message.require_new_connection = request.require_new_connection;
+  message.timeout_ms = ToWireTime(request.timeout);
+  message.send_within_ms = request.send_by == kForever
+                               ? kNoSendLimit
+                               : ToWireTime(request.send_by - now - kRelayTime);
+  message.method = std::move(request.method);
+  message.target = std::move(request.target);
+  message.headers = ToWire(request.headers);
+  message.body = std::move(request.body);
+  Call& call = calls_[id];
+  call.callback = std::move(callback);
+  call.helper = ChooseHelper(upstream.service);
+  if (!call.helper.empty())
+    call.connection = transport_->ConnectionTo(call.helper);
+  if (call.connection == kNoConnection ||
+      !transport_->Send(call.connection, message)) {
+    helpers_.erase(call.helper);
+    loop_.Post([this, id] {
+      RelayResult unsent;
+      unsent.exchange.failure = ClientFailure::kNotConnected;
+      Complete(id, std::move(unsent));
+    });
+    return id;
+  }
+  ++helpers_[call.helper].in_flight;
+  call.timer = loop_.timers().After(request.timeout, [this, id] {
+    transport_->Send(calls_.at(id).connection, RelayCancel{id});
+    RelayResult result;
+    result.exchange.failure = ClientFailure::kTimeout;
+    result.exchange.request_written = true;
+    Complete(id, std::move(result));
+  });
+  return id;
+}
+
+void ExchangeRelay::Cancel(RelayCallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  transport_->Send(found->second.connection, RelayCancel{id});
+  found->second.callback = nullptr;
+  Complete(id, {});
+}
+
+void ExchangeRelay::Complete(RelayCallId id, RelayResult result) {
+  auto ended = calls_.extract(id);
+  if (ended.empty()) return;
+  const Call& call = ended.mapped();
+  loop_.timers().Cancel(call.timer);
+  const auto helper = helpers_.find(call.helper);
+  if (helper != helpers_.end() && call.timer != 0) --helper->second.in_flight;
+  if (call.callback) call.callback(std::move(result));
+}
+
+void ExchangeRelay::OnReply(const RelayReply& reply) {
+  const auto found = calls_.find(reply.id);
+  if (found == calls_.end()) return;
+  RelayResult result;
+  ExchangeResult& exchange = result.exchange;
+  const auto status = FromWireEnum(reply.status, RelayStatus::kUnreached);
+  metrics_.ObserveRelayed(status == RelayStatus::kDone       ? "sent"
+                          : status == RelayStatus::kDeclined ? "declined"
+                                                             : "unreached");
+  if (status != RelayStatus::kDone) {
+    if (status == RelayStatus::kDeclined) helpers_.erase(found->second.helper);
+    result.upstream_unreached = status == RelayStatus::kUnreached;
+    exchange.failure = ClientFailure::kNotConnected;
+    Complete(reply.id, std::move(result));
+    return;
+  }
+  exchange.failure = FromWireEnum(reply.failure, ClientFailure::kAborted);
+  exchange.end = FromWireEnum(reply.end, StreamEnd::kFailed);
+  exchange.request_written = reply.request_written;
+  exchange.response_started = reply.response_started;
+  exchange.reused = reply.reused;
+  exchange.sent_at = loop_.timers().now();
+  exchange.response.status = reply.http_status;
+  exchange.response.content_type = reply.content_type;
+  exchange.response.body = reply.body;
+  exchange.response.headers = FromWire(std::vector<WireHeader>(reply.headers));
+  result.upstream_unreached =
+      exchange.failure == ClientFailure::kNotConnected && !exchange.reused;
+  Complete(reply.id, std::move(result));
+}
+
+void ExchangeRelay::OnDisconnected(ConnectionId connection) {
+  FailCallsOn(connection);
+  std::vector<PoolCallId> abandoned;
+  std::erase_if(helped_, [&](const auto& entry) {
+    if (entry.first.first != connection) return false;
+    abandoned.push_back(entry.second);
+    return true;
+  });
+  for (const PoolCallId call : abandoned) pool_.Cancel(call);
+}
+
+void ExchangeRelay::FailCallsOn(ConnectionId connection) {
+  std::vector<RelayCallId> lost;
+  for (const auto& [id, call] : calls_) {
+    if (call.connection == connection) lost.push_back(id);
+  }
+  for (const RelayCallId id : lost) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    helpers_.erase(found->second.helper);
+    metrics_.ObserveRelayed("connection lost");
+    RelayResult result;
+    result.exchange.failure = ClientFailure::kClosed;
+    // The other host may have sent the request.
+    result.exchange.request_written = true;
+    Complete(id, std::move(result));
+  }
+}
+
+const ListedUpstream* ExchangeRelay::FindUpstream(const RelayRequest& request,
+                                                  RelayStatus& status) {
+  const ListedUpstream* listed = view_.directory().Find(request.upstream);
+  const bool known =
+      listed != nullptr && listed->record.incarnation == request.incarnation;
+  if (!helping_ || !known || helped_.size() >= kMaxHelped ||
+      pool_.calls() >= kMaxCallsToHelp ||
+      paths_.IsCutOff(listed->record.service)) {
+    status = RelayStatus::kDeclined;
+    return nullptr;
+  }
+  const MonotonicTime now = loop_.timers().now();
+  if (handlers_.usable_until(*listed) <= now ||
+      pool_.LoadOf(listed->record).connect_backoff_until > now) {
+    status = RelayStatus::kUnreached;
+    return nullptr;
+  }
+  return listed;
+}
+
+void ExchangeRelay::OnRequest(ConnectionId connection, RelayRequest request) {
+  const MonotonicTime now = loop_.timers().now();
+  const HelpedKey key{connection, request.id};
+  RelayStatus status = RelayStatus::kDone;
+  const ListedUpstream* listed = FindUpstream(request, status);
+  if (listed == nullptr || helped_.contains(key)) {
+    RelayReply reply;
+    reply.id = request.id;
+    reply.status = static_cast<uint8_t>(status);
+    if (!helped_.contains(key)) transport_->Send(connection, reply);
+    return;
+  }
+  ExchangeRequest exchange;
+  exchange.method = std::move(request.method);
+  exchange.target = std::move(request.target);
+  exchange.headers = FromWire(std::move(request.headers));
+  exchange.body = std::move(request.body);
+  exchange.timeout = std::chrono::milliseconds(request.timeout_ms);
+  exchange.await_acceptance = true;
+  exchange.require_new_connection = request.require_new_connection;
+  exchange.accepts_response = protocol_.response_filter(request.request_id);
+  exchange.send_by = handlers_.usable_until(*listed);
+  if (request.send_within_ms != kNoSendLimit) {
+    exchange.send_by =
+        std::min(exchange.send_by,
+                 now + std::chrono::milliseconds(request.send_within_ms));
+  }
+  helped_[key] =
+      pool_.Send(listed->record, std::move(exchange),
+                 [this, key, fingerprint = request.fingerprint,
+                  record = listed->record](ExchangeResult result) {
+                   OnHelped(key, fingerprint, record, std::move(result));
+                 });
+}
+
+void ExchangeRelay::OnHelped(const HelpedKey& key, uint64_t fingerprint,
+                             const UpstreamRecord& upstream,
+                             ExchangeResult result) {
+  if (helped_.erase(key) == 0) return;
+  if (result.failure == ClientFailure::kClosed && !result.response_started)
+    handlers_.on_closed_by_upstream(fingerprint, upstream);
+  RelayReply reply;
+  reply.id = key.second;
+  reply.failure = static_cast<uint8_t>(result.failure);
+  reply.end = static_cast<uint8_t>(result.end);
+  reply.request_written = result.request_written;
+  reply.response_started = result.response_started;
+  reply.reused = result.reused;
+  reply.http_status = result.response.status;
+  reply.content_type = std::move(result.response.content_type);
+  reply.headers = ToWire(result.response.headers);
+  reply.body = std::move(result.response.body);
+  if (transport_->Send(key.first, reply)) return;
+  // The connection's backlog is full. Without a reply, the other host would
+  // wait until the request's time has passed.
+  log_.LogRequest("relay.reply-lost", {{"upstream", upstream.id}});
+  transport_->Disconnect(key.first);
+}
+
+void ExchangeRelay::OnCancel(ConnectionId connection,
+                             const RelayCancel& cancel) {
+  const auto ended = helped_.extract({connection, cancel.id});
+  if (!ended.empty()) pool_.Cancel(ended.mapped());
+}
+
+}  // namespace mimosadeal
--- a/source/core/entry/path_monitor.cc
+++ b/source/core/entry/path_monitor.cc
@@ -12,10 +12,10 @@
 namespace {
 
 // Connecting to any zone takes 2 ms. A retransmission takes a second.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(150);
 // Between probes of a service while connecting fails. Bounds how late a host
 // notices that its paths are back.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -43,7 +43,7 @@
   NoteConnectFailed(service.paths, upstream.id, loop_.timers().now());
   Update(upstream.service, service);
   if (timer_ == 0) loop_.Post([this] { ProbeFailing(); });
-  if (listener_) listener_();
+  Notify();
 }
 
 void PathMonitor::Check(const UpstreamRecord& upstream) {
@@ -100,7 +100,15 @@
         static_cast<uint64_t>(CountFailedPaths(service.paths, now))},
        {"upstreams", static_cast<uint64_t>(ServingCount(name))},
        {"after_ms", since == kNever ? Duration::zero() : now - since}});
-  if (listener_) listener_();
+  Notify();
+}
+
+void PathMonitor::Notify() {
+  if (std::exchange(notifying_, true)) return;
+  loop_.Post([this] {
+    notifying_ = false;
+    if (listener_) listener_();
+  });
 }
 
 void PathMonitor::StartProbe(const UpstreamRecord& upstream) {
--- a/source/core/entry/path_monitor.h
+++ b/source/core/entry/path_monitor.h
@@ -65,6 +65,8 @@
   void EndProbe(const UpstreamRecord& upstream, bool connected);
   // Logs whether the paths to the service were lost or regained.
   void Update(const std::string& name, Service& service);
+  // Runs the listener in the next iteration of the loop.
+  void Notify();
   // Tries further upstreams of the services at which connecting failed last.
   void ProbeFailing();
   size_t ServingCount(const std::string& service) const;
@@ -73,6 +75,7 @@
   const DeploymentView& view_;
   EventLog& log_;
   std::function<void()> listener_;
+  bool notifying_ = false;
   Random random_;
   std::map<std::string, Service> services_;
   std::map<std::string, Probe> probes_;  // In progress, by upstream.
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -28,6 +28,9 @@
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
 // A host reads its first configuration within about 1 s of its start.
 constexpr Duration kRetryAfterNoConfiguration = std::chrono::milliseconds(500);
+// After a helper did not reach an upstream either. A host notices within this
+// time that its own paths are back.
+constexpr Duration kRelayBackoff = std::chrono::milliseconds(500);
 // Longer than any caller waits, because the request should not be retried.
 constexpr Duration kRetryAfterSuspect = std::chrono::seconds(30);
 // Callers honour a Retry-After of at most a third of the time that they have
@@ -44,18 +47,17 @@
 
 }  // namespace
 
-RequestForwarder::RequestForwarder(EventLoop& loop,
-                                   const DeploymentProtocol& protocol,
-                                   const DeploymentView& view,
-                                   UpstreamPool& pool, PathMonitor& paths,
-                                   EntryMetrics& metrics, EventLog& log,
-                                   RequestForwarderOptions options,
-                                   RequestForwarderHandlers handlers)
+RequestForwarder::RequestForwarder(
+    EventLoop& loop, const DeploymentProtocol& protocol,
+    const DeploymentView& view, UpstreamPool& pool, PathMonitor& paths,
+    ExchangeRelay& relay, EntryMetrics& metrics, EventLog& log,
+    RequestForwarderOptions options, RequestForwarderHandlers handlers)
     : loop_(loop),
       protocol_(protocol),
       view_(view),
       pool_(pool),
       paths_(paths),
+      relay_(relay),
       metrics_(metrics),
       log_(log),
       options_(std::move(options)),
@@ -179,7 +181,7 @@
       RefuseUntil(pending, {load.limited_until, RefusalReason::kLimited});
       return;
     }
-    if (load.connect_backoff_until > now) {
+    if (load.connect_backoff_until > now && !UsesRelay(*upstream)) {
       WaitForOwner(pending, RefusalReason::kNoOwner,
                    load.connect_backoff_until - now);
       return;
@@ -264,33 +266,53 @@
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
-  pending.call = pool_.Send(
-      upstream.record, std::move(request),
-      [this, exchange, leaving, chosen_at = now,
-       record = upstream.record](ExchangeResult result) {
-        const auto found = pending_.find(exchange);
-        if (leaving.has_value() && found != pending_.end())
-          LogSentToLeaving(*found->second, *leaving, chosen_at, result);
-        NoteConnection(record, result);
-        OnResult(exchange, record, std::move(result));
-      });
+  StartCall(pending, upstream.record, std::move(request), UsesRelay(upstream),
+            [this, exchange, leaving, chosen_at = now,
+             record = upstream.record](ExchangeResult result) {
+              const auto found = pending_.find(exchange);
+              if (leaving.has_value() && found != pending_.end())
+                LogSentToLeaving(*found->second, *leaving, chosen_at, result);
+              OnResult(exchange, record, std::move(result));
+            });
 }
 
-void RequestForwarder::NoteConnection(const UpstreamRecord& upstream,
-                                      const ExchangeResult& result) {
-  UpstreamLoad* load = pool_.FindLoad(upstream);
-  const bool failed =
-      result.failure == ClientFailure::kNotConnected && !result.reused;
-  if (load != nullptr && result.failure == ClientFailure::kNone)
-    OnConnected(*load);
-  if (load != nullptr && failed) OnConnectFailure(*load, loop_.timers().now());
-  if (result.reused) return;
-  if (result.request_written) {
-    paths_.OnConnected(upstream);
-  } else if (failed && result.end != StreamEnd::kReset) {
-    // An upstream above its limit of connections resets them.
-    paths_.OnConnectFailed(upstream);
+void RequestForwarder::StartCall(PendingRequest& pending,
+                                 const UpstreamRecord& upstream,
+                                 ExchangeRequest request, bool relayed,
+                                 std::function<void(ExchangeResult)> callback) {
+  if (!relayed) {
+    pending.call =
+        pool_.Send(upstream, std::move(request), std::move(callback));
+    return;
   }
+  log_.LogRequest("request.relayed",
+                  {{"id", pending.request.id},
+                   {"upstream", upstream.id},
+                   {"age_ms", loop_.timers().now() - pending.received},
+                   {"sends", pending.sends}});
+  ++pool_.LoadOf(upstream).in_flight;
+  pending.relay_call = relay_.Send(
+      upstream, std::move(request), {pending.request.id, pending.fingerprint},
+      [this, upstream, callback = std::move(callback)](RelayResult result) {
+        UpstreamLoad* load = pool_.FindLoad(upstream);
+        if (load != nullptr && load->in_flight > 0) --load->in_flight;
+        if (load != nullptr && result.upstream_unreached)
+          load->relay_backoff_until = loop_.timers().now() + kRelayBackoff;
+        callback(std::move(result.exchange));
+      });
+}
+
+bool RequestForwarder::CancelCall(PendingRequest& pending) {
+  const PoolCallId call = std::exchange(pending.call, 0);
+  const RelayCallId relay_call = std::exchange(pending.relay_call, 0);
+  if (call != 0) return pool_.Cancel(call);
+  if (relay_call == 0) return false;
+  relay_.Cancel(relay_call);
+  const ListedUpstream* listed = view_.directory().Find(pending.tried.back());
+  UpstreamLoad* load =
+      listed == nullptr ? nullptr : pool_.FindLoad(listed->record);
+  if (load != nullptr && load->in_flight > 0) --load->in_flight;
+  return true;
 }
 
 void RequestForwarder::NoteSentToLimited(const PendingRequest& pending,
@@ -383,18 +405,42 @@
   }
 }
 
+void RequestForwarder::OnHelper() {
+  std::vector<ExchangeId> stuck;
+  for (const auto& [exchange, pending] : pending_) {
+    const bool sending =
+        pending->call != 0 && pool_.IsConnecting(pending->call);
+    if ((sending || pending->waiting) &&
+        paths_.IsCutOff(pending->service->name) &&
+        relay_.HasHelper(pending->service->name)) {
+      stuck.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : stuck) {
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end()) continue;
+    PendingRequest& pending = *found->second;
+    if (pending.call != 0) {
+      CancelCall(pending);
+      // Nothing was written.
+      --pending.sends;
+      pending.tried.pop_back();
+    }
+    loop_.timers().Cancel(pending.wait_timer);
+    TrySend(pending);
+  }
+}
+
 void RequestForwarder::OnGiveUp(ExchangeId exchange) {
   const auto found = pending_.find(exchange);
   if (found == pending_.end()) return;
   PendingRequest& pending = *found->second;
   pending.give_up_timer = 0;
-  if (pending.call == 0) {
+  if (pending.call == 0 && pending.relay_call == 0) {
     Refuse(pending, RefusalReason::kOverloaded);
     return;
   }
-  const bool received = pool_.Cancel(pending.call);
-  pending.call = 0;
-  if (received) {
+  if (CancelCall(pending)) {
     Refuse(pending, RefusalReason::kTimeout);
   } else {
     Refuse(pending, RefusalReason::kOverloaded, kRetryAfterNoUpstream);
@@ -405,7 +451,7 @@
   const auto found = pending_.find(exchange);
   if (found == pending_.end()) return;
   PendingRequest& pending = *found->second;
-  if (pending.call != 0) pool_.Cancel(pending.call);
+  CancelCall(pending);
   log_.LogRequest("request.abandoned",
                   {{"id", pending.request.id},
                    {"age_ms", loop_.timers().now() - pending.received},
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -24,6 +24,7 @@
 class EntryMetrics;
 class EventLog;
 class EventLoop;
+class ExchangeRelay;
 class PathMonitor;
 struct ChoiceCandidate;
 struct KeyRange;
@@ -78,7 +79,8 @@
  public:
   RequestForwarder(EventLoop& loop, const DeploymentProtocol& protocol,
                    const DeploymentView& view, UpstreamPool& pool,
-                   PathMonitor& paths, EntryMetrics& metrics, EventLog& log,
+                   PathMonitor& paths, ExchangeRelay& relay,
+                   EntryMetrics& metrics, EventLog& log,
                    RequestForwarderOptions options,
                    RequestForwarderHandlers handlers);
   ~RequestForwarder();
@@ -91,9 +93,19 @@
   void OnAbandoned(ExchangeId exchange);
   // Retries the requests that wait for their key's owner.
   void OnViewChanged();
+  // Other hosts may send requests whose upstreams this host has no path to.
+  // Sends those that wait, and those whose connection is still being opened.
+  void OnHelper();
   // Another host reported that an upstream crashed with this request in flight.
   void NoteCrash(uint64_t fingerprint, const std::string& upstream_incarnation);
 
+  // Returns the time until which requests may be sent to the upstream; kForever
+  // while it serves and is registered.
+  MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
+  // Checks a little later whether an upstream that closed its connection during
+  // a request has crashed.
+  void CheckForCrash(uint64_t fingerprint, const UpstreamRecord& upstream);
+
   size_t pending() const { return pending_.size(); }
 
  private:
@@ -141,13 +153,16 @@
   // Whether a change of the view may help the request: it waits for an owner of
   // its key, or for a permit for an upstream that does not own it any more.
   bool MayTryAgain(PendingRequest& pending);
-  // Returns the time until which requests may be sent to the upstream; kForever
-  // while it serves and is registered.
-  MonotonicTime UsableUntil(const ListedUpstream& upstream) const;
+  // Whether requests to the upstream are to be sent through another host.
+  bool UsesRelay(const ListedUpstream& upstream) const;
+  // Sends the request to the upstream, through another host if `relayed`.
+  void StartCall(PendingRequest& pending, const UpstreamRecord& upstream,
+                 ExchangeRequest request, bool relayed,
+                 std::function<void(ExchangeResult)> callback);
+  // Ends the request's call, if it has one. Returns whether the upstream may
+  // have received the request.
+  bool CancelCall(PendingRequest& pending);
   void Send(PendingRequest& pending, const ListedUpstream& upstream);
-  // Records whether a connection to the upstream could be opened.
-  void NoteConnection(const UpstreamRecord& upstream,
-                      const ExchangeResult& result);
   // Logs a request that was sent to a leaving upstream. `upstream`: its entry
   // in the directory when this host selected it at `chosen_at`.
   void LogSentToLeaving(const PendingRequest& pending,
@@ -170,14 +185,11 @@
                     Duration recheck_after);
   void OnResult(ExchangeId exchange, const UpstreamRecord& upstream,
                 ExchangeResult result);
+  // `relayed`: the request was sent through another host.
   void OnFailure(PendingRequest& pending, const UpstreamRecord& upstream,
-                 const ExchangeResult& result);
+                 const ExchangeResult& result, bool relayed);
   // The upstream did not run the request: sends it elsewhere, waits or refuses.
   void OnNotRun(PendingRequest& pending, const UpstreamResponse& answer);
-  // Checks a little later whether the upstream crashed while the request was in
-  // flight.
-  void CheckForCrash(const PendingRequest& pending,
-                     const UpstreamRecord& upstream);
   void ProbeForCrash(uint64_t fingerprint, const SocketAddress& address,
                      const std::string& probed_incarnation);
   // The request's time has run out; see PendingRequest::give_up_at.
@@ -197,6 +209,7 @@
   const DeploymentView& view_;
   UpstreamPool& pool_;
   PathMonitor& paths_;
+  ExchangeRelay& relay_;
   EntryMetrics& metrics_;
   EventLog& log_;
   RequestForwarderOptions options_;
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -7,6 +7,7 @@
 
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
+#include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_forwarder_state.h"
 #include "net/event_loop.h"
@@ -31,8 +32,9 @@
   if (found == pending_.end()) return;
   PendingRequest& pending = *found->second;
   pending.call = 0;
+  const bool relayed = std::exchange(pending.relay_call, 0) != 0;
   if (result.failure != ClientFailure::kNone) {
-    OnFailure(pending, upstream, result);
+    OnFailure(pending, upstream, result, relayed);
     return;
   }
   const MonotonicTime now = loop_.timers().now();
@@ -62,7 +64,7 @@
     case ResponseKind::kCorrupt:
       result.failure = ClientFailure::kMalformed;
       result.request_written = true;
-      OnFailure(pending, upstream, result);
+      OnFailure(pending, upstream, result, relayed);
       return;
   }
 }
@@ -127,7 +129,7 @@
 
 void RequestForwarder::OnFailure(PendingRequest& pending,
                                  const UpstreamRecord& upstream,
-                                 const ExchangeResult& result) {
+                                 const ExchangeResult& result, bool relayed) {
   log_.LogRequest("request.failed-at-upstream",
                   {{"id", pending.request.id},
                    {"upstream", upstream.id},
@@ -135,9 +137,13 @@
                    {"end", StreamEndName(result.end)},
                    {"written", result.request_written},
                    {"reused", result.reused},
+                   {"relayed", relayed},
                    {"sends", pending.sends}});
   if (!result.request_written) {
     --pending.sends;  // Nothing was written, so a retry uses no retry budget.
+    // Another host may reach the upstream.
+    if (paths_.IsCutOff(upstream.service) && !relayed)
+      std::erase(pending.tried, upstream.id);
     // That an idle connection was closed does not show that the upstream
     // failed.
     if (pending.service->keyed && !result.reused) {
@@ -147,8 +153,10 @@
     }
     return;
   }
-  if (result.failure == ClientFailure::kClosed && !result.response_started)
-    CheckForCrash(pending, upstream);
+  // A host that relayed the request checks that itself.
+  const bool ended_early = result.failure == ClientFailure::kClosed &&
+                           !result.response_started && !relayed;
+  if (ended_early) CheckForCrash(pending.fingerprint, upstream);
   if (pending.idempotent() && pending.sends < pending.route->max_upstreams) {
     TrySend(pending);
     return;
@@ -156,11 +164,11 @@
   Refuse(pending, RefusalReason::kLostAnswer);
 }
 
-void RequestForwarder::CheckForCrash(const PendingRequest& pending,
+void RequestForwarder::CheckForCrash(uint64_t fingerprint,
                                      const UpstreamRecord& upstream) {
   loop_.timers().After(
       kCrashProbeDelay,
-      [this, fingerprint = pending.fingerprint, address = upstream.address,
+      [this, fingerprint, address = upstream.address,
        probed_incarnation =
            upstream.id + "/" + std::to_string(upstream.incarnation)] {
         ProbeForCrash(fingerprint, address, probed_incarnation);
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -6,6 +6,7 @@
 #include "balance/upstream_choice.h"
 #include "balance/upstream_preference.h"
 #include "entry/deployment_view.h"
+#include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_forwarder_state.h"
 #include "net/event_loop.h"
@@ -53,6 +54,15 @@
       upstream.left_after + part_of_drain(kDrainShareSinceLeft));
 }
 
+bool RequestForwarder::UsesRelay(const ListedUpstream& upstream) const {
+  const UpstreamRecord& record = upstream.record;
+  if (!paths_.IsCutOff(record.service)) return false;
+  const UpstreamLoad* load = pool_.FindLoad(record);
+  const bool unreached =
+      load != nullptr && load->relay_backoff_until > loop_.timers().now();
+  return !unreached && relay_.HasHelper(record.service);
+}
+
 const ListedUpstream* RequestForwarder::FindOwner(PendingRequest& pending,
                                                   const KeyRange** range) {
   const RangeTable* table = view_.table(pending.service->name);
@@ -104,8 +114,9 @@
       continue;
     }
     const UpstreamLoad& load = pool_.LoadOf(record);
-    if (load.connect_backoff_until > now || now >= UsableUntil(*listed))
-      continue;
+    const bool unreached =
+        load.connect_backoff_until > now && !UsesRelay(*listed);
+    if (unreached || now >= UsableUntil(*listed)) continue;
     if (load.rest_until > now) {
       next = Sooner(next, {load.rest_until, RefusalReason::kResting});
       continue;
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/exchange_relay.h"
 #include "entry/request_forwarder.h"
 
 namespace mimosadeal {
@@ -58,7 +59,8 @@
   // Upstream that a permit is asked for; empty while none is.
   std::string permit_asked_for;
   std::optional<SendPermit> permit;
-  PoolCallId call = 0;  // 0 while none is in flight.
+  PoolCallId call = 0;         // 0 while none is in flight.
+  RelayCallId relay_call = 0;  // As `call`, through another host.
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "entry/path_monitor.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
@@ -30,10 +31,12 @@
   Callback callback;
   MonotonicTime started_at = kNever;
   Duration idle_time{};  // Of the connection, before this call.
+  uint64_t slow_connect_timer = 0;
 };
 
-UpstreamPool::UpstreamPool(EventLoop& loop, UpstreamPoolLimits limits)
-    : loop_(loop), limits_(limits) {
+UpstreamPool::UpstreamPool(EventLoop& loop, PathMonitor& paths,
+                           UpstreamPoolLimits limits)
+    : loop_(loop), paths_(paths), limits_(limits) {
   idle_timer_ =
       loop_.timers().Every(kIdleCheckInterval, [this] { CloseIdle(); });
 }
@@ -59,6 +62,11 @@
 }
 
 UpstreamLoad* UpstreamPool::FindLoad(const UpstreamRecord& upstream) {
+  return const_cast<UpstreamLoad*>(std::as_const(*this).FindLoad(upstream));
+}
+
+const UpstreamLoad* UpstreamPool::FindLoad(
+    const UpstreamRecord& upstream) const {
   const auto found = upstreams_.find(upstream.id);
   if (found == upstreams_.end() ||
       found->second->record.incarnation != upstream.incarnation) {
@@ -99,6 +107,10 @@
   call->started_at = loop_.timers().now();
   if (call->client->reusable())
     call->idle_time = call->started_at - call->client->idle_since();
+  if (!call->client->reusable()) {
+    call->slow_connect_timer = loop_.timers().After(
+        limits_.slow_connect, [this, id] { NoteSlowConnect(id); });
+  }
   call->callback = std::move(callback);
   ++upstream.load.in_flight;
   request.connect_timeout = limits_.connect_timeout;
@@ -115,11 +127,13 @@
   if (found == calls_.end()) return;
   const std::unique_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
+  loop_.timers().Cancel(call->slow_connect_timer);
   NoteIdleReset(*call, result);
   const auto upstream = upstreams_.find(call->upstream);
   if (upstream != upstreams_.end() &&
       upstream->second->record.incarnation == call->incarnation) {
     --upstream->second->load.in_flight;
+    NoteConnection(*upstream->second, result);
     if (call->client->reusable() &&
         upstream->second->idle.size() < kMaxIdleConnections)
       upstream->second->idle.push_back(std::move(call->client));
@@ -127,6 +141,36 @@
   call->callback(std::move(result));
 }
 
+void UpstreamPool::NoteConnection(Upstream& upstream,
+                                  const ExchangeResult& result) {
+  const bool failed =
+      result.failure == ClientFailure::kNotConnected && !result.reused;
+  if (result.failure == ClientFailure::kNone) OnConnected(upstream.load);
+  if (failed) OnConnectFailure(upstream.load, loop_.timers().now());
+  if (result.reused) return;
+  if (result.request_written) {
+    paths_.OnConnected(upstream.record);
+  } else if (failed && result.end != StreamEnd::kReset) {
+    // An upstream above its limit of connections resets them.
+    paths_.OnConnectFailed(upstream.record);
+  }
+}
+
+bool UpstreamPool::IsConnecting(PoolCallId id) const {
+  const auto found = calls_.find(id);
+  return found != calls_.end() && !found->second->client->connected();
+}
+
+void UpstreamPool::NoteSlowConnect(PoolCallId id) {
+  if (!IsConnecting(id)) return;
+  const Call& call = *calls_.at(id);
+  const auto upstream = upstreams_.find(call.upstream);
+  if (upstream != upstreams_.end() &&
+      upstream->second->record.incarnation == call.incarnation) {
+    paths_.OnConnectFailed(upstream->second->record);
+  }
+}
+
 void UpstreamPool::NoteIdleReset(const Call& call,
                                  const ExchangeResult& result) {
   const MonotonicTime now = loop_.timers().now();
@@ -149,6 +193,7 @@
   // within a callback of the client.
   const std::shared_ptr<Call> cancelled = std::move(found->second);
   calls_.erase(found);
+  loop_.timers().Cancel(cancelled->slow_connect_timer);
   const bool received = cancelled->client->request_written();
   cancelled->client->Abort();
   loop_.Post([cancelled] {});
--- a/source/core/entry/upstream_pool.h
+++ b/source/core/entry/upstream_pool.h
@@ -17,10 +17,13 @@
 namespace mimosadeal {
 
 class EventLoop;
+class PathMonitor;
 
 struct UpstreamPoolLimits {
   HttpMessageLimits text;
   Duration connect_timeout{};
+  // A connection that takes longer to open shows that the path may be lost.
+  Duration slow_connect{};
   // Fraction of the upstream's idle timeout for which an idle connection is
   // reused. Later, the upstream could close it while a request is on its way.
   double usable_idle_share = 0;
@@ -34,7 +37,8 @@
  public:
   using Callback = std::function<void(ExchangeResult)>;
 
-  UpstreamPool(EventLoop& loop, UpstreamPoolLimits limits);
+  // `paths` learns whether connections could be opened.
+  UpstreamPool(EventLoop& loop, PathMonitor& paths, UpstreamPoolLimits limits);
   ~UpstreamPool();
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -46,12 +50,16 @@
   // Aborts a call by closing its connection; its callback does not run. Returns
   // whether the upstream may have received the request.
   bool Cancel(PoolCallId id);
+  // Whether the call's connection is still being opened, so that nothing was
+  // sent.
+  bool IsConnecting(PoolCallId id) const;
 
   // Returns the load of an upstream. Adds the upstream if it is new. A record
   // with another incarnation or address replaces the upstream's state.
   UpstreamLoad& LoadOf(const UpstreamRecord& upstream);
   // Returns null when that incarnation of the upstream is not in the pool.
   UpstreamLoad* FindLoad(const UpstreamRecord& upstream);
+  const UpstreamLoad* FindLoad(const UpstreamRecord& upstream) const;
   // Removes the upstreams for which `keep` is false, with their idle
   // connections.
   void Retain(const std::function<bool(const std::string& id,
@@ -71,12 +79,17 @@
   // only a new one.
   std::unique_ptr<ExchangeClient> TakeConnection(Upstream& upstream,
                                                  bool unused);
+  // Records whether a connection to the upstream could be opened.
+  void NoteConnection(Upstream& upstream, const ExchangeResult& result);
+  // Records that the call's connection takes long to open.
+  void NoteSlowConnect(PoolCallId id);
   // Records that the upstream reset a connection that had been idle.
   void NoteIdleReset(const Call& call, const ExchangeResult& result);
   void OnResult(PoolCallId id, ExchangeResult result);
   void CloseIdle();
 
   EventLoop& loop_;
+  PathMonitor& paths_;
   UpstreamPoolLimits limits_;
   uint64_t next_id_ = 1;
   uint64_t connections_opened_ = 0;
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -94,13 +94,15 @@
   transport.limits.max_body_bytes = kMaxUpdateBytes;
   transport.limits.max_backlog_bytes = kMaxUpdateBacklog;
   InnerTransportHandlers transport_handlers;
-  transport_handlers.on_frame = [self](ConnectionId, const Frame& frame) {
-    self->OnDatagram(frame);
+  transport_handlers.on_frame = [self](ConnectionId id, const Frame& frame) {
+    self->OnFrame(id, frame);
   };
   transport_handlers.on_datagram = [self](const Frame& frame) {
-    self->OnDatagram(frame);
+    self->OnFrame(kNoConnection, frame);
+  };
+  transport_handlers.on_disconnected = [self](ConnectionId id) {
+    self->handlers_.on_disconnected(id);
   };
-  transport_handlers.on_disconnected = [](ConnectionId) {};
   BOOST_OUTCOME_TRY(made,
                     InnerTransport::Listen(loop, std::move(transport),
                                            std::move(transport_handlers)));
@@ -220,7 +222,21 @@
   for (auto& [name, zone] : zones_) zone->ranges->OnViewChanged();
 }
 
-void ZoneCoordinator::OnDatagram(const Frame& frame) {
+void ZoneCoordinator::OnFrame(ConnectionId connection, const Frame& frame) {
+  switch (frame.type) {
+    case MessageType::kRelayProbe:
+    case MessageType::kRelayOffer:
+    case MessageType::kRelayRequest:
+    case MessageType::kRelayReply:
+    case MessageType::kRelayCancel:
+      handlers_.on_relay_message(connection, frame);
+      return;
+    default:
+      OnZoneMessage(frame);
+  }
+}
+
+void ZoneCoordinator::OnZoneMessage(const Frame& frame) {
   const auto decode_and_handle = [this, &frame](auto message, auto handler) {
     auto decoded = DecodeBody<decltype(message)>(frame.body);
     if (!decoded.has_value()) {
@@ -295,6 +311,30 @@
   zone->second->lease->OnHolderNotice(lease);
 }
 
+bool ZoneCoordinator::HoldsHomeLease() const { return home().lease->active(); }
+
+std::vector<std::string> ZoneCoordinator::ZoneHosts() const {
+  std::set<std::string> hosts = peers_;
+  for (const auto& [address, follower] : followers_) {
+    if (follower.wants_feed) hosts.insert(address);
+  }
+  hosts.insert(home().lease->lease().address);
+  hosts.erase("");
+  hosts.erase(options_.inner_address);
+  return {hosts.begin(), hosts.end()};
+}
+
+std::vector<std::string> ZoneCoordinator::OtherHolders() const {
+  std::set<std::string> holders = other_holders_;
+  for (const auto& [name, address] : former_holders_) holders.insert(address);
+  for (const auto& [name, zone] : zones_) {
+    if (!zone->home) holders.insert(zone->lease->lease().address);
+  }
+  holders.erase("");
+  holders.erase(options_.inner_address);
+  return {holders.begin(), holders.end()};
+}
+
 void ZoneCoordinator::Resign() {
   resigned_ = true;
   for (auto& [name, zone] : zones_) zone->lease->Resign();
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -46,6 +46,9 @@
 struct ZoneCoordinatorHandlers {
   std::function<void(uint64_t fingerprint, const std::string& upstream_life)>
       on_crash;
+  // A message of the relay's types; see ExchangeRelay::OnMessage.
+  std::function<void(ConnectionId, const Frame&)> on_relay_message;
+  std::function<void(ConnectionId)> on_disconnected;
 };
 
 // Distinguishes a copy that receives no updates from one that is only waiting
@@ -115,6 +118,13 @@
   // PermitBroker::Ask.
   void AskForPermit(const ListedUpstream& upstream, int rank, Duration wait,
                     PermitBroker::Callback callback);
+  InnerTransport& transport() { return *transport_; }
+  // Inner addresses of the zone's other hosts, and of the hosts that hold other
+  // zones' leases, as far as they are known.
+  std::vector<std::string> ZoneHosts() const;
+  std::vector<std::string> OtherHolders() const;
+  // Whether this host holds its zone's lease.
+  bool HoldsHomeLease() const;
   // Gives up all leases permanently, as at a planned stop.
   void Resign();
   int leases_held() const;
@@ -137,7 +147,9 @@
   void AddOtherZones();
   void DropOtherZones();
   void OnViewChanged();
-  void OnDatagram(const Frame& frame);
+  // `connection`: kNoConnection for a datagram.
+  void OnFrame(ConnectionId connection, const Frame& frame);
+  void OnZoneMessage(const Frame& frame);
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
   void OnLeaseNotice(const LeaseNotice& notice);
--- a/source/core/forwarding/deployment_protocol.h
+++ b/source/core/forwarding/deployment_protocol.h
@@ -3,6 +3,7 @@
 // depend on the names of any deployment.
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "common/error.h"
@@ -34,6 +35,10 @@
   ExchangeRequest (*write_request)(const CallerRequest& request,
                                    Duration time_left,
                                    const std::string& upstream_id);
+  // Returns what ExchangeRequest::accepts_response needs to be for a request of
+  // a caller with this id.
+  std::function<bool(const HttpResponse&, bool reused)> (*response_filter)(
+      const std::string& request_id);
   UpstreamResponse (*read_response)(HttpResponse&& response);
   HttpResponse (*write_refusal)(const Refusal& refusal);
 
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -36,9 +36,14 @@
   kLimitReport = 24,
   kPermitRequest = 25,
   kPermitReply = 26,
+  kRelayProbe = 27,
+  kRelayOffer = 28,
+  kRelayRequest = 29,
+  kRelayReply = 30,
+  kRelayCancel = 31,
 };
 
-inline constexpr EnumNames<MessageType, 26> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 31> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -65,6 +70,11 @@
     {MessageType::kLimitReport, "limit-report"},
     {MessageType::kPermitRequest, "permit-request"},
     {MessageType::kPermitReply, "permit-reply"},
+    {MessageType::kRelayProbe, "relay-probe"},
+    {MessageType::kRelayOffer, "relay-offer"},
+    {MessageType::kRelayRequest, "relay-request"},
+    {MessageType::kRelayReply, "relay-reply"},
+    {MessageType::kRelayCancel, "relay-cancel"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -65,6 +65,16 @@
       return Check<PermitRequest>(body);
     case MessageType::kPermitReply:
       return Check<PermitReply>(body);
+    case MessageType::kRelayProbe:
+      return Check<RelayProbe>(body);
+    case MessageType::kRelayOffer:
+      return Check<RelayOffer>(body);
+    case MessageType::kRelayRequest:
+      return Check<RelayRequest>(body);
+    case MessageType::kRelayReply:
+      return Check<RelayReply>(body);
+    case MessageType::kRelayCancel:
+      return Check<RelayCancel>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -336,6 +336,11 @@
     case MessageType::kLimitReport:
     case MessageType::kPermitRequest:
     case MessageType::kPermitReply:
+    case MessageType::kRelayProbe:
+    case MessageType::kRelayOffer:
+    case MessageType::kRelayRequest:
+    case MessageType::kRelayReply:
+    case MessageType::kRelayCancel:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -22,63 +22,75 @@
   return count;
 }
 
-TEST_GROUP_BASE(EntryPaths, EntryTest){
-    void StartLinkedDeployment(int hosts){fixture.AddDefaultUpstreams();
-fixture.link_upstreams = true;
-fixture.StartHosts(hosts);
-}  // namespace
+class EntryPathsTest : public EntryTest {
+ public:
+  void StartLinkedDeployment(int hosts) {
+    fixture.AddDefaultUpstreams();
+    fixture.link_upstreams = true;
+    // Leaves room for the requests that the tests send at once.
+    for (auto& [id, upstream] : fixture.upstreams)
+      upstream->SetWork(milliseconds(5));
+    fixture.StartHosts(hosts);
+    LONGS_EQUAL(0, FailuresFor(seconds(1)));
+  }
 
-void Cut(const std::vector<std::string>& names, UpstreamCut cut) {
-  for (const std::string& name : names) fixture.SetUpstreamPartition(name, cut);
-}
+  void Cut(const std::vector<std::string>& names, UpstreamCut cut) {
+    for (const std::string& name : names)
+      fixture.SetUpstreamPartition(name, cut);
+  }
 
-std::vector<std::string> HostsOf(const std::string& zone) {
-  std::vector<std::string> names;
-  for (const auto& [name, host] : fixture.hosts) {
-    if (host->zone == zone) names.push_back(name);
+  std::vector<std::string> HostsOf(const std::string& zone) {
+    std::vector<std::string> names;
+    for (const auto& [name, host] : fixture.hosts) {
+      if (host->zone == zone) names.push_back(name);
+    }
+    return names;
   }
-  return names;
-}
 
-std::string FollowerOf(const std::string& zone) {
-  for (const std::string& name : HostsOf(zone)) {
-    if (name != fixture.LeaseHolder(zone)) return name;
+  std::string FollowerOf(const std::string& zone) {
+    for (const std::string& name : HostsOf(zone)) {
+      if (name != fixture.LeaseHolder(zone)) return name;
+    }
+    return "";
   }
-  return "";
-}
 
-// Sends requests of all kinds to all hosts for `time`. Returns the number of
-// requests that failed.
-int FailuresFor(Duration time) {
-  int failures = 0;
-  const MonotonicTime end = fixture.loop.timers().now() + time;
-  while (fixture.loop.timers().now() < end) {
-    failures += CountFailures("GET", "/lookup/");
-    failures += CountFailures("POST", "/hold/");
-    failures += CountFailures("POST", "/charge/");
+  // Sends requests of all kinds to all hosts for `time`. Returns the number of
+  // requests that failed.
+  int FailuresFor(Duration time) {
+    int failures = 0;
+    const MonotonicTime end = fixture.loop.timers().now() + time;
+    while (fixture.loop.timers().now() < end) {
+      failures += CountFailures("GET", "/lookup/");
+      failures += CountFailures("POST", "/hold/");
+      for (const auto& [name, host] : fixture.hosts) {
+        if (fixture.SendAndWait(*host, "POST", "/charge/x", -1).status != 200)
+          ++failures;
+      }
+    }
+    return failures;
   }
-  return failures;
-}
 
-size_t CountInLogs(const std::string& part) {
-  size_t count = 0;
-  for (const auto& [name, host] : fixture.hosts)
-    count += Count(fixture.HostLog(name), part);
-  return count;
-}
+  size_t CountInLogs(const std::string& part) {
+    size_t count = 0;
+    for (const auto& [name, host] : fixture.hosts)
+      count += Count(fixture.HostLog(name), part);
+    return count;
+  }
 
-void CheckCallersAreServed(const std::vector<std::string>& names,
-                           UpstreamCut cut) {
-  Cut(names, cut);
-  fixture.RunFor(kNoticeTime);
-  LONGS_EQUAL(0, FailuresFor(seconds(8)));
-  Cut(names, UpstreamCut::kNone);
-  fixture.RunFor(kNoticeTime);
-  LONGS_EQUAL(0, FailuresFor(seconds(2)));
-  CHECK(fixture.EveryKeyIsHeld());
-  fixture.CheckRecord();
-}
-};  // namespace mimosadeal
+  void CheckCallersAreServed(const std::vector<std::string>& names,
+                             UpstreamCut cut) {
+    Cut(names, cut);
+    FailuresFor(kNoticeTime);
+    LONGS_EQUAL(0, FailuresFor(seconds(8)));
+    Cut(names, UpstreamCut::kNone);
+    FailuresFor(kNoticeTime);
+    LONGS_EQUAL(0, FailuresFor(seconds(2)));
+    CHECK(fixture.EveryKeyIsHeld());
+    fixture.CheckRecord();
+  }
+};
+
+TEST_GROUP_BASE(EntryPaths, EntryPathsTest){};
 
 // A host without paths refused all requests, though other hosts had paths.
 TEST(EntryPaths, CallersOfAHostWithRefusedPathsAreServed) {
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -55,6 +55,14 @@
   load.cells = {1, 2};
   load.busy_ms = {10, 20};
   load.upstreams = {"u1"};
+  RelayOffer offer;
+  offer.services = {"yard"};
+  offer.zone_hosts = {"10.1.0.10:7720"};
+  RelayRequest relayed;
+  relayed.headers = {{"accept", "text/plain"}};
+  relayed.body = "body";
+  RelayReply relay_reply;
+  relay_reply.headers = {{"content-type", "text/plain"}};
   ViewUpdate view;
   view.objects = {{"u1", 7, false, "{}"}};
   return {
@@ -68,6 +76,11 @@
       MakeSample(PermitRequest{
           7, "10.1.0.10:7720", "u1", 1, "north", 2, 200, {true, 1.4, 5}, 1}),
       MakeSample(PermitReply{7, true, 900, {true, 1.4, 5}}),
+      MakeSample(RelayProbe{"10.1.0.10:7720", "north"}),
+      MakeSample(offer),
+      MakeSample(relayed),
+      MakeSample(relay_reply),
+      MakeSample(RelayCancel{7}),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
       MakeSample(Hello{"h"}),
