Give up a zone's lease when this host has no path to the upstreams

Callers of all hosts lost the owners of a zone's keys when the holder of its lease lost its paths: it renewed its lease in the store, could renew no grant, and moved the keys of its silent owners to upstreams that it had not tried. Such a holder now yields the lease while another host offers to reach the upstreams, and hosts in that state neither take a lease nor are yielded one to (kNoTakeover in their hellos). A zone whose hosts are all cut off is served by another zone's holder. Where no host has paths, nothing changes hands.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -3,6 +3,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <utility>
@@ -128,6 +129,8 @@
   Result<void> MakeCoordinator();
   void MakeForwarder();
   void MakeRelay();
+  // Whether this host can grant keys, or no other host can either.
+  bool MayHoldLeases() const;
   Result<void> Listen();
   void OnViewChanged();
   bool ready() const;
@@ -284,6 +287,7 @@
                                      const Frame& frame) {
     relay_->OnMessage(connection, frame);
   };
+  handlers.may_hold_leases = [this] { return MayHoldLeases(); };
   handlers.on_disconnected = [this](ConnectionId connection) {
     relay_->OnDisconnected(connection);
   };
@@ -296,6 +300,16 @@
   return outcome::success();
 }
 
+bool EntryNode::Impl::MayHoldLeases() const {
+  if (view_->routes() == nullptr) return true;
+  const auto& services = view_->routes()->services;
+  return std::none_of(
+      services.begin(), services.end(), [this](const auto& entry) {
+        return entry.second.keyed && paths_->IsCutOff(entry.first) &&
+               relay_->HadHelper(entry.first);
+      });
+}
+
 Result<void> EntryNode::Impl::Listen() {
   BOOST_OUTCOME_TRY(callers_address,
                     ParseSocketAddress(settings_.callers_address));
--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -16,6 +16,9 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
 // Two lost datagrams in a row do not end an offer.
 constexpr Duration kOfferLifetime = std::chrono::milliseconds(1300);
+// A host that was helped within this time does not take a lease, which the
+// helpers can hold.
+constexpr Duration kHelperMemory = std::chrono::seconds(3);
 // Hosts of each zone that are asked. More spread the load no better.
 constexpr size_t kMaxProbedPerZone = 12;
 // Requests of other hosts in progress, which take memory and descriptors from
@@ -123,7 +126,7 @@
   DropSilentHelpers();
   if (paths_.cut_off_services() == 0) {
     helpers_.clear();
-    remote_hosts_.clear();
+    named_hosts_.clear();
     LogHelpers();
     return;
   }
@@ -136,7 +139,7 @@
   const std::vector<std::string> holders = handlers_.other_holders();
   send(handlers_.zone_hosts(), kMaxProbedPerZone);
   send(holders, holders.size());
-  send({remote_hosts_.begin(), remote_hosts_.end()}, kMaxProbedPerZone);
+  send({named_hosts_.begin(), named_hosts_.end()}, 2 * kMaxProbedPerZone);
   probe_timer_ =
       loop_.timers().After(kProbeInterval, [this] { ProbeHelpers(); });
 }
@@ -175,26 +178,47 @@
   offer.address = options_.address;
   offer.zone = options_.zone;
   offer.services = paths_.ReachedServices();
+  offer.hosts = handlers_.other_holders();
   if (probe.zone != options_.zone && handlers_.holds_lease()) {
-    offer.zone_hosts = handlers_.zone_hosts();
-    if (offer.zone_hosts.size() > kMaxProbedPerZone)
-      offer.zone_hosts.resize(kMaxProbedPerZone);
+    std::vector<std::string> zone_hosts = handlers_.zone_hosts();
+    if (zone_hosts.size() > kMaxProbedPerZone)
+      zone_hosts.resize(kMaxProbedPerZone);
+    offer.hosts.insert(offer.hosts.end(), zone_hosts.begin(), zone_hosts.end());
   }
   transport_->SendDatagram(probe.address, offer);
 }
 
 void ExchangeRelay::OnOffer(const RelayOffer& offer) {
   if (probe_timer_ == 0) return;  // This host asks for no offers any more.
+  const MonotonicTime now = loop_.timers().now();
+  for (const std::string& host : offer.hosts) {
+    const bool is_new = host != options_.address && !helpers_.contains(host) &&
+                        named_hosts_.insert(host).second;
+    if (is_new)
+      transport_->SendDatagram(host,
+                               RelayProbe{options_.address, options_.zone});
+  }
+  if (offer.services.empty()) {
+    helpers_.erase(offer.address);
+    LogHelpers();
+    return;
+  }
   Helper& helper = helpers_[offer.address];
   helper.services = {offer.services.begin(), offer.services.end()};
   helper.zone = offer.zone;
-  helper.offered_at = loop_.timers().now();
-  remote_hosts_.insert(offer.zone_hosts.begin(), offer.zone_hosts.end());
+  helper.offered_at = now;
+  for (const std::string& service : offer.services) last_offers_[service] = now;
   const bool first = logged_helpers_ == 0;
   LogHelpers();
   if (first) handlers_.on_helper();
 }
 
+bool ExchangeRelay::HadHelper(const std::string& service) const {
+  const auto found = last_offers_.find(service);
+  return found != last_offers_.end() &&
+         loop_.timers().now() - found->second <= kHelperMemory;
+}
+
 bool ExchangeRelay::HasHelper(const std::string& service) const {
   const MonotonicTime now = loop_.timers().now();
   return std::any_of(helpers_.begin(), helpers_.end(), [&](const auto& entry) {
--- a/source/core/entry/exchange_relay.h
+++ b/source/core/entry/exchange_relay.h
@@ -92,6 +92,8 @@
 
   // Whether another host recently offered to send requests to the service.
   bool HasHelper(const std::string& service) const;
+  // Whether one did within some seconds.
+  bool HadHelper(const std::string& service) const;
   // Sends the request through another host. The callback runs later, never
   // within this call.
   RelayCallId Send(const UpstreamRecord& upstream, ExchangeRequest request,
@@ -152,8 +154,10 @@
   Random random_;
   bool helping_ = true;
   std::map<std::string, Helper> helpers_;  // By inner address.
-  // Hosts of other zones that their lease holders named.
-  std::set<std::string> remote_hosts_;
+  // When a host last offered to send requests to each service.
+  std::map<std::string, MonotonicTime> last_offers_;
+  // Hosts that others named in their offers.
+  std::set<std::string> named_hosts_;
   size_t logged_helpers_ = 0;
   uint64_t probe_timer_ = 0;
   RelayCallId next_id_;
--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -87,6 +87,10 @@
   const MonotonicTime now = loop_.timers().now();
   if (is_holder()) {
     if (gained_ && !active()) LoseLease("the store did not confirm it in time");
+    if (gained_ && !handlers_.may_hold()) {
+      YieldLease("this host has no path to the upstreams");
+      return;
+    }
     if (now >= next_renewal_at_) Renew();
     return;
   }
@@ -141,7 +145,9 @@
   hello.address = options_.address;
   hello.home = options_.home;
   hello.takeover_delay_ms =
-      static_cast<uint32_t>(ToMilliseconds(options_.takeover_delay));
+      handlers_.may_hold()
+          ? static_cast<uint32_t>(ToMilliseconds(options_.takeover_delay))
+          : kNoTakeover;
   handlers_.send_hello(lease_.address, hello);
 }
 
@@ -178,7 +184,8 @@
   const MonotonicTime now = loop_.timers().now();
   const bool held_for_long =
       active() && now - last_status_at_ > kMinOtherZoneLeaseTime;
-  if (held_for_long && hello.home) {
+  const bool may_take_over = hello.takeover_delay_ms != kNoTakeover;
+  if (held_for_long && hello.home && may_take_over) {
     const bool faster = std::chrono::milliseconds(hello.takeover_delay_ms) +
                             kMinTakeoverDelayGain <=
                         options_.takeover_delay;
@@ -302,6 +309,9 @@
                                          {"revision", lease.revision}});
     last_status_at_ = loop_.timers().now();
     holder_stopped_ = false;
+    // Earlier attempts were for the lease of the former holder.
+    lease_free_since_ = kNever;
+    next_attempt_at_ = last_status_at_;
   }
   lease_ = lease;
   // The holder was an earlier process of this host, which has stopped.
@@ -322,7 +332,7 @@
 }
 
 void LeaseManager::TakeOver() {
-  if (write_pending_ || read_pending_) return;
+  if (write_pending_ || read_pending_ || !handlers_.may_hold()) return;
   ZoneLease next = lease_;
   next.holder = options_.host;
   next.process = options_.process;
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -50,6 +50,9 @@
   // Whether the store responded to this host's last read of the registry. If
   // not, no takeover is attempted until a later read of the registry succeeds.
   std::function<bool()> store_reachable;
+  // False while this host cannot do the work of a holder and another host can.
+  // Then it yields the lease and does not take it.
+  std::function<bool()> may_hold;
   // How many hosts may attempt a takeover at the same time.
   std::function<size_t()> candidate_count;
   // This host became the holder. `continued`: no other host has held the lease
@@ -78,8 +81,8 @@
   // Handles the announcement of a host that became the holder.
   void OnHolderNotice(const ZoneLease& lease);
   // Returns the response to a follower's hello. A holder from another zone
-  // yields the lease to a host of the zone, and a slow holder to a much faster
-  // one.
+  // yields the lease to a host of the zone that may hold it, and a slow holder
+  // to a much faster one.
   ZoneStatus OnHello(const ZoneHello& hello);
 
   // Whether this host may act for the zone now.
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -153,6 +153,7 @@
     transport_->SendDatagram(address, hello);
   };
   handlers.store_reachable = [this] { return view_.store_reachable(); };
+  handlers.may_hold = handlers_.may_hold_leases;
   handlers.candidate_count = [this, self] {
     return self->home ? peers_.size() : 0;
   };
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -49,6 +49,8 @@
   // A message of the relay's types; see ExchangeRelay::OnMessage.
   std::function<void(ConnectionId, const Frame&)> on_relay_message;
   std::function<void(ConnectionId)> on_disconnected;
+  // See LeaseManagerHandlers::may_hold.
+  std::function<bool()> may_hold_leases;
 };
 
 // Distinguishes a copy that receives no updates from one that is only waiting
--- a/source/core/inner/relay_messages.h
+++ b/source/core/inner/relay_messages.h
@@ -33,13 +33,12 @@
   std::string address;  // The sender's inner address.
   std::string zone;     // The sender's.
   std::vector<std::string> services;
-  // Inner addresses of other hosts of the sender's zone, if it holds the zone's
-  // lease and is asked from another zone.
-  std::vector<std::string> zone_hosts;
+  // Inner addresses of further hosts to ask.
+  std::vector<std::string> hosts;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(address, zone, services, zone_hosts);
+    archive(address, zone, services, hosts);
   }
 };
 
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -14,6 +14,9 @@
 
 namespace mimosadeal {
 
+// ZoneHello::takeover_delay_ms of a host that does not take the lease.
+inline constexpr uint32_t kNoTakeover = 0xFFFFFFFF;
+
 // A host asks the holder of a zone's lease for its state.
 struct ZoneHello {
   static constexpr MessageType kType = MessageType::kZoneHello;
@@ -27,7 +30,7 @@
   std::vector<uint64_t> revisions;
   bool resync = false;  // The sender needs updates in full.
   // Delay of the sender's attempts to take a free lease, which lets faster
-  // hosts try first.
+  // hosts try first; kNoTakeover if it makes none.
   uint32_t takeover_delay_ms = 0;
   int64_t sent_at_ms = 0;  // The sender's clock; echoed.
 
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -57,7 +57,7 @@
   load.upstreams = {"u1"};
   RelayOffer offer;
   offer.services = {"yard"};
-  offer.zone_hosts = {"10.1.0.10:7720"};
+  offer.hosts = {"10.1.0.10:7720"};
   RelayRequest relayed;
   relayed.headers = {{"accept", "text/plain"}};
   relayed.body = "body";
