Stand-in: refuse a queued request whose key was released while it waited

An upstream runs a request only while it holds the key; the stand-in checked that when the request came, not when it began, and so reported a key held by two upstreams.

--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -277,6 +277,12 @@
     const QueuedRequest next = queue_.front();
     queue_.pop_front();
     UpstreamRun& run = record_.runs[next.run];
+    if (options_.keyed && !Holds(run.key)) {
+      // The key was released or its hold expired while the request waited.
+      Respond(next.exchange, 421,
+              {{"x-not-executed", "1"}, {"x-request-id", run.request_id}});
+      continue;
+    }
     run.began_at = loop_.timers().now();
     if (faults_.crash_on_poison &&
         run.target.find("poison") != std::string::npos) {
