Count an upstream's silence against the ranges that it has, not against later ones

Moves went on after a cut had ended: the silence of an owner was remembered until it answered a command, which it got only with new ranges; these were moved away at once, as the silence was long ago. Silence now ends when the upstream has no ranges left. For 10 s after it, and while connecting to it fails, it gets no new ones, and a holder that has no path to the service finds no owner silent.

EntryPaths.AnUpstreamThatWasSilentBeforeKeepsTheKeysThatItGetsLater failed before (no holder for keys 4 s after two owners left) and passes 3 of 3 times.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -20,6 +20,8 @@
 // Between two grants of one range, even if the first one failed.
 constexpr Duration kMinGrantInterval = std::chrono::milliseconds(100);
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(700);
+// An upstream that did not respond within this time gets no further ranges.
+constexpr Duration kSilenceMemory = std::chrono::seconds(10);
 // A grant with a shorter hold is not worth sending.
 constexpr Duration kMinHold = std::chrono::milliseconds(200);
 
@@ -132,11 +134,10 @@
     if (known != services_.end()) {
       const auto state =
           known->second->owners.find({record.id, record.incarnation});
-      const bool suspect =
-          state != known->second->owners.end() &&
-          (state->second.silent_since != kNever || state->second.replaced);
-      if (suspect) continue;
+      if (state != known->second->owners.end() && IsSuspect(state->second))
+        continue;
     }
+    if (paths_.IsUnreached(record)) continue;
     double speed = 1;
     const auto speeds = speeds_.find(service);
     if (speeds != speeds_.end()) {
@@ -151,6 +152,13 @@
   return candidates;
 }
 
+bool RangeManager::IsSuspect(const OwnerState& state) const {
+  const bool silent_lately =
+      state.last_silent_at != kNever &&
+      loop_.timers().now() - state.last_silent_at < kSilenceMemory;
+  return state.silent_since != kNever || state.replaced || silent_lately;
+}
+
 void RangeManager::UpdateService(Service& service) {
   CheckOwners(service);
   AdvanceMoves(service);
@@ -192,10 +200,16 @@
     } else if (listed->availability == UpstreamAvailability::kDraining) {
       Evacuate(service, planned, range_owner, "the upstream is leaving");
     } else if (state.silent_since != kNever &&
-               now - state.silent_since >= options_.owner_timeout) {
+               now - state.silent_since >= options_.owner_timeout &&
+               !paths_.IsCutOff(service.name)) {
       Evacuate(service, planned, range_owner, "the upstream does not respond");
     }
   }
+  // Silence counts against the ranges that an owner has, not against those that
+  // it may get later.
+  for (auto& [former_owner, state] : service.owners) {
+    if (!checked.contains(former_owner)) state.silent_since = kNever;
+  }
 }
 
 Duration RangeManager::CurrentHold() const {
@@ -312,6 +326,7 @@
     // Tells a silent upstream from a lost path to it.
     const ListedUpstream* listed = view_.directory().Find(range_owner.id);
     if (listed != nullptr && !result.replied) paths_.Check(listed->record);
+    state.last_silent_at = loop_.timers().now();
     if (state.silent_since == kNever) {
       state.silent_since = sent_at;
       log_.LogStateChange("owner.silent",
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -38,6 +38,7 @@
 class LeaseManager;
 class ObjectStore;
 class PathMonitor;
+struct OwnerState;
 
 struct RangeManagerOptions {
   std::string zone;
@@ -138,6 +139,8 @@
                        const char* reason);
   Duration CurrentHold() const;
   Duration HoldForRange(const Service& service, const KeyRange& range) const;
+  // Whether the upstream may not respond to grants.
+  bool IsSuspect(const OwnerState& state) const;
   std::vector<OwnerCandidate> Candidates(const std::string& service) const;
   Service* Find(const std::string& service);
 
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -17,7 +17,10 @@
 
 // Whether an owner responds to its grants.
 struct OwnerState {
-  MonotonicTime silent_since = kNever;  // kNever while it responds.
+  // Of its present ranges; kNever while it responds.
+  MonotonicTime silent_since = kNever;
+  // When it last did not respond.
+  MonotonicTime last_silent_at = kNever;
   bool replaced = false;  // Another process responds at its address.
 };
 
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -13,6 +13,9 @@
 // Time after which a host that lost its paths has to serve its callers again.
 constexpr Duration kNoticeTime = seconds(3);
 
+// Longer than a host reuses an idle connection.
+constexpr Duration kIdleTime = seconds(6);
+
 size_t Count(const std::string& text, const std::string& part) {
   size_t count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
@@ -107,7 +110,12 @@
 // As above, while open connections live on.
 TEST(EntryPaths, CallersOfAHostThatCanOpenNoConnectionAreServed) {
   StartLinkedDeployment(4);
-  CheckCallersAreServed({FollowerOf("north")}, UpstreamCut::kNewOnly);
+  const std::string host = FollowerOf("north");
+  CheckCallersAreServed({host}, UpstreamCut::kNewOnly);
+  Cut({host}, UpstreamCut::kNewOnly);
+  fixture.RunFor(kIdleTime);
+  LONGS_EQUAL(0, FailuresFor(seconds(4)));
+  fixture.CheckRecord();
 }
 
 // Without paths the holder renewed its lease, and no grant.
@@ -141,6 +149,32 @@
   fixture.CheckRecord();
 }
 
+// The silence of an earlier ownership counted against the next one at once.
+TEST(EntryPaths, AnUpstreamThatWasSilentBeforeKeepsTheKeysThatItGetsLater) {
+  StartLinkedDeployment(4);
+  const auto set_silent = [this](bool silent) {
+    for (const char* id : {"yard-1", "yard-2"})
+      fixture.upstreams.at(id)->faults().ignore_grants = silent;
+  };
+  set_silent(true);
+  CHECK(fixture.RunUntil(
+      [this] { return OwnedKey("yard-1") < 0 && OwnedKey("yard-2") < 0; },
+      seconds(20)));
+  FailuresFor(seconds(4));
+  set_silent(false);
+  FailuresFor(seconds(11));
+  const std::string silent = "\"reason\":\"the upstream does not respond\"";
+  const size_t before = CountInLogs(silent);
+  for (const char* id : {"yard-3", "yard-4"})
+    fixture.upstreams.at(id)->Report("draining");
+  FailuresFor(seconds(4));
+  CHECK(fixture.EveryKeyIsHeld());
+  for (int key = 0; key < 65536; key += 4096)
+    CheckServed(fixture.SendAndWait(Host(1), "GET", "/lookup/x", key));
+  LONGS_EQUAL(before, CountInLogs(silent));
+  fixture.CheckRecord();
+}
+
 // Requests that were in flight when the paths were lost counted as dangerous.
 TEST(EntryPaths, ALostPathDoesNotCountAsACrashOfTheUpstream) {
   StartLinkedDeployment(4);
