Do not count a lost path as a crash of the upstream

A refused connection now counts as a crash only if another upstream of the service accepts one within 0.5 s, or once the upstream's registration has ended, for which 3 s are waited. A service all of whose upstreams a request crashes is still noted, by the registrations (Entry.ARequestThatCrashesItsUpstreams...).

EntryPaths.ALostPathDoesNotCountAsACrash... failed before (8 notes), passes now, and now ends the cut within the 3 s.

--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -190,8 +190,12 @@
                  const ExchangeResult& result, bool relayed);
   // The upstream did not run the request: sends it elsewhere, waits or refuses.
   void OnNotRun(PendingRequest& pending, const UpstreamResponse& answer);
-  void ProbeForCrash(uint64_t fingerprint, const SocketAddress& address,
-                     const std::string& probed_incarnation);
+  void ProbeForCrash(uint64_t fingerprint, const UpstreamRecord& upstream);
+  // The upstream refused a connection at `refused_at`. Notes a crash once its
+  // registration has ended, or if this host reached another upstream of the
+  // service since. Otherwise it waits, for a bounded time.
+  void DecideOnCrash(uint64_t fingerprint, const UpstreamRecord& upstream,
+                     MonotonicTime refused_at);
   // The request's time has run out; see PendingRequest::give_up_at.
   void OnGiveUp(ExchangeId exchange);
   void Deliver(PendingRequest& pending, const HttpResponse& response);
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -19,6 +19,12 @@
 // A process that crashes closes its sockets one after the other. After this
 // time its listening socket is closed, too.
 constexpr Duration kCrashProbeDelay = std::chrono::milliseconds(50);
+// In this time the path monitor finds out whether other upstreams of the
+// service accept connections.
+constexpr Duration kPathCheckTime = std::chrono::milliseconds(500);
+// The registration of an upstream that crashed goes within three of its
+// reports.
+constexpr Duration kCrashConfirmTime = std::chrono::seconds(3);
 // A higher limit, per second, counts as none: an upstream gets fewer requests,
 // and asking for permits would only cost time.
 constexpr double kMaxLimit = 1000;
@@ -166,40 +172,69 @@
 
 void RequestForwarder::CheckForCrash(uint64_t fingerprint,
                                      const UpstreamRecord& upstream) {
-  loop_.timers().After(
-      kCrashProbeDelay,
-      [this, fingerprint, address = upstream.address,
-       probed_incarnation =
-           upstream.id + "/" + std::to_string(upstream.incarnation)] {
-        ProbeForCrash(fingerprint, address, probed_incarnation);
-      });
+  loop_.timers().After(kCrashProbeDelay, [this, fingerprint, upstream] {
+    ProbeForCrash(fingerprint, upstream);
+  });
 }
 
 void RequestForwarder::ProbeForCrash(uint64_t fingerprint,
-                                     const SocketAddress& address,
-                                     const std::string& probed_incarnation) {
-  // If a new connection is refused, the upstream has probably crashed. The
-  // reset of a connection alone does not show that.
+                                     const UpstreamRecord& upstream) {
+  // If a new connection is refused, the upstream has crashed, or this host has
+  // lost its path to it. The reset of a connection alone shows neither.
   auto probe = std::make_shared<std::unique_ptr<TcpStream>>();
   TcpStreamHandlers handlers;
   handlers.on_connected = [this, probe] {
     loop_.Post([probe] { probe->reset(); });
   };
   handlers.on_data = [](std::string_view) {};
-  handlers.on_end = [this, probe, fingerprint,
-                     probed_incarnation](StreamEnd end) {
+  handlers.on_end = [this, probe, fingerprint, upstream](StreamEnd end) {
     loop_.Post([probe] { probe->reset(); });
     if (end != StreamEnd::kRefused) return;
-    NoteCrash(fingerprint, probed_incarnation);
-    // Also reports earlier crashes, because a report about them may have been
-    // lost.
-    for (const std::string& known : suspects_.CrashedIncarnations(fingerprint))
-      handlers_.on_crash(fingerprint, known);
+    paths_.OnConnectFailed(upstream);
+    loop_.timers().After(kPathCheckTime, [this, fingerprint, upstream,
+                                          refused_at = loop_.timers().now()] {
+      DecideOnCrash(fingerprint, upstream, refused_at);
+    });
   };
-  auto stream = TcpStream::Connect(loop_, address, std::move(handlers));
+  auto stream =
+      TcpStream::Connect(loop_, upstream.address, std::move(handlers));
   if (stream.has_value()) *probe = std::move(stream.value());
 }
 
+void RequestForwarder::DecideOnCrash(uint64_t fingerprint,
+                                     const UpstreamRecord& upstream,
+                                     MonotonicTime refused_at) {
+  const MonotonicTime now = loop_.timers().now();
+  const std::string incarnation =
+      upstream.id + "/" + std::to_string(upstream.incarnation);
+  const ListedUpstream* listed = view_.directory().Find(upstream.id);
+  const bool ended = listed == nullptr ||
+                     listed->record.incarnation != upstream.incarnation ||
+                     listed->availability == UpstreamAvailability::kMissing;
+  // Later, the paths may be back.
+  const bool others_reached =
+      now - refused_at < 2 * kPathCheckTime &&
+      paths_.ConnectedSince(upstream.service, refused_at);
+  if (!ended && !others_reached) {
+    if (now - refused_at < kCrashConfirmTime) {
+      loop_.timers().After(kPathCheckTime,
+                           [this, fingerprint, upstream, refused_at] {
+                             DecideOnCrash(fingerprint, upstream, refused_at);
+                           });
+      return;
+    }
+    log_.LogStateChange(
+        "suspect.unconfirmed",
+        {{"fingerprint", fingerprint}, {"upstream_life", incarnation}});
+    return;
+  }
+  NoteCrash(fingerprint, incarnation);
+  // Also reports earlier crashes, because a report about them may have been
+  // lost.
+  for (const std::string& known : suspects_.CrashedIncarnations(fingerprint))
+    handlers_.on_crash(fingerprint, known);
+}
+
 void RequestForwarder::NoteCrash(uint64_t fingerprint,
                                  const std::string& upstream_incarnation) {
   const MonotonicTime now = loop_.timers().now();
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -185,7 +185,10 @@
     fixture.Start(*fixture.hosts.at(host), "GET", "/lookup/same", 8192 * i);
   fixture.RunFor(milliseconds(200));
   Cut({host}, UpstreamCut::kRefused);
-  fixture.RunFor(kNoticeTime);
+  fixture.RunFor(seconds(2));
+  Cut({host}, UpstreamCut::kNone);
+  FailuresFor(seconds(3));
+  CHECK(CountInLogs("request.failed-at-upstream") > 0);
   LONGS_EQUAL(0, CountInLogs("suspect.noted"));
 }
 
