Give every request a response in a planned stop, and refuse those that come too late

Reported by operators of similar systems: late in a planned stop, requests were taken and passed on, and cut off with no answer at its end. It could happen here: a request whose body ended 4.5 s after SIGTERM was passed on and cut off at 5.6 s, and so was one whose route allows more time than the grace.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -428,6 +428,9 @@
       "process.stopping",
       {{"open_requests", static_cast<uint64_t>(forwarder_->pending())},
        {"connections", static_cast<uint64_t>(callers_->connection_count())}});
+  forwarder_->BeginStop(
+      stop_started_at_ + kStopAcceptingAfter,
+      stop_started_at_ + bounds_.stop_grace - kStopGraceReserve);
   coordinator_->Resign();
   relay_->StopHelping();
   callers_->StopKeepAlive();
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -39,6 +39,10 @@
 // Relative jitter, so that callers that were refused together do not return
 // together.
 constexpr double kRetryAfterSpread = 0.3;
+// Another host can serve the caller at once.
+constexpr Duration kRetryAfterStopping = std::chrono::milliseconds(50);
+// For the last responses of a stopping process to reach their callers.
+constexpr Duration kLastResponseReserve = std::chrono::milliseconds(150);
 // Used until a route has had its first response.
 constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
 // Weight of a new response in a route's mean service time.
@@ -79,6 +83,10 @@
     return;
   }
   pending.request = std::move(read.value());
+  if (pending.received >= refuse_from_) {
+    Refuse(pending, RefusalReason::kStopping, kRetryAfterStopping);
+    return;
+  }
   const Duration time_left =
       pending.request.time_left.value_or(kDefaultTimeLeft);
   pending.deadline = pending.received + time_left;
@@ -125,9 +133,7 @@
                  pending.received);
   pending.give_up_at =
       std::min(pending.deadline, pending.received + pending.route->timeout);
-  pending.give_up_timer =
-      loop_.timers().After(pending.give_up_at - pending.received,
-                           [this, exchange] { OnGiveUp(exchange); });
+  ArmGiveUp(pending);
   if (pending.service->keyed && pending.request.key.has_value()) {
     const auto seconds = route_seconds_.find(pending.route->name);
     handlers_.on_load(pending.service->name, *pending.request.key,
@@ -139,6 +145,21 @@
   TrySend(pending);
 }
 
+void RequestForwarder::ArmGiveUp(PendingRequest& pending) {
+  pending.give_up_at = std::min(pending.give_up_at, respond_by_);
+  loop_.timers().Cancel(pending.give_up_timer);
+  pending.give_up_timer = loop_.timers().After(
+      std::max(Duration::zero(), pending.give_up_at - loop_.timers().now()),
+      [this, exchange = pending.exchange] { OnGiveUp(exchange); });
+}
+
+void RequestForwarder::BeginStop(MonotonicTime refuse_from,
+                                 MonotonicTime end_at) {
+  refuse_from_ = refuse_from;
+  respond_by_ = end_at - kLastResponseReserve;
+  for (const auto& [exchange, pending] : pending_) ArmGiveUp(*pending);
+}
+
 void RequestForwarder::NoteServiceTime(const PendingRequest& pending,
                                        const UpstreamRecord& upstream,
                                        Duration taken) {
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -91,6 +91,9 @@
   // The caller closed its connection. Cancels the request's call to an
   // upstream.
   void OnAbandoned(ExchangeId exchange);
+  // The process ends at `end_at`. Every request gets a response before, and
+  // those that are read from `refuse_from` on are refused.
+  void BeginStop(MonotonicTime refuse_from, MonotonicTime end_at);
   // Retries the requests that wait for their key's owner.
   void OnViewChanged();
   // Other hosts may send requests whose upstreams this host has no path to.
@@ -204,6 +207,8 @@
   void Finish(PendingRequest& pending);
   void NoteServiceTime(const PendingRequest& pending,
                        const UpstreamRecord& upstream, Duration taken);
+  // Makes the request end by the end of its time, and by that of this process.
+  void ArmGiveUp(PendingRequest& pending);
   // Returns `delay` with random jitter, so that callers that were refused
   // together do not return together, limited to what callers honour.
   Duration RetryAfter(const PendingRequest& pending, Duration delay);
@@ -232,6 +237,9 @@
   // `preferred_version_`.
   std::map<std::string, std::vector<const ListedUpstream*>> preferred_;
   uint64_t preferred_version_ = 0;
+  // See BeginStop; kForever while no stop is planned.
+  MonotonicTime refuse_from_ = kForever;
+  MonotonicTime respond_by_ = kForever;
   std::map<ExchangeId, std::unique_ptr<PendingRequest>> pending_;
 };
 
