--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -23,9 +23,10 @@
 }};
 
 constexpr size_t kReadBytes = 16 * 1024;
-// An unresponsive connection is detected within idle + interval * probes = 3 s,
-// the time after which the platform requires a host to keep its bounds again.
-// With a single probe, links that lose packets would end intact connections.
+// The user timeout also ends an idle connection whose probes are unanswered,
+// whatever their number: here after the first one, about 2 s after the last
+// byte. That is within the 3 s after which the platform requires a host to keep
+// its bounds again.
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -175,6 +175,40 @@
   fixture.CheckRecord();
 }
 
+// What was passed on may have run, whatever becomes of the other host.
+TEST(EntryPaths, ARelayedRequestWhoseHelperDiesIsNotSentAgain) {
+  StartLinkedDeployment(2);
+  Cut({"host-1"}, UpstreamCut::kRefused);
+  FailuresFor(kNoticeTime);
+  for (auto& [id, upstream] : fixture.upstreams)
+    upstream->SetWork(milliseconds(600));
+  const auto response = fixture.Start(Host(1), "POST", "/charge/once", -1);
+  const std::string id = fixture.last_request_id;
+  CHECK(fixture.RunUntil([&] { return RunCount(id) > 0; }, seconds(1)));
+  Host(2).process.Kill();
+  fixture.RunUntil([&] { return response->status != 0; }, seconds(3));
+  LONGS_EQUAL(502, response->status);
+  fixture.RunFor(seconds(1));
+  LONGS_EQUAL(1, RunCount(id));
+}
+
+TEST(EntryPaths, ACallersCloseReachesTheUpstreamOfARelayedRequest) {
+  StartLinkedDeployment(2);
+  Cut({"host-1"}, UpstreamCut::kRefused);
+  FailuresFor(kNoticeTime);
+  for (auto& [id, upstream] : fixture.upstreams) upstream->SetWork(seconds(2));
+  fixture.Start(Host(1), "GET", "/price/left", -1);
+  const auto running = [this] {
+    int count = 0;
+    for (const auto& [id, upstream] : fixture.upstreams)
+      count += upstream->running();
+    return count;
+  };
+  CHECK(fixture.RunUntil([&] { return running() == 1; }, seconds(1)));
+  fixture.AbortLastRequest();
+  CHECK(fixture.RunUntil([&] { return running() == 0; }, milliseconds(500)));
+}
+
 // Requests that were in flight when the paths were lost counted as dangerous.
 TEST(EntryPaths, ALostPathDoesNotCountAsACrashOfTheUpstream) {
   StartLinkedDeployment(4);
--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -25,6 +25,9 @@
 // The same for restores of the store from a copy.
 constexpr Duration kMaxRestoreInterval = seconds(12);
 constexpr uint64_t kRestoreSeedOffset = 2'000'000;
+// The same for hosts that lose their paths to all upstreams.
+constexpr Duration kMaxPathsInterval = seconds(8);
+constexpr uint64_t kPathsSeedOffset = 3'000'000;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -38,7 +41,11 @@
     : fixture_(fixture),
       random_(seed),
       limit_random_(seed + kLimitSeedOffset),
-      restore_random_(seed + kRestoreSeedOffset) {}
+      restore_random_(seed + kRestoreSeedOffset),
+      paths_random_(seed + kPathsSeedOffset),
+      // Through a link, a crashed upstream does not refuse connections, so only
+      // every other seed has links.
+      loses_paths_(seed % 2 == 0) {}
 
 std::vector<std::string> Soak::Run(Duration time) {
   constexpr std::array<Action, 14> actions = {&Soak::KillHost,
@@ -55,11 +62,14 @@
                                               &Soak::DrainUpstream,
                                               &Soak::IgnoreCommands,
                                               &Soak::LoseResponses};
-  fixture_.StartDefaultDeployment(kHosts);
+  fixture_.AddDefaultUpstreams();
+  fixture_.link_upstreams = loses_paths_;
+  fixture_.StartHosts(kHosts);
   const MonotonicTime end = Now() + time;
   MonotonicTime next = Now();
   MonotonicTime next_limit = Now();
   MonotonicTime next_restore = Now();
+  MonotonicTime next_paths = loses_paths_ ? Now() : kForever;
   while (Now() < end) {
     SendRequest();
     fixture_.RunFor(kRequestInterval);
@@ -80,6 +90,12 @@
       next_restore = Now() + milliseconds(restore_random_.Below(
                                  ToMilliseconds(kMaxRestoreInterval)));
     }
+    if (Now() >= next_paths) {
+      LosePaths();
+      next_paths =
+          Now() +
+          milliseconds(paths_random_.Below(ToMilliseconds(kMaxPathsInterval)));
+    }
     if (Now() < next) continue;
     (this->*actions.at(random_.Below(actions.size())))();
     next =
@@ -255,6 +271,18 @@
   });
 }
 
+void Soak::LosePaths() {
+  constexpr std::array<UpstreamCut, 3> cuts = {
+      UpstreamCut::kSilent, UpstreamCut::kRefused, UpstreamCut::kNewOnly};
+  const std::string name =
+      "host-" + std::to_string(1 + paths_random_.Below(kHosts));
+  fixture_.SetUpstreamPartition(name, cuts.at(paths_random_.Below(3)));
+  const auto length = milliseconds(paths_random_.Below(9000));
+  fault_ends_.emplace(Now() + length, [this, name] {
+    fixture_.SetUpstreamPartition(name, UpstreamCut::kNone);
+  });
+}
+
 // The store is away for a moment and returns with a copy some seconds old. What
 // operators and upstreams wrote since is written again.
 void Soak::RestoreStore() {
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -56,6 +56,7 @@
   void LoseResponses();
   void StateLimit();
   void RestoreStore();
+  void LosePaths();
 
   // Calls `end` after a random time below `longest`, to end a fault.
   void EndLater(Duration longest, std::function<void()> end);
@@ -76,6 +77,8 @@
   Random random_;
   Random limit_random_;    // For StateLimit.
   Random restore_random_;  // For RestoreStore.
+  Random paths_random_;    // For LosePaths.
+  bool loses_paths_;
   int version_ = 1;
   // Functions that end the current faults, by the time at which they run.
   std::multimap<MonotonicTime, std::function<void()>> fault_ends_;
