Count a request that was not sent as not tried only if its call counted it

A relayed request that replaced one whose connection was still being opened could take another upstream off the list that the route's limit counts, and its cancellation could lower the load of another upstream.

--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -266,6 +266,8 @@
       std::find(pending.tried.begin(), pending.tried.end(), id) !=
       pending.tried.end();
   if (!tried_before) pending.tried.push_back(id);
+  pending.called = id;
+  pending.newly_tried = !tried_before;
   ++pending.sends;
   pending.sent_at = now;
   const UpstreamLoad& load = pool_.LoadOf(upstream.record);
@@ -329,7 +331,7 @@
   if (call != 0) return pool_.Cancel(call);
   if (relay_call == 0) return false;
   relay_.Cancel(relay_call);
-  const ListedUpstream* listed = view_.directory().Find(pending.tried.back());
+  const ListedUpstream* listed = view_.directory().Find(pending.called);
   UpstreamLoad* load =
       listed == nullptr ? nullptr : pool_.FindLoad(listed->record);
   if (load != nullptr && load->in_flight > 0) --load->in_flight;
@@ -426,6 +428,11 @@
   }
 }
 
+void RequestForwarder::NoteUnsent(PendingRequest& pending) {
+  --pending.sends;
+  if (pending.newly_tried) std::erase(pending.tried, pending.called);
+}
+
 void RequestForwarder::OnHelper() {
   std::vector<ExchangeId> stuck;
   for (const auto& [exchange, pending] : pending_) {
@@ -443,9 +450,7 @@
     PendingRequest& pending = *found->second;
     if (pending.call != 0) {
       CancelCall(pending);
-      // Nothing was written.
-      --pending.sends;
-      pending.tried.pop_back();
+      NoteUnsent(pending);
     }
     loop_.timers().Cancel(pending.wait_timer);
     TrySend(pending);
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -166,6 +166,8 @@
   // have received the request.
   bool CancelCall(PendingRequest& pending);
   void Send(PendingRequest& pending, const ListedUpstream& upstream);
+  // Takes back what Send counted, because nothing of the request was written.
+  static void NoteUnsent(PendingRequest& pending);
   // Logs a request that was sent to a leaving upstream. `upstream`: its entry
   // in the directory when this host selected it at `chosen_at`.
   void LogSentToLeaving(const PendingRequest& pending,
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -146,10 +146,11 @@
                    {"relayed", relayed},
                    {"sends", pending.sends}});
   if (!result.request_written) {
-    --pending.sends;  // Nothing was written, so a retry uses no retry budget.
-    // Another host may reach the upstream.
-    if (paths_.IsCutOff(upstream.service) && !relayed)
-      std::erase(pending.tried, upstream.id);
+    if (paths_.IsCutOff(upstream.service) && !relayed) {
+      NoteUnsent(pending);  // Another host may reach the upstream.
+    } else {
+      --pending.sends;  // A retry uses no retry budget.
+    }
     // That an idle connection was closed does not show that the upstream
     // failed.
     if (pending.service->keyed && !result.reused) {
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -61,6 +61,8 @@
   std::optional<SendPermit> permit;
   PoolCallId call = 0;         // 0 while none is in flight.
   RelayCallId relay_call = 0;  // As `call`, through another host.
+  std::string called;          // Upstream of the last call.
+  bool newly_tried = false;    // That call added it to `tried`.
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
