--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -308,7 +308,9 @@
   const Call& call = ended.mapped();
   loop_.timers().Cancel(call.timer);
   const auto helper = helpers_.find(call.helper);
-  if (helper != helpers_.end() && call.timer != 0) --helper->second.in_flight;
+  // A host that was given up and offered again meanwhile has fewer.
+  if (helper != helpers_.end() && helper->second.in_flight > 0)
+    --helper->second.in_flight;
   if (call.callback) call.callback(std::move(result));
 }
 
