Take over a yielded lease by the revision that its holder last wrote

The status of a holder that has stopped now tells the revision, which the write is conditional on. Hosts that may not hold the lease no longer put off their next attempt by trying.

--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -1,5 +1,6 @@
 #include "entry/lease_manager.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/event_log.h"
@@ -106,7 +107,10 @@
     next_attempt_at_ = std::max(next_attempt_at_,
                                 now + options_.takeover_delay + RandomDelay());
   }
-  if (now < next_attempt_at_ || !handlers_.store_reachable()) return;
+  if (now < next_attempt_at_ || !handlers_.store_reachable() ||
+      !handlers_.may_hold()) {
+    return;
+  }
   next_attempt_at_ =
       now + NextAttemptDelay(now) + options_.takeover_delay + RandomDelay() / 2;
   TryTakeover();
@@ -160,6 +164,9 @@
     return;
   }
   if (!status.active) {
+    // Its last renewal, which a takeover replaces.
+    lease_.revision = std::max(lease_.revision, status.lease_revision);
+    ObserveLease(observation_, lease_.revision, loop_.timers().now());
     NoteHolderStopped();
     return;
   }
