--- a/source/core/inner/inner_transport.cc
+++ b/source/core/inner/inner_transport.cc
@@ -85,6 +85,8 @@
 }
 
 void InnerTransport::OnClosed(ConnectionId id, const Error& error) {
+  // Disconnect may have closed it after it failed, before it reported that.
+  if (connections_.count(id) == 0) return;
   Log(LogPart::kInner)
       .debug("Connection {} to another host closed: {}.", id, error.message);
   for (auto it = by_address_.begin(); it != by_address_.end(); ++it) {
