--- /dev/null
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -0,0 +1,179 @@
+// Calls of RequestForwarder to upstreams, by this host or through another one:
+// starting and cancelling them, and the log lines about them.
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "common/event_log.h"
+#include "entry/deployment_view.h"
+#include "entry/entry_metrics.h"
+#include "entry/path_monitor.h"
+#include "entry/request_forwarder.h"
+#include "entry/request_forwarder_state.h"
+#include "net/event_loop.h"
+
+namespace mimosadeal {
+namespace {
+
+// After a helper did not reach an upstream either. A host notices within this
+// time that its own paths are back.
+constexpr Duration kRelayBackoff = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void RequestForwarder::Send(PendingRequest& pending,
+                            const ListedUpstream& upstream) {
+  const MonotonicTime now = loop_.timers().now();
+  const std::string id = upstream.record.id;
+  const bool tried_before =
+      std::find(pending.tried.begin(), pending.tried.end(), id) !=
+      pending.tried.end();
+  if (!tried_before) pending.tried.push_back(id);
+  pending.called = id;
+  pending.newly_tried = !tried_before;
+  ++pending.sends;
+  pending.sent_at = now;
+  const UpstreamLoad& load = pool_.LoadOf(upstream.record);
+  pending.waiting_ahead =
+      static_cast<int>(ExpectedBacklog(load, now)) - load.slots + 1;
+  ExchangeRequest request =
+      protocol_.write_request(pending.request, pending.give_up_at - now, id);
+  request.timeout = pending.give_up_at - now + std::chrono::seconds(1);
+  request.await_acceptance = true;
+  request.send_by = UsableUntil(upstream);
+  if (pending.permit.has_value())
+    request.send_by = std::min(request.send_by, pending.permit->valid_until);
+  pending.permit.reset();
+  request.require_new_connection = tried_before && !pending.idempotent();
+  if (upstream.limit.per_second.has_value())
+    NoteSentToLimited(pending, upstream);
+  if (const RegistrationLapse* lapse = view_.directory().FindLapse(id))
+    NoteSentToLapsed(pending, *lapse);
+  const ExchangeId exchange = pending.exchange;
+  std::optional<ListedUpstream> leaving;
+  if (upstream.leaving_since != kNever) leaving = upstream;
+  StartCall(pending, upstream.record, std::move(request), UsesRelay(upstream),
+            [this, exchange, leaving, chosen_at = now,
+             record = upstream.record](ExchangeResult result) {
+              const auto found = pending_.find(exchange);
+              if (leaving.has_value() && found != pending_.end())
+                LogSentToLeaving(*found->second, *leaving, chosen_at, result);
+              OnResult(exchange, record, std::move(result));
+            });
+}
+
+void RequestForwarder::StartCall(PendingRequest& pending,
+                                 const UpstreamRecord& upstream,
+                                 ExchangeRequest request, bool relayed,
+                                 std::function<void(ExchangeResult)> callback) {
+  if (!relayed) {
+    pending.call =
+        pool_.Send(upstream, std::move(request), std::move(callback));
+    return;
+  }
+  log_.LogRequest("request.relayed",
+                  {{"id", pending.request.id},
+                   {"upstream", upstream.id},
+                   {"age_ms", loop_.timers().now() - pending.received},
+                   {"sends", pending.sends}});
+  ++pool_.LoadOf(upstream).in_flight;
+  pending.relay_call = relay_.Send(
+      upstream, std::move(request), {pending.request.id, pending.fingerprint},
+      [this, upstream, callback = std::move(callback)](RelayResult result) {
+        UpstreamLoad* load = pool_.FindLoad(upstream);
+        if (load != nullptr && load->in_flight > 0) --load->in_flight;
+        if (load != nullptr && result.upstream_unreached)
+          load->relay_backoff_until = loop_.timers().now() + kRelayBackoff;
+        callback(std::move(result.exchange));
+      });
+}
+
+bool RequestForwarder::CancelCall(PendingRequest& pending) {
+  const PoolCallId call = std::exchange(pending.call, 0);
+  const RelayCallId relay_call = std::exchange(pending.relay_call, 0);
+  if (call != 0) return pool_.Cancel(call);
+  if (relay_call == 0) return false;
+  relay_.Cancel(relay_call);
+  const ListedUpstream* listed = view_.directory().Find(pending.called);
+  UpstreamLoad* load =
+      listed == nullptr ? nullptr : pool_.FindLoad(listed->record);
+  if (load != nullptr && load->in_flight > 0) --load->in_flight;
+  return true;
+}
+
+void RequestForwarder::NoteSentToLimited(const PendingRequest& pending,
+                                         const ListedUpstream& upstream) {
+  metrics_.ObserveSentToLimited();
+  const MonotonicTime now = loop_.timers().now();
+  log_.LogRequest("request.sent-to-limited",
+                  {{"id", pending.request.id},
+                   {"upstream", upstream.record.id},
+                   {"per_second", *upstream.limit.per_second},
+                   {"stated_ms_before", now - upstream.limit.stated_at},
+                   {"age_ms", now - pending.received},
+                   {"sends", pending.sends}});
+}
+
+void RequestForwarder::NoteSentToLapsed(const PendingRequest& pending,
+                                        const RegistrationLapse& lapse) {
+  const MonotonicTime now = loop_.timers().now();
+  metrics_.ObserveSentToLapsed(now - lapse.since);
+  log_.LogRequest(
+      "request.sent-to-lapsed",
+      {{"id", pending.request.id},
+       {"upstream", pending.tried.back()},
+       {"left_ms_before_at_most", now - lapse.changed_after},
+       {"heard_ms_before", now - lapse.since},
+       {"registry",
+        view_.Revisions().at(static_cast<size_t>(ViewKind::kRegistry))}});
+}
+
+void RequestForwarder::LogSentToLeaving(const PendingRequest& pending,
+                                        const ListedUpstream& upstream,
+                                        MonotonicTime chosen_at,
+                                        const ExchangeResult& result) {
+  if (result.sent_at == kNever) return;
+  metrics_.ObserveSentToLeaving(result.sent_at - upstream.leaving_since);
+  log_.LogRequest(
+      "request.sent-to-leaving",
+      {{"id", pending.request.id},
+       {"upstream", upstream.record.id},
+       {"left_ms_before_at_most", result.sent_at - upstream.left_after},
+       {"heard_ms_before", result.sent_at - upstream.leaving_since},
+       {"chosen_ms_before", result.sent_at - chosen_at},
+       {"sent_ms_ago", loop_.timers().now() - result.sent_at},
+       {"registry",
+        view_.Revisions().at(static_cast<size_t>(ViewKind::kRegistry))}});
+}
+
+void RequestForwarder::NoteUnsent(PendingRequest& pending) {
+  --pending.sends;
+  if (pending.newly_tried) std::erase(pending.tried, pending.called);
+}
+
+void RequestForwarder::OnHelper() {
+  std::vector<ExchangeId> stuck;
+  for (const auto& [exchange, pending] : pending_) {
+    const bool sending =
+        pending->call != 0 && pool_.IsConnecting(pending->call);
+    if ((sending || pending->waiting) &&
+        paths_.IsCutOff(pending->service->name) &&
+        relay_.HasHelper(pending->service->name)) {
+      stuck.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : stuck) {
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end()) continue;
+    PendingRequest& pending = *found->second;
+    if (pending.call != 0) {
+      CancelCall(pending);
+      NoteUnsent(pending);
+    }
+    loop_.timers().Cancel(pending.wait_timer);
+    TrySend(pending);
+  }
+}
+
+}  // namespace mimosadeal
