Take paths for lost only after refusals, or after 0.3 s without a success

A lease is given up after 1 s, and its loss is announced, so that another zone's holder takes it in 0.9 to 1.4 s.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -37,6 +37,9 @@
 // Connecting to any zone takes 2 ms. The time-out is too short for a
 // retransmission, which is intended.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// A lease is given up only then, because its next holder begins anew. Grants
+// outlast this and a takeover.
+constexpr Duration kMinOutageToYield = std::chrono::milliseconds(1000);
 // See UpstreamPoolLimits. Many round trips to any zone.
 constexpr Duration kSlowConnect = std::chrono::milliseconds(150);
 // See UpstreamPoolLimits. Upstreams keep idle connections for some seconds.
@@ -305,7 +308,8 @@
   const auto& services = view_->routes()->services;
   return std::none_of(
       services.begin(), services.end(), [this](const auto& entry) {
-        return entry.second.keyed && paths_->IsCutOff(entry.first) &&
+        return entry.second.keyed &&
+               paths_->OutageOf(entry.first) >= kMinOutageToYield &&
                relay_->HadHelper(entry.first);
       });
 }
--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -24,6 +24,8 @@
 constexpr Duration kMinYieldInterval = std::chrono::seconds(20);
 // The hosts of a zone acquire its lease within about a second of their start.
 constexpr Duration kOtherZoneFirstReadDelay = std::chrono::milliseconds(1500);
+// The zone's own hosts take a free lease within this time, if they can.
+constexpr Duration kOtherZoneTakeoverDelay = std::chrono::milliseconds(900);
 // Lets the notice of a new holder arrive before the next candidate attempts a
 // takeover.
 constexpr Duration kRandomDelayPerCandidate = std::chrono::milliseconds(20);
@@ -48,6 +50,7 @@
 LeaseManager::~LeaseManager() {
   loop_.timers().Cancel(timer_);
   loop_.timers().Cancel(first_read_timer_);
+  loop_.timers().Cancel(takeover_timer_);
 }
 
 void LeaseManager::Start() {
@@ -180,6 +183,17 @@
 }
 
 void LeaseManager::NoteHolderStopped() {
+  if (!holder_stopped_ && !options_.home && !resigned_) {
+    // The zone's own hosts try first.
+    loop_.timers().Cancel(takeover_timer_);
+    takeover_timer_ =
+        loop_.timers().After(kOtherZoneTakeoverDelay + RandomDelay(), [this] {
+          if (!resigned_ && !is_holder() && holder_stopped_ &&
+              handlers_.store_reachable() && handlers_.may_hold()) {
+            TryTakeover();
+          }
+        });
+  }
   holder_stopped_ = true;
   if (read_failures_ == 0) return;
   // The status shows that this host is connected again.
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -145,6 +145,7 @@
   MonotonicTime next_renewal_at_ = kNever;
   uint64_t timer_ = 0;
   uint64_t first_read_timer_ = 0;
+  uint64_t takeover_timer_ = 0;
 };
 
 }  // namespace mimosadeal
--- a/source/core/entry/path_monitor.cc
+++ b/source/core/entry/path_monitor.cc
@@ -15,7 +15,9 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(150);
 // Between probes of a service while connecting fails. Bounds how late a host
 // notices that its paths are back.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
+// Upstreams tried at a time. One of them may be overloaded.
+constexpr size_t kMinProbes = 2;
 
 }  // namespace
 
@@ -38,9 +40,10 @@
   Update(upstream.service, service);
 }
 
-void PathMonitor::OnConnectFailed(const UpstreamRecord& upstream) {
+void PathMonitor::OnConnectFailed(const UpstreamRecord& upstream,
+                                  bool refused) {
   Service& service = services_[upstream.service];
-  NoteConnectFailed(service.paths, upstream.id, loop_.timers().now());
+  NoteConnectFailed(service.paths, upstream.id, refused, loop_.timers().now());
   Update(upstream.service, service);
   if (timer_ == 0) loop_.Post([this] { ProbeFailing(); });
   Notify();
@@ -57,6 +60,13 @@
                               loop_.timers().now());
 }
 
+Duration PathMonitor::OutageOf(const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return Duration::zero();
+  return mimosadeal::OutageOf(found->second.paths, ServingCount(service),
+                              loop_.timers().now());
+}
+
 bool PathMonitor::IsUnreached(const UpstreamRecord& upstream) const {
   const auto found = services_.find(upstream.service);
   return found != services_.end() &&
@@ -114,30 +124,33 @@
 void PathMonitor::StartProbe(const UpstreamRecord& upstream) {
   if (probes_.contains(upstream.id)) return;
   TcpStreamHandlers handlers;
-  handlers.on_connected = [this, upstream] { EndProbe(upstream, true); };
+  handlers.on_connected = [this, upstream] {
+    EndProbe(upstream, [&] { OnConnected(upstream); });
+  };
   handlers.on_data = [](std::string_view) {};
-  handlers.on_end = [this, upstream](StreamEnd) { EndProbe(upstream, false); };
+  handlers.on_end = [this, upstream](StreamEnd end) {
+    EndProbe(upstream,
+             [&] { OnConnectFailed(upstream, end == StreamEnd::kRefused); });
+  };
   auto stream =
       TcpStream::Connect(loop_, upstream.address, std::move(handlers));
   if (!stream.has_value()) return;
   Probe& probe = probes_[upstream.id];
   probe.stream = std::move(stream.value());
-  probe.timer = loop_.timers().After(
-      kProbeTimeout, [this, upstream] { EndProbe(upstream, false); });
+  probe.timer = loop_.timers().After(kProbeTimeout, [this, upstream] {
+    EndProbe(upstream, [&] { OnConnectFailed(upstream, false); });
+  });
 }
 
-void PathMonitor::EndProbe(const UpstreamRecord& upstream, bool connected) {
+void PathMonitor::EndProbe(const UpstreamRecord& upstream,
+                           const std::function<void()>& note) {
   auto ended = probes_.extract(upstream.id);
   if (ended.empty()) return;
   loop_.timers().Cancel(ended.mapped().timer);
   // The stream may be the caller.
   loop_.Post([stream = std::shared_ptr<TcpStream>(
                   std::move(ended.mapped().stream))] {});
-  if (connected) {
-    OnConnected(upstream);
-  } else {
-    OnConnectFailed(upstream);
-  }
+  note();
 }
 
 void PathMonitor::ProbeFailing() {
@@ -150,15 +163,14 @@
     any = true;
     const auto& serving = view_.directory().ServingUpstreams(name);
     if (serving.empty()) continue;
-    // One probe finds out whether lost paths are back.
-    const size_t wanted =
-        service.cut_off ? 1
-                        : kMinFailedPaths - std::min(failed, kMinFailedPaths);
+    const size_t needed = std::min(kMinFailedPaths, serving.size());
+    const size_t missing = needed - std::min(failed, needed);
+    const size_t wanted = std::max(kMinProbes, missing);
     const size_t start = random_.Below(serving.size());
     for (size_t i = 0, begun = 0; i < serving.size() && begun < wanted; ++i) {
       const UpstreamRecord& record =
           serving[(start + i) % serving.size()]->record;
-      if (!service.cut_off && IsUnreached(record)) continue;
+      if (missing > 0 && IsUnreached(record)) continue;
       StartProbe(record);
       ++begun;
     }
--- a/source/core/entry/path_monitor.h
+++ b/source/core/entry/path_monitor.h
@@ -34,13 +34,17 @@
     listener_ = std::move(listener);
   }
   void OnConnected(const UpstreamRecord& upstream);
-  void OnConnectFailed(const UpstreamRecord& upstream);
+  // `refused`: by the upstream's address; else there was no answer.
+  void OnConnectFailed(const UpstreamRecord& upstream, bool refused);
   // Finds out whether the upstream accepts a connection, unless that is known
   // from a recent attempt or being tried.
   void Check(const UpstreamRecord& upstream);
 
   // Whether this host has lost its paths to the service.
   bool IsCutOff(const std::string& service) const;
+  // Returns for how long no connection to the service could be opened; zero if
+  // that is not shown.
+  Duration OutageOf(const std::string& service) const;
   // Whether this host recently failed to connect to the upstream.
   bool IsUnreached(const UpstreamRecord& upstream) const;
   // Whether a connection to an upstream of the service was established since.
@@ -62,7 +66,9 @@
   };
 
   void StartProbe(const UpstreamRecord& upstream);
-  void EndProbe(const UpstreamRecord& upstream, bool connected);
+  // Ends the probe, if it is in progress, and runs `note`.
+  void EndProbe(const UpstreamRecord& upstream,
+                const std::function<void()>& note);
   // Logs whether the paths to the service were lost or regained.
   void Update(const std::string& name, Service& service);
   // Runs the listener in the next iteration of the loop.
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -191,7 +191,7 @@
   handlers.on_end = [this, probe, fingerprint, upstream](StreamEnd end) {
     loop_.Post([probe] { probe->reset(); });
     if (end != StreamEnd::kRefused) return;
-    paths_.OnConnectFailed(upstream);
+    paths_.OnConnectFailed(upstream, true);
     loop_.timers().After(kPathCheckTime, [this, fingerprint, upstream,
                                           refused_at = loop_.timers().now()] {
       DecideOnCrash(fingerprint, upstream, refused_at);
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -152,7 +152,7 @@
     paths_.OnConnected(upstream.record);
   } else if (failed && result.end != StreamEnd::kReset) {
     // An upstream above its limit of connections resets them.
-    paths_.OnConnectFailed(upstream.record);
+    paths_.OnConnectFailed(upstream.record, result.end == StreamEnd::kRefused);
   }
 }
 
@@ -167,7 +167,7 @@
   const auto upstream = upstreams_.find(call.upstream);
   if (upstream != upstreams_.end() &&
       upstream->second->record.incarnation == call.incarnation) {
-    paths_.OnConnectFailed(upstream->second->record);
+    paths_.OnConnectFailed(upstream->second->record, false);
   }
 }
 
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -168,6 +168,7 @@
   };
   handlers.on_lost = [this, self] {
     self->ranges->OnLeaseLost();
+    if (self->home) AnnounceLoss();
     if (self->home) DropOtherZones();
   };
   self->lease = std::make_unique<LeaseManager>(loop_, store_, log_, lease,
@@ -299,6 +300,18 @@
     transport_->SendDatagram(address, notice);
 }
 
+void ZoneCoordinator::AnnounceLoss() {
+  const ZoneLease& lease = home().lease->lease();
+  ZoneStatus status;
+  status.zone = lease.zone;
+  status.process = options_.process;
+  status.lease_revision = lease.revision;
+  for (const auto& addresses : {ZoneHosts(), OtherHolders()}) {
+    for (const std::string& address : addresses)
+      transport_->SendDatagram(address, status);
+  }
+}
+
 void ZoneCoordinator::OnLeaseNotice(const LeaseNotice& notice) {
   const auto zone = zones_.find(notice.zone);
   if (zone == zones_.end()) return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -154,6 +154,9 @@
   void OnZoneMessage(const Frame& frame);
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
+  // Tells the zone's other hosts and the other zones' holders that this host no
+  // longer holds the lease, so that they need not ask.
+  void AnnounceLoss();
   void OnLeaseNotice(const LeaseNotice& notice);
   void OnTableStepNotice(const TableStepNotice& notice);
   // Sends a table that this host wrote to other hosts, as a step from the one
