--- /dev/null
+++ b/review/targets.cmake
@@ -0,0 +1,12 @@
+set(standins ${CMAKE_SOURCE_DIR}/review/standins)
+add_library(review_kit STATIC ${standins}/kit.cc ${standins}/byte_proxy.cc)
+target_include_directories(review_kit PUBLIC ${standins})
+target_link_libraries(review_kit PUBLIC mimosadeal_testbed)
+add_custom_target(review_cases)
+foreach(case unreadable_entry)
+  add_executable(${case} ${standins}/${case}.cc)
+  target_link_libraries(${case} PRIVATE review_kit)
+  set_target_properties(${case} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/review)
+  add_dependencies(review_cases ${case})
+endforeach()
