--- a/review/standins/kit.cc
+++ b/review/standins/kit.cc
@@ -16,6 +16,7 @@
 constexpr int kStoreNetwork = 1;
 constexpr int kUpstreamNetwork = 2;
 constexpr int kHostNetwork = 3;
+constexpr int kLinkNetwork = 5;
 constexpr int kKeys = 65536;
 constexpr int kKeyStep = 64;
 // Of the site goalha-gw.
@@ -137,13 +138,24 @@
   auto made = DeploymentUpstream::Start(loop, *store, record, options);
   if (!made.has_value()) std::exit(kNotRun);
   upstreams[id] = std::move(made.value());
+  UpdatePeers();
+  Record("upstream " + id + " of " + service + " at " +
+         options.address.ToString());
+  return *upstreams[id];
+}
+
+void Kit::RemoveUpstream(const std::string& id) {
+  Record("upstream " + id + " ends");
+  upstreams.erase(id);
+  UpdatePeers();
+  store->Remove("servers", id);
+}
+
+void Kit::UpdatePeers() {
   std::vector<DeploymentUpstream*> peers;
   for (const auto& [name, upstream] : upstreams)
     peers.push_back(upstream.get());
   DeploymentUpstream::SetPeers(std::move(peers));
-  Record("upstream " + id + " of " + service + " at " +
-         options.address.ToString());
-  return *upstreams[id];
 }
 
 Host& Kit::StartHost(const std::string& name, const std::string& zone) {
@@ -153,6 +165,13 @@
     host->name = name;
     host->zone = zone;
     host->ip = Ip(kHostNetwork, ++next_host_);
+    SocketAddress host_store_address = store_address;
+    if (link_store) {
+      host_store_address = {Ip(kLinkNetwork, next_host_), kStorePort};
+      auto link = FaultLink::Open(loop, host_store_address, store_address, 1);
+      if (!link.has_value()) std::exit(kNotRun);
+      host->store_link = std::move(link.value());
+    }
     host->settings_path = temporary + "/" + name + ".toml";
     // deploy/settings.template.toml, filled in.
     std::ofstream settings(host->settings_path);
@@ -162,8 +181,8 @@
              << host->readiness().ToString() << "\"\noperators = \"" << host->ip
              << ":9464\"\ninner = \"" << host->ip
              << ":7720\"\n\n[platform]\nprotocol = \"object-store\"\n"
-             << "address = \"" << store_address.ToString() << "\"\nbounds = \""
-             << kBounds
+             << "address = \"" << host_store_address.ToString()
+             << "\"\nbounds = \"" << kBounds
              << "\"\n\n[limits]\nmax_descriptors = 2870\ncpu_share = 0.14\n"
              << "link_mbps = 700.0\nmax_header_blocks = 64\n";
   }
--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -14,6 +14,7 @@
 #include "child_process.h"
 #include "deployment_store.h"
 #include "deployment_upstream.h"
+#include "fault_links.h"
 #include "net/event_loop.h"
 #include "net/exchange_client.h"
 
@@ -31,6 +32,8 @@
   std::string ip;
   std::string settings_path;
   ChildProcess process;
+  // Between the host and the store, if Kit::link_store was set.
+  std::unique_ptr<FaultLink> store_link;
   SocketAddress callers() const { return {ip, 18161}; }
   SocketAddress readiness() const { return {ip, 18167}; }
 };
@@ -68,6 +71,8 @@
                                   const std::string& service,
                                   const std::string& zone, int number,
                                   int slots = 2);
+  // Ends an upstream; its registration goes.
+  void RemoveUpstream(const std::string& id);
   // Starts an entry host, or starts it again after its end.
   Host& StartHost(const std::string& name, const std::string& zone);
   bool Ready(const Host& host);
@@ -91,6 +96,8 @@
 
   EventLoop loop;
   std::unique_ptr<DeploymentStore> store;
+  // Whether each host gets a link of its own to the store.
+  bool link_store = false;
   // Where hosts reach the store; a proxy may be in between.
   SocketAddress store_address;
   DeploymentRecord record;
@@ -100,6 +107,7 @@
   std::string temporary;  // A folder for settings and logs.
 
  private:
+  void UpdatePeers();
   nlohmann::json Configuration(int64_t max_body_bytes) const;
 
   std::string directory_;
