--- a/review/standins/leader_refused.cc
+++ b/review/standins/leader_refused.cc
@@ -74,7 +74,7 @@
         .SetWork(milliseconds(700));
   }
 
-  // Adds upstreams, or drains as many and ends them: 28 in 100.
+  // Adds 25 in 100 of the upstreams, or drains 20 in 100 and ends them.
   void ChangeUpstreams() {
     add_next_ = !add_next_;
     if (add_next_) {
