--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,9 +3,9 @@
 # TROUBLE=0 runs it without the disruption.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-program=review/.build/review/unreadable_entry
+program=review/.build/review/reset_connections
 [ -x "$program" ] || exit 2
-timeout --signal=TERM --kill-after=5 115 "$program" "$here"
+timeout --signal=TERM --kill-after=5 118 "$program" "$here"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/targets.cmake
+++ b/review/targets.cmake
@@ -3,7 +3,7 @@
 target_include_directories(review_kit PUBLIC ${standins})
 target_link_libraries(review_kit PUBLIC mimosadeal_testbed)
 add_custom_target(review_cases)
-foreach(case leader_refused unreadable_entry large_upload wrong_handover missing_proof)
+foreach(case leader_refused unreadable_entry large_upload wrong_handover missing_proof reset_connections)
   add_executable(${case} ${standins}/${case}.cc)
   target_link_libraries(${case} PRIVATE review_kit)
   set_target_properties(${case} PROPERTIES
