--- a/review/standins/reset_connections.cc
+++ b/review/standins/reset_connections.cc
@@ -28,11 +28,13 @@
 
 // The largest dose of `reset_conns` at the site: 0.35 of the hosts have 0.55 of
 // their connections reset. Here one of three hosts, 0.55 of those to upstreams.
-// A day holds 40 entries at most.
+// The pages set no count.
 constexpr int kHosts = 3;
 constexpr double kShare = 0.55;
-constexpr int kResets = 80;
-constexpr Duration kResetInterval = milliseconds(1000);
+constexpr int kResets = 150;
+constexpr Duration kResetInterval = milliseconds(500);
+// Microseconds between two resets of a round, at most.
+constexpr int kMaxSpacing = 40;
 constexpr int kUpstreams = 8;
 constexpr int kCallersPerHost = 10;
 // All callers send at once, at multiples of this.
@@ -109,6 +111,7 @@
         static_cast<size_t>(static_cast<double>(found.size()) * share));
     const linger reset = {1, 0};
     for (Pair* pair : found) {
+      Spin(std::chrono::microseconds(random_.Below(kMaxSpacing)));
       setsockopt(pair->host, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
       Close(*pair);
     }
@@ -123,6 +126,11 @@
     bool closed = false;
   };
 
+  static void Spin(Duration time) {
+    const MonotonicTime end = BootClock::now() + time;
+    while (BootClock::now() < end) continue;
+  }
+
   static void Close(Pair& pair) {
     close(pair.host);
     close(pair.upstream);
@@ -187,6 +195,7 @@
   std::mutex mutex_;
   std::vector<std::pair<int, SocketAddress>> listeners_;
   std::list<Pair> pairs_;
+  Random random_{1};
   std::atomic<bool> stop_ = false;
   std::thread thread_;
 };
