Let a lease holder's reported stop hold for one tenure and one revision (OWNER)

Cause: "the holder has stopped" was kept until the lease changed hands. A holder whose renewal was confirmed after it had reported itself inactive acted again, while another zone's holder took the lease without waiting for its expiry. By the same belief: a former holder reported its stop with its successor's revision, any status of another process counted as the end of the holder, and a host whose takeover was not confirmed yet answered that it was not active.

Why it works: a host acts under a name that it uses for one tenure, which ends once; after a missed confirmation it goes on only by a takeover under a new name. A report counts at the revision it is about, and a takeover is a write on that revision.

--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -51,6 +51,7 @@
   loop_.timers().Cancel(timer_);
   loop_.timers().Cancel(first_read_timer_);
   loop_.timers().Cancel(takeover_timer_);
+  loop_.timers().Cancel(expiry_timer_);
 }
 
 void LeaseManager::Start() {
@@ -78,7 +79,7 @@
 }
 
 bool LeaseManager::active() const {
-  return is_holder() && !resigned_ &&
+  return gained_ && !resigned_ &&
          LeaseHeld(confirmed_at_, options_.timing, loop_.timers().now());
 }
 
@@ -86,21 +87,40 @@
   return confirmed_at_ + options_.timing.duration;
 }
 
+bool LeaseManager::IsOwnTenure(const std::string& process) const {
+  return process.starts_with(options_.process + ".");
+}
+
+bool LeaseManager::HolderStopped() const {
+  return holder_ended_ ||
+         (stopped_at_revision_ != 0 && stopped_at_revision_ == lease_.revision);
+}
+
+void LeaseManager::EndExpiredTenure() {
+  if (!gained_ || active()) return;
+  reacquiring_ = true;
+  LoseLease("the store did not confirm it in time");
+}
+
 void LeaseManager::Tick() {
   if (resigned_) return;
   const MonotonicTime now = loop_.timers().now();
-  if (is_holder()) {
-    if (gained_ && !active()) LoseLease("the store did not confirm it in time");
-    if (gained_ && !handlers_.may_hold()) {
+  EndExpiredTenure();
+  if (gained_) {
+    if (!handlers_.may_hold()) {
       YieldLease("this host has no path to the upstreams");
-      return;
+    } else if (now >= next_renewal_at_) {
+      Renew();
     }
-    if (now >= next_renewal_at_) Renew();
+    return;
+  }
+  if (reacquiring_ && handlers_.may_hold()) {
+    if (now >= next_renewal_at_) TakeOver();
     return;
   }
   SendHello();
   const bool silent = now - last_status_at_ >= options_.holder_timeout;
-  if (!silent && !holder_stopped_) {
+  if (!silent && !HolderStopped()) {
     lease_free_since_ = kNever;
     lease_read_requested_ = false;
     return;
@@ -125,11 +145,11 @@
   const bool observed = options_.home && read_failures_ == 0 &&
                         lease_.revision != 0 &&
                         observation_.revision == lease_.revision &&
-                        (holder_stopped_ || lease_read_requested_);
+                        (HolderStopped() || lease_read_requested_);
   if (!observed) {
     lease_read_requested_ = true;
     ReadLease();
-  } else if (holder_stopped_ || LeaseExpired(observation_, options_.timing,
+  } else if (HolderStopped() || LeaseExpired(observation_, options_.timing,
                                              loop_.timers().now())) {
     TakeOver();
   }
@@ -159,50 +179,66 @@
 }
 
 void LeaseManager::OnStatus(const ZoneStatus& status) {
-  if (is_holder() || status.zone != options_.zone) return;
+  if (gained_ || status.zone != options_.zone) return;
+  const bool known_to_have_stopped = HolderStopped();
   if (status.process != lease_.process) {
-    // Another process responds at the holder's address, so the holder has
-    // stopped.
-    NoteHolderStopped();
+    // Shows that the holder's process has ended only if it responds to a hello
+    // that was sent to this holder. Otherwise it may be from an earlier one.
+    if (status.hello_sent_at_ms <=
+        ToMilliseconds(holder_known_at_.time_since_epoch())) {
+      return;
+    }
+    holder_ended_ = true;
+  } else if (status.active) {
+    last_status_at_ = loop_.timers().now();
+    holder_ended_ = false;
+    stopped_at_revision_ = 0;
+    // The holder wrote this revision before it sent the status.
+    if (status.lease_revision >= observation_.revision) {
+      ObserveLease(observation_, status.lease_revision, last_status_at_);
+      lease_.revision = status.lease_revision;
+    }
     return;
-  }
-  if (!status.active) {
-    // Its last renewal, which a takeover replaces.
-    lease_.revision = std::max(lease_.revision, status.lease_revision);
+  } else if (status.lease_revision < lease_.revision) {
+    return;  // The holder has renewed the lease since, or its write did late.
+  } else {
+    // Its last renewal, which a takeover replaces. Without a term the revision
+    // may be that of a successor's lease.
+    if (status.term != 0) lease_.revision = status.lease_revision;
+    stopped_at_revision_ = lease_.revision;
     ObserveLease(observation_, lease_.revision, loop_.timers().now());
-    NoteHolderStopped();
-    return;
-  }
-  last_status_at_ = loop_.timers().now();
-  holder_stopped_ = false;
-  // The holder wrote this revision before it sent the status.
-  if (status.lease_revision >= observation_.revision) {
-    ObserveLease(observation_, status.lease_revision, last_status_at_);
-    lease_.revision = status.lease_revision;
   }
+  if (!known_to_have_stopped) ScheduleOtherZoneTakeover();
+  RetryAfterReadFailures();
 }
 
-void LeaseManager::NoteHolderStopped() {
-  if (!holder_stopped_ && !options_.home && !resigned_) {
-    // The zone's own hosts try first.
-    loop_.timers().Cancel(takeover_timer_);
-    takeover_timer_ =
-        loop_.timers().After(kOtherZoneTakeoverDelay + RandomDelay(), [this] {
-          if (!resigned_ && !is_holder() && holder_stopped_ &&
-              handlers_.store_reachable() && handlers_.may_hold()) {
-            TryTakeover();
-          }
-        });
-  }
-  holder_stopped_ = true;
+void LeaseManager::ScheduleOtherZoneTakeover() {
+  if (options_.home || resigned_) return;
+  // The zone's own hosts try first.
+  loop_.timers().Cancel(takeover_timer_);
+  takeover_timer_ =
+      loop_.timers().After(kOtherZoneTakeoverDelay + RandomDelay(), [this] {
+        if (!resigned_ && !gained_ && HolderStopped() &&
+            handlers_.store_reachable() && handlers_.may_hold()) {
+          TryTakeover();
+        }
+      });
+}
+
+void LeaseManager::RetryAfterReadFailures() {
   if (read_failures_ == 0) return;
-  // The status shows that this host is connected again.
+  // A status shows that this host is connected again.
   read_failures_ = 0;
   next_attempt_at_ = loop_.timers().now();
 }
 
-ZoneStatus LeaseManager::OnHello(const ZoneHello& hello) {
+std::optional<ZoneStatus> LeaseManager::OnHello(const ZoneHello& hello) {
   const MonotonicTime now = loop_.timers().now();
+  EndExpiredTenure();
+  // The store may have accepted the takeover already, and hosts that know of it
+  // would take a status without a lease for the end of the new tenure.
+  const bool takeover_pending = !gained_ && !tenure_.empty();
+  if (takeover_pending && !resigned_) return std::nullopt;
   const bool held_for_long =
       active() && now - last_status_at_ > kMinOtherZoneLeaseTime;
   const bool may_take_over = hello.takeover_delay_ms != kNoTakeover;
@@ -219,12 +255,11 @@
   }
   ZoneStatus status;
   status.zone = options_.zone;
-  status.process = options_.process;
-  status.term = is_holder() ? lease_.term : 0;
+  status.process = names_this_process() ? lease_.process : options_.process;
+  status.term = names_this_process() ? lease_.term : 0;
   status.active = active();
   status.lease_revision = lease_.revision;
-  if (is_holder() && confirmed_at_ != kNever)
-    status.lease_age_ms = ToMilliseconds(now - confirmed_at_);
+  if (gained_) status.lease_age_ms = ToMilliseconds(now - confirmed_at_);
   return status;
 }
 
@@ -268,7 +303,8 @@
     lease_ = {};
     lease_.zone = options_.zone;
     lease_.term = term;
-    holder_stopped_ = true;  // There is no holder.
+    stopped_at_revision_ = 0;
+    holder_ended_ = true;
     loop_.timers().After(lease_read_ ? Duration::zero()
                                      : RandomDelay() + options_.takeover_delay,
                          [this] { TakeOverIfFree(); });
@@ -276,7 +312,7 @@
     return;
   }
   ApplyStoredLease(read.value());
-  if (!lease_read_ && !is_holder()) SendHello();
+  if (!lease_read_ && !gained_) SendHello();
   lease_read_ = true;
   TakeOverIfFree();
 }
@@ -315,35 +351,41 @@
 }
 
 void LeaseManager::OnHolderNotice(const ZoneLease& lease) {
-  if (resigned_ || is_holder() || lease.revision <= lease_.revision) return;
+  if (resigned_ || gained_ || lease.revision <= lease_.revision) return;
   ObserveLease(observation_, lease.revision, loop_.timers().now());
   SetLease(lease);
   SendHello();
 }
 
 void LeaseManager::SetLease(const ZoneLease& lease) {
-  if (lease.process != options_.process) other_held_ = true;
+  if (!IsOwnTenure(lease.process)) {
+    other_held_ = true;
+    reacquiring_ = false;
+  }
   if (lease.process != lease_.process) {
     log_.LogStateChange("lease.holder", {{"zone", options_.zone},
                                          {"holder", lease.holder},
                                          {"term", lease.term},
                                          {"revision", lease.revision}});
     last_status_at_ = loop_.timers().now();
-    holder_stopped_ = false;
+    holder_known_at_ = last_status_at_;
+    holder_ended_ = false;
+    stopped_at_revision_ = 0;
     // Earlier attempts were for the lease of the former holder.
     lease_free_since_ = kNever;
     next_attempt_at_ = last_status_at_;
   }
   lease_ = lease;
-  // The holder was an earlier process of this host, which has stopped.
-  if (lease_.holder == options_.host && lease_.process != options_.process)
-    holder_stopped_ = true;
+  // The holder was an earlier process of this host, or an earlier tenure of
+  // this process.
+  if (lease_.holder == options_.host && lease_.process != tenure_)
+    holder_ended_ = true;
 }
 
 void LeaseManager::TakeOverIfFree() {
-  if (resigned_ || is_holder() || write_pending_) return;
+  if (resigned_ || gained_ || write_pending_) return;
   const MonotonicTime now = loop_.timers().now();
-  if (holder_stopped_ || lease_.revision == 0) {
+  if (HolderStopped() || lease_.revision == 0) {
     TakeOver();
     return;
   }
@@ -354,85 +396,104 @@
 
 void LeaseManager::TakeOver() {
   if (write_pending_ || read_pending_ || !handlers_.may_hold()) return;
+  tenure_ = handlers_.new_tenure();
   ZoneLease next = lease_;
   next.holder = options_.host;
-  next.process = options_.process;
+  next.process = tenure_;
   next.address = options_.address;
   next.term = lease_.term + 1;
   next.renewals = 0;
-  write_pending_ = true;
-  const MonotonicTime sent_at = loop_.timers().now();
-  store_.Write(
-      {kZoneLeaseKind, options_.zone, lease_.revision, EncodeZoneLease(next)},
-      [this, sent_at](Result<StoredObject> written) {
-        OnWritten(sent_at, true, std::move(written));
-      });
+  WriteLease(next);
 }
 
 void LeaseManager::Renew() {
   if (write_pending_) return;
   ZoneLease next = lease_;
   ++next.renewals;
+  next_renewal_at_ = loop_.timers().now() + options_.timing.renew;
+  WriteLease(next);
+}
+
+void LeaseManager::WriteLease(const ZoneLease& next) {
   write_pending_ = true;
   const MonotonicTime sent_at = loop_.timers().now();
-  next_renewal_at_ = sent_at + options_.timing.renew;
   store_.Write(
       {kZoneLeaseKind, options_.zone, lease_.revision, EncodeZoneLease(next)},
-      [this, sent_at](Result<StoredObject> written) {
-        OnWritten(sent_at, false, std::move(written));
+      [this, sent_at, tenure = tenure_](Result<StoredObject> written) {
+        write_pending_ = false;
+        OnWritten(sent_at, tenure, std::move(written));
       });
 }
 
-void LeaseManager::OnWritten(MonotonicTime sent_at, bool takeover,
+void LeaseManager::OnWritten(MonotonicTime sent_at, const std::string& tenure,
                              Result<StoredObject> written) {
-  write_pending_ = false;
-  if (resigned_) return;
-  const MonotonicTime now = loop_.timers().now();
+  EndExpiredTenure();
+  const bool takeover = !gained_ && tenure == tenure_;
   if (!written.has_value()) {
-    if (written.error().code == ErrorCode::kNotFound) {
-      // The store was restored from a copy without the lease.
-      lease_.revision = 0;
-    }
-    if (written.error().code != ErrorCode::kConflict) {
-      LogFailure("lease.not-written", written.error());
-      next_renewal_at_ = now + kRenewalRetryDelay;
-      if (takeover) {
-        ++read_failures_;
-        next_attempt_at_ = now + NextAttemptDelay(now) + RandomDelay();
-      }
-      return;
-    }
-    // Another host changed the lease, or an earlier write of this process did
-    // and its response was lost.
-    store_.Get(kZoneLeaseKind, options_.zone,
-               [this](Result<StoredObject> read) {
-                 if (resigned_) return;
-                 if (!read.has_value()) {
-                   LogFailure("lease.not-read", read.error());
-                   return;
-                 }
-                 OnConflict(read.value());
-               });
+    if (!resigned_) OnNotWritten(takeover, written.error());
+    return;
+  }
+  if (resigned_ || tenure != tenure_) {
+    // A late renewal of a tenure that has ended. Statuses must name it, so that
+    // another host can replace it.
+    lease_.revision = std::max(lease_.revision, written.value().revision);
     return;
   }
   ApplyStoredLease(written.value());
-  if (!is_holder()) return;
+  if (lease_.process != tenure_) return;
   confirmed_at_ = sent_at;
   handlers_.on_written(lease_.revision, sent_at);
   next_renewal_at_ = sent_at + options_.timing.renew;
-  if (!gained_) {
-    gained_ = true;
-    last_status_at_ = now;
-    log_.LogStateChange("lease.gained", {{"zone", options_.zone},
-                                         {"term", lease_.term},
-                                         {"takeover", takeover}});
-    handlers_.on_gained(!std::exchange(other_held_, false));
+  loop_.timers().Cancel(expiry_timer_);
+  expiry_timer_ = loop_.timers().After(active_until() - loop_.timers().now(),
+                                       [this] { EndExpiredTenure(); });
+  if (!takeover) return;
+  gained_ = true;
+  reacquiring_ = false;
+  last_status_at_ = loop_.timers().now();
+  const bool continued = !std::exchange(other_held_, false);
+  log_.LogStateChange("lease.gained", {{"zone", options_.zone},
+                                       {"term", lease_.term},
+                                       {"tenure", tenure_},
+                                       {"takeover", !continued}});
+  handlers_.on_gained(continued);
+  EndExpiredTenure();
+}
+
+void LeaseManager::OnNotWritten(bool takeover, const Error& error) {
+  const MonotonicTime now = loop_.timers().now();
+  // The takeover may still take effect. This process does not act on it.
+  if (takeover) tenure_.clear();
+  // The store was restored from a copy without the lease.
+  if (error.code == ErrorCode::kNotFound) lease_.revision = 0;
+  if (error.code != ErrorCode::kConflict) {
+    LogFailure("lease.not-written", error);
+    next_renewal_at_ = now + kRenewalRetryDelay;
+    if (takeover) {
+      ++read_failures_;
+      next_attempt_at_ = now + NextAttemptDelay(now) + RandomDelay();
+    }
+    return;
   }
+  // Another host changed the lease, or an earlier write of this process did and
+  // its response was lost.
+  write_pending_ = true;
+  store_.Get(kZoneLeaseKind, options_.zone, [this](Result<StoredObject> read) {
+    write_pending_ = false;
+    if (resigned_) return;
+    if (!read.has_value()) {
+      LogFailure("lease.not-read", read.error());
+      return;
+    }
+    OnConflict(read.value());
+  });
 }
 
 void LeaseManager::OnConflict(const StoredObject& object) {
+  EndExpiredTenure();
   ApplyStoredLease(object);
-  if (is_holder()) {
+  if (!gained_) return;
+  if (lease_.process == tenure_) {
     // Another host may have observed this revision since it was written, and
     // may soon consider it expired. Only the next renewal confirms the lease.
     Renew();
@@ -450,6 +511,7 @@
 void LeaseManager::LoseLease(const char* reason) {
   if (!gained_) return;
   gained_ = false;
+  tenure_.clear();
   log_.LogStateChange("lease.lost", {{"zone", options_.zone},
                                      {"term", lease_.term},
                                      {"reason", reason},
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/error.h"
@@ -29,7 +30,7 @@
 struct LeaseManagerOptions {
   std::string zone;
   std::string host;
-  std::string process;
+  std::string process;  // Unique to this process.
   std::string address;  // This host's inner address.
   bool home = false;    // This host is located in the zone.
   ZoneLeaseTiming timing;
@@ -55,6 +56,9 @@
   std::function<bool()> may_hold;
   // How many hosts may attempt a takeover at the same time.
   std::function<size_t()> candidate_count;
+  // Returns a name for this process's next tenure, which no tenure had before:
+  // the process's own name, a dot and a suffix.
+  std::function<std::string()> new_tenure;
   // This host became the holder. `continued`: no other host has held the lease
   // since it held it last.
   std::function<void(bool continued)> on_gained;
@@ -80,10 +84,11 @@
   void OnStatus(const ZoneStatus& status);
   // Handles the announcement of a host that became the holder.
   void OnHolderNotice(const ZoneLease& lease);
-  // Returns the response to a follower's hello. A holder from another zone
-  // yields the lease to a host of the zone that may hold it, and a slow holder
-  // to a much faster one.
-  ZoneStatus OnHello(const ZoneHello& hello);
+  // Returns the response to a follower's hello, or nothing while the outcome of
+  // this host's takeover is unknown. A holder from another zone yields the
+  // lease to a host of the zone that may hold it, and a slow holder to a much
+  // faster one.
+  std::optional<ZoneStatus> OnHello(const ZoneHello& hello);
 
   // Whether this host may act for the zone now.
   bool active() const;
@@ -93,13 +98,21 @@
   MonotonicTime confirmed_at() const { return confirmed_at_; }
   const std::string& zone() const { return options_.zone; }
   const ZoneLease& lease() const { return lease_; }
+  // Whether the lease, as last known, names a tenure of this process. That
+  // tenure may have ended.
+  bool names_this_process() const { return IsOwnTenure(lease_.process); }
 
  private:
-  bool is_holder() const { return lease_.process == options_.process; }
+  bool IsOwnTenure(const std::string& process) const;
+  // Whether another host may take the lease without waiting for its expiry.
+  bool HolderStopped() const;
   void Tick();
+  // Ends a tenure that the store has not confirmed in time.
+  void EndExpiredTenure();
   void YieldLease(const char* reason);
   void ReadLease();
-  void NoteHolderStopped();
+  void ScheduleOtherZoneTakeover();
+  void RetryAfterReadFailures();
   void OnRead(Result<StoredObject> read);
   void ApplyStoredLease(const StoredObject& object);
   // Whether the store's lease is that of a copy from which the store was
@@ -111,9 +124,11 @@
   void TakeOver();
   void Renew();
   Duration NextAttemptDelay(MonotonicTime now) const;
+  void WriteLease(const ZoneLease& next);
   void OnConflict(const StoredObject& object);
-  void OnWritten(MonotonicTime sent_at, bool takeover,
+  void OnWritten(MonotonicTime sent_at, const std::string& tenure,
                  Result<StoredObject> written);
+  void OnNotWritten(bool takeover, const Error& error);
   void LoseLease(const char* reason);
   void LogFailure(const char* event, const Error& error);
   Duration RandomDelay();
@@ -126,10 +141,26 @@
   Random random_;
   ZoneLease lease_;  // As last read or written.
   LeaseObservation observation_;
-  bool lease_read_ = false;      // The store has responded to a read.
-  bool holder_stopped_ = false;  // The holder's process stopped or resigned.
+  bool lease_read_ = false;  // The store has responded to a read.
+  // The tenure named by the lease has ended: its process did, or there is no
+  // lease.
+  bool holder_ended_ = false;
+  // The holder reported that it was not active when this was the lease's
+  // revision; 0 if it did not. A later renewal may have made it active again.
+  uint64_t stopped_at_revision_ = 0;
+  // When this host learned which tenure holds the lease.
+  MonotonicTime holder_known_at_ = kNever;
   bool resigned_ = false;
-  bool gained_ = false;     // on_gained was called, and on_lost not since.
+  // The tenure that this process has, or takes the lease for; else empty. A
+  // name that the lease had when its tenure ended is never used again, so a
+  // report that a tenure has ended stays true.
+  std::string tenure_;
+  // Invariant: if set, lease_.process is tenure_. on_gained was called, and
+  // on_lost not since.
+  bool gained_ = false;
+  // The last tenure ended because the store did not confirm it, and no other
+  // host is known to have taken the lease.
+  bool reacquiring_ = false;
   bool other_held_ = true;  // Another process held it since this one did.
   bool write_pending_ = false;
   int read_failures_ = 0;  // Consecutive failed reads and takeovers.
@@ -146,6 +177,7 @@
   uint64_t timer_ = 0;
   uint64_t first_read_timer_ = 0;
   uint64_t takeover_timer_ = 0;
+  uint64_t expiry_timer_ = 0;  // Runs at active_until().
 };
 
 }  // namespace mimosadeal
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -144,11 +144,10 @@
       TakeoverDelay(options_.cpu_share, options_.link_mbps, kMaxTakeoverDelay);
   LeaseManagerHandlers handlers;
   handlers.send_hello = [this](const std::string& address, ZoneHello hello) {
+    hello.sent_at_ms = ToMilliseconds(loop_.timers().now().time_since_epoch());
     if (hello.home) {
       hello.revisions = view_.Revisions();
       hello.resync = resync_;
-      hello.sent_at_ms =
-          ToMilliseconds(loop_.timers().now().time_since_epoch());
     }
     transport_->SendDatagram(address, hello);
   };
@@ -157,6 +156,9 @@
   handlers.candidate_count = [this, self] {
     return self->home ? peers_.size() : 0;
   };
+  handlers.new_tenure = [this] {
+    return options_.process + "." + std::to_string(++last_tenure_);
+  };
   handlers.on_written = [this](uint64_t revision, MonotonicTime sent_at) {
     view_.NoteWrite(revision, sent_at);
   };
@@ -301,10 +303,18 @@
 }
 
 void ZoneCoordinator::AnnounceLoss() {
-  const ZoneLease& lease = home().lease->lease();
+  const LeaseManager& manager = *home().lease;
+  const ZoneLease& lease = manager.lease();
+  // From then on another host may hold the lease, and a host of the former
+  // build takes any status of this process for the end of that host.
+  if (!manager.names_this_process() ||
+      loop_.timers().now() >= manager.active_until() + kLeaseTiming.margin) {
+    return;
+  }
   ZoneStatus status;
   status.zone = lease.zone;
-  status.process = options_.process;
+  status.process = lease.process;
+  status.term = lease.term;
   status.lease_revision = lease.revision;
   for (const auto& addresses : {ZoneHosts(), OtherHolders()}) {
     for (const std::string& address : addresses)
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -167,7 +167,7 @@
   // holds the lease.
   void AnnounceLease();
   // Fills in how recent this host's copies are. Called while it sends a feed.
-  void DescribeFeed(const ZoneHello& hello, ZoneStatus& status) const;
+  void DescribeFeed(ZoneStatus& status) const;
   // Updates the view with how recent the holder's copies are.
   void ApplyFreshness(const ZoneStatus& status);
   // Whether this host holds the home zone's lease, and reads the store recently
@@ -249,6 +249,7 @@
   uint64_t timer_ = 0;
   uint64_t feed_timer_ = 0;
   std::array<CopyLag, kViewKinds> own_lags_;  // Behind the holder, by ViewKind.
+  uint64_t last_tenure_ = 0;  // Number of tenures that were named.
   bool resync_ = false;  // Set while a hello that requests a resync is sent.
   bool resigned_ = false;
 };
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -160,7 +160,7 @@
 ViewUpdate ZoneCoordinator::MakeUpdate(ViewKind kind,
                                        const KindUpdate& update) const {
   ViewUpdate message;
-  message.process = options_.process;
+  message.process = home().lease->lease().process;
   message.kind = static_cast<uint8_t>(kind);
   message.full = update.full;
   message.base = update.base;
@@ -170,8 +170,8 @@
     message.store_recovered_ms_ago =
         ToMilliseconds(loop_.timers().now() - back_at);
   for (const StoredObject& object : update.objects) {
-    message.objects.push_back(
-        {object.name, object.revision, object.deleted, object.content.dump()});
+    message.objects.push_back({object.name, object.revision, object.deleted,
+                               object.content.dump()});
   }
   return message;
 }
@@ -241,13 +241,18 @@
   ZoneStatus status;
   status.zone = hello.zone;
   status.process = options_.process;
-  if (zone != zones_.end()) status = zone->second->lease->OnHello(hello);
+  if (zone != zones_.end()) {
+    auto reply = zone->second->lease->OnHello(hello);
+    if (!reply.has_value()) return;
+    status = std::move(*reply);
+  }
+  status.hello_sent_at_ms = hello.sent_at_ms;
   const bool wants_feed = hello.zone == options_.zone && hello.home &&
                           hello.revisions.size() == kViewKinds;
   const bool is_new = wants_feed && !follower.wants_feed;
   follower.wants_feed = wants_feed;
   status.replicating = wants_feed && CanFeed();
-  if (status.replicating) DescribeFeed(hello, status);
+  if (status.replicating) DescribeFeed(status);
   if (wants_feed && follower.hello_count++ % kHellosPerPeerList == 0) {
     for (const auto& [address, peer] : followers_) {
       if (peer.wants_feed && status.peers.size() < kMaxListedPeers)
@@ -278,11 +283,9 @@
   if (is_new || decision.send_full.at(registry)) SendLimits(hello.address);
 }
 
-void ZoneCoordinator::DescribeFeed(const ZoneHello& hello,
-                                   ZoneStatus& status) const {
+void ZoneCoordinator::DescribeFeed(ZoneStatus& status) const {
   const MonotonicTime now = loop_.timers().now();
   status.revisions = view_.Revisions();
-  status.hello_sent_at_ms = hello.sent_at_ms;
   for (size_t kind = 0; kind < kViewKinds; ++kind) {
     const MonotonicTime current_at =
         view_.current_at(static_cast<ViewKind>(kind));
--- a/source/core/entry/zone_coordinator_limits.cc
+++ b/source/core/entry/zone_coordinator_limits.cc
@@ -59,18 +59,18 @@
 PermitGiver ZoneCoordinator::FindPermitGiver(const std::string& name) const {
   PermitGiver giver;
   const auto zone = zones_.find(name);
-  const ZoneLease& home_lease = home().lease->lease();
+  const LeaseManager& home_manager = *home().lease;
   if (zone != zones_.end()) {
     const LeaseManager& manager = *zone->second->lease;
     const ZoneLease& lease = manager.lease();
     const bool unconfirmed =
-        zone->second->home && !resigned_ && lease.process == options_.process;
+        zone->second->home && !resigned_ && manager.names_this_process();
     giver.is_self = manager.active() || unconfirmed;
     giver.share = manager.active() ? 1 : kUnconfirmedShare;
     giver.term = lease.term;
     giver.address = lease.address;
-  } else if (home_lease.process != options_.process) {
-    giver.address = home_lease.address;
+  } else if (!home_manager.names_this_process()) {
+    giver.address = home_manager.lease().address;
   } else if (const auto former = former_holders_.find(name);
              former != former_holders_.end()) {
     giver.address = former->second;
@@ -109,7 +109,7 @@
 // lease.
 bool ZoneCoordinator::SpreadsLimits() const {
   const LeaseManager& lease = *home().lease;
-  return lease.active() || lease.lease().process == options_.process;
+  return lease.active() || lease.names_this_process();
 }
 
 LimitReport ZoneCoordinator::MakeLimitReport(const ListedUpstream& upstream,
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -46,8 +46,11 @@
   static constexpr MessageType kType = MessageType::kZoneStatus;
 
   std::string zone;
-  std::string process;  // Identifies the sender's process.
-  uint64_t term = 0;    // Of the lease that the sender holds; 0 if none.
+  // The sender's tenure if the lease names one, which may have ended; else its
+  // process. Hosts of former builds name their process.
+  std::string process;
+  // Of the lease, if it names the sender's process; else 0.
+  uint64_t term = 0;
   bool active = false;  // Whether the sender holds the lease and may act on it.
   uint64_t lease_revision = 0;  // The newest that the sender knows.
   // Maximum time since the sender sent the write of that revision; -1 if
@@ -120,7 +123,7 @@
 struct ViewUpdate {
   static constexpr MessageType kType = MessageType::kViewUpdate;
 
-  std::string process;    // Identifies the sender's process.
+  std::string process;    // The sender's tenure of the lease.
   uint8_t kind = 0;       // ViewKind.
   bool full = false;      // The update contains all objects of its kind.
   uint64_t base = 0;      // The revision that the update applies to.
