--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -25,7 +25,12 @@
     : loop_(loop), limits_(limits), callbacks_(std::move(callbacks)) {
   watch_ = std::make_unique<FdWatch>(
       loop, fd,
-      FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); }});
+      FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); },
+                         [this](int error) {
+                           Close(MakeError(ErrorCode::kIo,
+                                           error == 0 ? "the connection ended"
+                                                      : std::strerror(error)));
+                         }});
 }
 
 PeerConnection::~PeerConnection() { *alive_ = false; }
--- a/source/core/net/fd_watch.cc
+++ b/source/core/net/fd_watch.cc
@@ -1,8 +1,12 @@
 #include "net/fd_watch.h"
 
+#include <sys/socket.h>
+
 #include <cstdlib>
+#include <cstring>
 #include <utility>
 
+#include "common/log.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
@@ -46,6 +50,25 @@
   });
 }
 
+void FdWatch::NoteClosed() {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+  wsi_ = nullptr;
+  fd_ = -1;
+  if (callbacks_.on_closed == nullptr) {
+    Log(LogPart::kServer)
+        .error("a descriptor without a handler for its end was closed: {}",
+               std::strerror(error));
+    return;
+  }
+  // Deferred, because libwebsockets is still closing the descriptor.
+  const std::weak_ptr<char> alive = alive_;
+  loop_.Post([this, alive, error] {
+    if (!alive.expired()) callbacks_.on_closed(error);
+  });
+}
+
 int FdWatchCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/,
                     void* /*in*/, size_t /*length*/) {
   if (wsi == nullptr) return 0;
@@ -60,7 +83,7 @@
       if (watch->callbacks_.on_writable) watch->RunWritableCallback();
       return 0;
     case LWS_CALLBACK_RAW_CLOSE_FILE:
-      if (watch != nullptr) watch->wsi_ = nullptr;
+      if (watch != nullptr) watch->NoteClosed();
       return 0;
     default:
       return 0;
--- a/source/core/net/fd_watch.h
+++ b/source/core/net/fd_watch.h
@@ -20,6 +20,10 @@
   struct Callbacks {
     std::function<void()> on_readable;
     std::function<void()> on_writable;
+    // libwebsockets closed the descriptor, as it does for an error or a hang-up
+    // that comes without input. `error` is the socket's; 0 if it had none. Runs
+    // once, and from the event loop only.
+    std::function<void(int error)> on_closed = nullptr;
   };
 
   FdWatch(EventLoop& loop, int fd, Callbacks callbacks);
@@ -27,6 +31,8 @@
   FdWatch(const FdWatch&) = delete;
   FdWatch& operator=(const FdWatch&) = delete;
 
+  // -1 once libwebsockets has closed the descriptor, as the kernel may give its
+  // number to another one.
   int fd() const { return fd_; }
   // Requests one call of on_writable as soon as the descriptor is writable. May
   // be called from on_writable itself.
@@ -37,6 +43,7 @@
                              void* in, size_t length);
 
   void RunWritableCallback();
+  void NoteClosed();
 
   EventLoop& loop_;
   int fd_;
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -78,7 +78,10 @@
   SetOptions(fd);
   watch_ = std::make_unique<FdWatch>(
       loop_, fd,
-      FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); }});
+      FdWatch::Callbacks{[this] { OnReadable(); }, [this] { OnWritable(); },
+                         [this](int error) {
+                           if (!ended_) End(EndOf(error));
+                         }});
 }
 
 void TcpStream::Write(std::string_view bytes) {
--- a/source/standins/fault_links.cc
+++ b/source/standins/fault_links.cc
@@ -123,12 +123,14 @@
   raw->client = std::make_unique<FdWatch>(
       loop_, fd,
       FdWatch::Callbacks{[this, raw] { Pump(*raw, true); },
-                         [this, raw] { Flush(*raw, false); }});
+                         [this, raw] { Flush(*raw, false); },
+                         [this, raw](int) { CloseStream(*raw); }});
   if (!target.has_value()) return;
   raw->target = std::make_unique<FdWatch>(
       loop_, target.value(),
       FdWatch::Callbacks{[this, raw] { Pump(*raw, false); },
-                         [this, raw] { Flush(*raw, true); }});
+                         [this, raw] { Flush(*raw, true); },
+                         [this, raw](int) { CloseStream(*raw); }});
   streams_.push_back(std::move(stream));
 }
 
--- a/source/unit_tests/net/fd_watch_test.cc
+++ b/source/unit_tests/net/fd_watch_test.cc
@@ -2,6 +2,7 @@
 #include "net/fd_watch.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -55,5 +56,24 @@
   CHECK_EQUAL(kBytes, received);
 }
 
+// Guards against the use of another connection's descriptor: libwebsockets
+// closes a descriptor with an error but no input by itself, and the kernel
+// gives its number to the next one.
+TEST(FdWatch, ADescriptorThatLibwebsocketsClosesIsReportedAndNotNamedAnyMore) {
+  std::array<int, 2> ends{};
+  CHECK_EQUAL(0, pipe2(ends.data(), O_NONBLOCK | O_CLOEXEC));
+  int closed = 0;
+  FdWatch writer(loop, ends[1], {[] {}, nullptr, [&](int) { ++closed; }});
+  loop.timers().Every(std::chrono::milliseconds(5), [] {});
+  loop.RunOnce();
+  close(ends[0]);
+  for (int i = 0; i < 10 && closed == 0; ++i) loop.RunOnce();
+  CHECK_EQUAL(1, closed);
+  CHECK_EQUAL(-1, writer.fd());
+  writer.RequestWritable();
+  loop.RunOnce();
+  CHECK_EQUAL(1, closed);
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- /dev/null
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -0,0 +1,111 @@
+// Tests of connections for which poll(2) reports an error without input, as for
+// a reset that arrives while the loop polls. Timestamps in the error queue of
+// the socket bring this about at a known moment.
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <linux/errqueue.h>
+#include <linux/net_tstamp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include "inner/peer_connection.h"
+#include "net/event_loop.h"
+#include "net/tcp_stream.h"
+
+namespace mimosadeal {
+namespace {
+
+constexpr int kMaxIterations = 50;
+
+// The two ends of a TCP connection; the test owns both descriptors.
+struct TcpPair {
+  TcpPair() {
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    CHECK_EQUAL(0, bind(listener, raw, length));
+    CHECK_EQUAL(0, listen(listener, 1));
+    getsockname(listener, raw, &length);
+    near = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    CHECK_EQUAL(0, connect(near, raw, length));
+    far = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    close(listener);
+  }
+
+  int near = -1;
+  int far = -1;
+};
+
+// Makes the next bytes that are sent on `fd` leave an entry in its error queue.
+void RaiseErrorOnSend(int fd) {
+  const int flags = SOF_TIMESTAMPING_TX_SCHED | SOF_TIMESTAMPING_TX_SOFTWARE |
+                    SOF_TIMESTAMPING_SOFTWARE;
+  CHECK_EQUAL(
+      0, setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPING, &flags, sizeof(flags)));
+}
+
+std::string ReadAvailable(int fd) {
+  std::array<char, 256> buffer;
+  const ssize_t count = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  return count > 0 ? std::string(buffer.data(), static_cast<size_t>(count))
+                   : std::string();
+}
+
+TEST_GROUP(StreamError) {
+  EventLoop loop{{64, 16, 4096}};
+
+  void RunUntil(const bool& done) {
+    bool late = false;
+    loop.timers().After(std::chrono::seconds(2), [&late] { late = true; });
+    for (int i = 0; i < kMaxIterations && !done && !late; ++i) {
+      loop.timers().After(std::chrono::milliseconds(2), [] {});
+      loop.RunOnce();
+    }
+  }
+};
+
+// Guards against requests that reach another caller: a stream must not send on
+// the number of its closed descriptor, which belongs to another connection.
+TEST(StreamError, AStreamClosedByTheLoopEndsAndSendsNothingOnItsFormerNumber) {
+  TcpPair connection;
+  RaiseErrorOnSend(connection.near);
+  bool ended = false;
+  TcpStream stream(loop, connection.near,
+                   {nullptr, [](std::string_view) {},
+                    [&ended](StreamEnd) { ended = true; }});
+  stream.Write("first");
+  RunUntil(ended);
+  const TcpPair next;
+  stream.Write("POST /grant");
+  STRCMP_EQUAL("", ReadAvailable(next.far).c_str());
+  STRCMP_EQUAL("", ReadAvailable(next.near).c_str());
+  CHECK(ended);
+  CHECK(stream.PeerHasClosed());
+  for (const int fd : {next.near, next.far, connection.far}) close(fd);
+}
+
+// Guards against a connection to another host that stays in use although
+// nothing is sent on it any more.
+TEST(StreamError, APeerConnectionClosedByTheLoopIsReportedAsClosed) {
+  TcpPair connection;
+  RaiseErrorOnSend(connection.near);
+  bool closed = false;
+  PeerConnection peer(
+      loop, connection.near, {4096, 4096},
+      {[](const Frame&) {}, [&closed](const Error&) { closed = true; }});
+  CHECK(peer.Send(MessageType::kHello, "first"));
+  RunUntil(closed);
+  CHECK(closed);
+  CHECK_FALSE(peer.Send(MessageType::kHello, "second"));
+  close(connection.far);
+}
+
+}  // namespace
+}  // namespace mimosadeal
