--- a/source/core/common/event_log.cc
+++ b/source/core/common/event_log.cc
@@ -10,6 +10,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -37,10 +39,7 @@
   std::shared_ptr<uint64_t> drops_;
 };
 
-std::string Quote(std::string_view text) {
-  return nlohmann::json(std::string(text))
-      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
+std::string Quote(std::string_view text) { return JsonText(std::string(text)); }
 
 std::string FormatMember(std::string_view name, const std::string& value) {
   return "\"" + std::string(name) + "\":" + value;
--- a/source/core/common/log.cc
+++ b/source/core/common/log.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "common/enum_names.h"
+#include "common/json_text.h"
 
 namespace mimosadeal {
 namespace {
@@ -35,8 +36,7 @@
   void format(const spdlog::details::log_msg& message, const std::tm& /*time*/,
               spdlog::memory_buf_t& destination) override {
     const std::string text(message.payload.data(), message.payload.size());
-    const std::string quoted = nlohmann::json(text).dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string quoted = JsonText(text);
     destination.append(quoted.data(), quoted.data() + quoted.size());
   }
 
--- a/source/core/configuration/stored_configuration.cc
+++ b/source/core/configuration/stored_configuration.cc
@@ -1,5 +1,7 @@
 #include "configuration/stored_configuration.h"
 
+#include "common/json_text.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -50,10 +52,9 @@
   Json patches = Json::array();
   for (const AppliedPatch& patch : stored.patches)
     patches.push_back({{"id", patch.id}, {"version", patch.version}});
-  return Json{{"version", stored.version},
-              {"patches", patches},
-              {"document", stored.document}}
-      .dump();
+  return JsonText({{"version", stored.version},
+                   {"patches", patches},
+                   {"document", stored.document}});
 }
 
 Result<StoredConfiguration> DecodeStoredConfiguration(std::string_view text) {
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -102,6 +102,14 @@
         const MonotonicTime now = loop_.timers().now();
         move->release_pending = false;
         move->next_release_at = now + kReleaseRetryDelay;
+        if (result.reply.handover_unreadable) {
+          log_.LogStateChange("handover.rejected",
+                              {{"service", name},
+                               {"upstream", move->from.id},
+                               {"first", move->planned.first},
+                               {"last", move->planned.last},
+                               {"reason", "it is no UTF-8"}});
+        }
         if (result.replied && result.reply.outcome == CommandOutcome::kDone) {
           // A grant without a response may still take effect at the upstream.
           move->released =
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "common/json_text.h"
 #include "entry/deployment_view.h"
 #include "entry/zone_coordinator.h"
 #include "entry/zone_coordinator_state.h"
@@ -86,7 +87,7 @@
   }
   Forward(TableStepNotice{
       written.service, written.revision,
-      EncodeRangeTableStep(StepBetween(*before, written)).dump(),
+      JsonText(EncodeRangeTableStep(StepBetween(*before, written))),
       static_cast<uint8_t>(ReportScope::kOtherZones)});
 }
 
@@ -171,7 +172,7 @@
         ToMilliseconds(loop_.timers().now() - back_at);
   for (const StoredObject& object : update.objects) {
     message.objects.push_back({object.name, object.revision, object.deleted,
-                               object.content.dump()});
+                               JsonText(object.content)});
   }
   return message;
 }
--- a/source/core/forwarding/key_commands.h
+++ b/source/core/forwarding/key_commands.h
@@ -41,6 +41,8 @@
   CommandOutcome outcome = CommandOutcome::kRefused;
   int status = 0;        // HTTP status, for the log.
   std::string handover;  // State of the released keys.
+  // The upstream returned a handover that is no UTF-8, which is dropped.
+  bool handover_unreadable = false;
   bool leaving = false;  // The upstream announces that it is leaving.
 };
 
--- a/source/core/ownership/control_record.cc
+++ b/source/core/ownership/control_record.cc
@@ -2,19 +2,20 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.h"
+
 namespace mimosadeal {
 
 using Json = nlohmann::json;
 
 std::string EncodeControlRecord(const ControlRecord& record) {
-  return Json{{"term", record.term},
-              {"controller", record.controller},
-              {"controller_address", record.controller_address},
-              {"standby", record.standby},
-              {"standby_address", record.standby_address},
-              {"members", record.members},
-              {"write_id", record.write_id}}
-      .dump();
+  return JsonText({{"term", record.term},
+                   {"controller", record.controller},
+                   {"controller_address", record.controller_address},
+                   {"standby", record.standby},
+                   {"standby_address", record.standby_address},
+                   {"members", record.members},
+                   {"write_id", record.write_id}});
 }
 
 Result<ControlRecord> DecodeControlRecord(std::string_view text) {
--- a/source/core/platform/platform_host.cc
+++ b/source/core/platform/platform_host.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "common/enum_names.h"
+#include "common/json_text.h"
 
 namespace mimosadeal {
 namespace {
@@ -68,7 +69,7 @@
                     {"service", host.service},
                     {"address", host.address}});
   }
-  return json.dump();
+  return JsonText(json);
 }
 
 }  // namespace mimosadeal
--- a/source/core/requests/problem.cc
+++ b/source/core/requests/problem.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.h"
 #include "requests/outcome_names.h"
 
 namespace mimosadeal {
@@ -30,8 +31,7 @@
   }
   response.headers.push_back(
       {"mimosa-outcome", std::string(OutcomeName(problem.outcome))});
-  response.body =
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.body = JsonText(body);
   return response;
 }
 
--- a/source/core/server/operators_api.cc
+++ b/source/core/server/operators_api.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_text.h"
 #include "net/event_loop.h"
 #include "requests/problem.h"
 #include "server/configuration_manager.h"
@@ -187,12 +188,14 @@
     return;
   }
   const std::string patch_id(FindHeader(request.headers, kPatchIdHeader));
-  if (patch_id.empty()) {
+  // It is stored as JSON.
+  if (patch_id.empty() || !IsUtf8(patch_id)) {
     server_->Respond(
         exchange,
         MakeProblem(
             428, "Patch id required",
-            "give a unique Mimosa-Patch-Id, by which a repetition is known"));
+            "give a unique Mimosa-Patch-Id in UTF-8, by which a repetition "
+            "is known"));
     return;
   }
   const Json patch = Json::parse(request.body, nullptr, false);
--- a/source/core/upstream/upstream_protocol.cc
+++ b/source/core/upstream/upstream_protocol.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -12,16 +14,15 @@
 }  // namespace
 
 std::string EncodeGrant(const GrantBody& grant) {
-  return Json{{"holder", grant.holder},
-              {"service", grant.service},
-              {"term", grant.version.term},
-              {"sequence", grant.version.sequence},
-              {"revision", grant.revision},
-              {"shard_count", grant.shard_count},
-              {"shards", grant.shards.ToRanges()},
-              {"ttl_us", ToMicroseconds(grant.ttl)},
-              {"token", grant.token}}
-      .dump();
+  return JsonText({{"holder", grant.holder},
+                   {"service", grant.service},
+                   {"term", grant.version.term},
+                   {"sequence", grant.version.sequence},
+                   {"revision", grant.revision},
+                   {"shard_count", grant.shard_count},
+                   {"shards", grant.shards.ToRanges()},
+                   {"ttl_us", ToMicroseconds(grant.ttl)},
+                   {"token", grant.token}});
 }
 
 Result<GrantBody> DecodeGrant(std::string_view text) {
@@ -55,8 +56,7 @@
 }
 
 std::string EncodeGrantResponse(const GrantResponse& response) {
-  return Json{{"accepted", response.accepted}, {"token", response.token}}
-      .dump();
+  return JsonText({{"accepted", response.accepted}, {"token", response.token}});
 }
 
 Result<GrantResponse> DecodeGrantResponse(std::string_view text) {
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -232,7 +232,9 @@
 void DeploymentUpstream::CompleteReleases() {
   std::erase_if(pending_releases_, [this](const PendingRelease& release) {
     if (IsRunningKeyIn(release.first, release.last)) return false;
-    Respond(release.exchange, 200, {{"x-handover", "h-" + options_.id}});
+    const std::string handover =
+        faults_.handover.empty() ? "h-" + options_.id : faults_.handover;
+    Respond(release.exchange, 200, {{"x-handover", handover}});
     return true;
   });
 }
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -65,6 +65,8 @@
   // If not empty, refuses every request of a caller and asks for a rest of this
   // many seconds.
   std::string rest_seconds;
+  // If not empty, returned as handover with each release.
+  std::string handover;
 };
 
 class DeploymentUpstream {
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -280,6 +280,23 @@
         ResponseKind::kCorrupt);
 }
 
+// Guards against the end of the lease holder's process: a handover that is no
+// UTF-8 cannot be stored in the range table or sent with a grant.
+TEST(PlatformUpstream, AHandoverThatIsNoTextIsDropped) {
+  HttpResponse response = Response(200);
+  response.headers = {{"x-handover", "\x9e\xff"}};
+  const CommandReply reply = ReadCommandReply(response);
+  CHECK(reply.outcome == CommandOutcome::kDone);
+  CHECK(reply.handover_unreadable);
+  STRCMP_EQUAL("", reply.handover.c_str());
+  response.headers = {{"x-handover", "\xc3\xa4"}};
+  CHECK_FALSE(ReadCommandReply(response).handover_unreadable);
+  STRCMP_EQUAL("\xc3\xa4", ReadCommandReply(response).handover.c_str());
+  const ExchangeRequest grant =
+      WriteGrant({0, 1, 1, seconds(4), "\x9e"}, "i-1");
+  CHECK(nlohmann::json::parse(grant.body)["handover"].is_string());
+}
+
 TEST(PlatformUpstream, EncodesCommandsAndDecodesReplies) {
   const ExchangeRequest grant =
       WriteGrant({4096, 8191, 12, seconds(4), "5c0e"}, "i-1");
@@ -368,6 +385,17 @@
   LONGS_EQUAL(7, nlohmann::json::parse(put.body)["metadata"]["rev"].get<int>());
 }
 
+// Guards against the end of the process: text from outside that is no UTF-8
+// makes the JSON library's dump() throw.
+TEST(PlatformStore, AnObjectWithBytesThatAreNoTextIsWrittenWithoutThem) {
+  const ExchangeRequest put =
+      store.write({"k", "n", 7, {{"handover", "5c\x9e"}}});
+  STRCMP_EQUAL("5c\xef\xbf\xbd",
+               nlohmann::json::parse(put.body)["spec"]["handover"]
+                   .get<std::string>()
+                   .c_str());
+}
+
 // Changes, removes and repeats bytes of valid messages. The decoders must
 // return, and what they accept must be in range.
 TEST_GROUP(PlatformMutations){
