Limit the sum of unfinished responses of a host (endless bytes)

Here one response is limited, and heads, bodies and chunks without end from one upstream in 100 requests at a time keep a host below 112 MB (three tests of EntryFaulty, which passed before). Their sum was not: 100 bodies of 900 kB that stop short of the limit took a host to 121 MB (EntryFaulty.ManyUnfinishedResponses..., failed before).

The connections to upstreams share a budget of 32 MB; beyond it responses fail that are not below the mean.

--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -36,7 +36,11 @@
 
 UpstreamPool::UpstreamPool(EventLoop& loop, PathMonitor& paths,
                            UpstreamPoolLimits limits)
-    : loop_(loop), paths_(paths), limits_(limits) {
+    : loop_(loop),
+      paths_(paths),
+      limits_(limits),
+      budget_(std::make_shared<ReceiveBudget>()) {
+  budget_->limit = limits_.max_unfinished_bytes;
   idle_timer_ =
       loop_.timers().Every(kIdleCheckInterval, [this] { CloseIdle(); });
 }
@@ -92,8 +96,10 @@
       return client;
   }
   ++connections_opened_;
-  return std::make_unique<ExchangeClient>(loop_, upstream.record.address,
-                                          limits_.text);
+  auto client = std::make_unique<ExchangeClient>(loop_, upstream.record.address,
+                                                 limits_.text);
+  client->ShareBudget(budget_);
+  return client;
 }
 
 PoolCallId UpstreamPool::Send(const UpstreamRecord& record,
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -43,6 +43,7 @@
     : loop_(loop), address_(std::move(address)), limits_(limits) {}
 
 ExchangeClient::~ExchangeClient() {
+  RefundBudget();
   loop_.timers().Cancel(timeout_);
   loop_.timers().Cancel(connect_timeout_);
   loop_.timers().Cancel(acceptance_timer_);
@@ -160,9 +161,11 @@
   }
   input_.append(bytes);
   bytes_received_ += bytes.size();
+  ChargeBudget(bytes.size());
   while (busy()) {
     ParseState state = parser_->Feed(input_);
-    if (state == ParseState::kNeedMore && bytes_received_ > ReceiveLimit())
+    if (state == ParseState::kNeedMore &&
+        (bytes_received_ > ReceiveLimit() || ExceedsBudget()))
       state = ParseState::kTooLarge;
     if (state == ParseState::kNeedMore) return;
     if (state != ParseState::kDone) {
@@ -195,6 +198,24 @@
          (limits_.max_header_bytes + limits_.max_body_bytes);
 }
 
+void ExchangeClient::ChargeBudget(size_t bytes) {
+  if (budget_ == nullptr) return;
+  if (charged_ == 0) ++budget_->responses;
+  charged_ += bytes;
+  budget_->used += bytes;
+}
+
+void ExchangeClient::RefundBudget() {
+  if (charged_ == 0) return;
+  --budget_->responses;
+  budget_->used -= std::exchange(charged_, 0);
+}
+
+bool ExchangeClient::ExceedsBudget() const {
+  return budget_ != nullptr && budget_->used > budget_->limit &&
+         charged_ * budget_->responses >= budget_->used;
+}
+
 void ExchangeClient::Complete(ParsedHttpResponse text) {
   ExchangeResult result;
   result.request_written = true;
@@ -271,6 +292,7 @@
   result.reused = reused_;
   result.sent_at = sent_at_;
   timeout_ = 0;
+  RefundBudget();
   Callback callback = std::exchange(callback_, nullptr);
   if (callback) callback(std::move(result));
 }
@@ -280,6 +302,7 @@
   loop_.timers().Cancel(connect_timeout_);
   timeout_ = 0;
   const bool was_busy = busy();
+  RefundBudget();
   callback_ = nullptr;
   on_opened_ = nullptr;
   lost_while_idle_ = false;
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -61,6 +61,14 @@
   HttpResponse response;
 };
 
+// Limits what several clients store of responses that are not complete. Beyond
+// the limit those responses fail that are larger than the mean.
+struct ReceiveBudget {
+  size_t limit = 0;
+  size_t used = 0;       // By all responses.
+  size_t responses = 0;  // That use any of it.
+};
+
 class ExchangeClient {
  public:
   using Callback = std::function<void(ExchangeResult)>;
@@ -69,6 +77,10 @@
                  HttpMessageLimits limits);
   // Closes the connection; a request in flight gets no callback.
   ~ExchangeClient();
+  // Also limits the responses of this client by a budget that it shares.
+  void ShareBudget(std::shared_ptr<ReceiveBudget> budget) {
+    budget_ = std::move(budget);
+  }
   ExchangeClient(const ExchangeClient&) = delete;
   ExchangeClient& operator=(const ExchangeClient&) = delete;
 
@@ -104,6 +116,9 @@
   void FinishOpening(bool connected);
   bool Connect(Duration timeout);
   size_t ReceiveLimit() const;
+  void ChargeBudget(size_t bytes);
+  void RefundBudget();
+  bool ExceedsBudget() const;
   void Complete(ParsedHttpResponse text);
   void Finish(ExchangeResult result);
   void CloseStream();
@@ -128,6 +143,8 @@
   MonotonicTime connect_started_at_ = kNever;
   std::function<void(bool)> on_opened_;  // Set while Open is in progress.
   size_t bytes_received_ = 0;  // Bytes received since the request started.
+  std::shared_ptr<ReceiveBudget> budget_;  // Null if there is none.
+  size_t charged_ = 0;  // Of the budget, for the response in progress.
   // Not passed to the connection yet; see ExchangeRequest::await_acceptance.
   std::string unsent_request_;
   MonotonicTime sent_at_ = kNever;  // See ExchangeResult::sent_at.
--- /dev/null
+++ b/source/integration_tests/entry_faulty_upstreams_test.cc
@@ -0,0 +1,202 @@
+// Tests of entry hosts on an object-store deployment: upstreams that send bytes
+// outside the protocol must not end a host's process.
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <list>
+#include <string>
+
+#include "entry_fixture.h"
+#include "net/fd_watch.h"
+#include "net/tcp_stream.h"
+
+namespace mimosadeal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The memory of the smallest hosts.
+constexpr size_t kSmallestHostKb = 112 * 1024;
+constexpr size_t kChunkBytes = 64 * 1024;
+constexpr size_t kMaxQueuedBytes = 256 * 1024;
+constexpr int kParallelRequests = 100;
+
+// An upstream that responds to every request with the same bytes without end,
+// or with `max_bytes` of them and then nothing more.
+class EndlessUpstream {
+ public:
+  EndlessUpstream(EventLoop& loop, const SocketAddress& address,
+                  std::string begin, size_t max_bytes)
+      : loop_(loop), begin_(std::move(begin)), max_bytes_(max_bytes) {
+    listener_ = std::make_unique<FdWatch>(
+        loop_, ListenTcp(address).value(),
+        FdWatch::Callbacks{[this] { OnAcceptable(); }, nullptr});
+    timer_ = loop_.timers().Every(milliseconds(2), [this] { Pump(); });
+  }
+  ~EndlessUpstream() { loop_.timers().Cancel(timer_); }
+  EndlessUpstream(const EndlessUpstream&) = delete;
+  EndlessUpstream& operator=(const EndlessUpstream&) = delete;
+
+  int responses() const { return responses_; }
+
+ private:
+  struct Connection {
+    std::unique_ptr<TcpStream> stream;
+    bool responding = false;
+    bool ended = false;
+    size_t sent = 0;
+  };
+
+  void OnAcceptable() {
+    const int fd = accept4(listener_->fd(), nullptr, nullptr,
+                           SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    Connection& connection = connections_.emplace_back();
+    connection.stream = std::make_unique<TcpStream>(
+        loop_, fd,
+        TcpStreamHandlers{
+            nullptr,
+            [this, &connection](std::string_view) {
+              if (connection.responding) return;
+              connection.responding = true;
+              ++responses_;
+              connection.stream->Write(begin_);
+            },
+            [&connection](StreamEnd) { connection.ended = true; }});
+  }
+
+  void Pump() {
+    std::erase_if(connections_, [](const Connection& connection) {
+      return connection.ended;
+    });
+    for (Connection& connection : connections_) {
+      if (!connection.responding || connection.sent >= max_bytes_ ||
+          connection.stream->queued_bytes() > kMaxQueuedBytes) {
+        continue;
+      }
+      const size_t count = std::min(kChunkBytes, max_bytes_ - connection.sent);
+      connection.sent += count;
+      connection.stream->Write(std::string(count, 'x'));
+    }
+  }
+
+  EventLoop& loop_;
+  std::string begin_;
+  size_t max_bytes_;
+  std::unique_ptr<FdWatch> listener_;
+  std::list<Connection> connections_;
+  uint64_t timer_ = 0;
+  int responses_ = 0;
+};
+
+class EntryFaultyTest : public EntryTest {
+ public:
+  // The peak of the host's memory in use.
+  static size_t PeakMemoryKb(const EntryProcess& host) {
+    std::ifstream status("/proc/" + std::to_string(host.process.pid()) +
+                         "/status");
+    std::string word;
+    while (status >> word) {
+      size_t kilobytes = 0;
+      if (word == "VmHWM:" && status >> kilobytes) return kilobytes;
+    }
+    return 0;
+  }
+
+  // Fails the test if a host has ended by itself.
+  void CheckHostsRun() {
+    for (const auto& [name, host] : fixture.hosts) {
+      int exit_code = 0;
+      CHECK_TEXT(!host->process.TryWait(exit_code),
+                 (name + " has ended").c_str());
+    }
+  }
+
+  // Sends requests in parallel to a service with an upstream that responds
+  // without end, for two deadlines. The host must stay within the memory of the
+  // smallest hosts and serve other requests meanwhile.
+  void CheckMemoryHolds(const std::string& begin, size_t max_bytes) {
+    fixture.StartDefaultDeployment(2);
+    SocketAddress address = fixture.upstreams.at("desk-1")->options().address;
+    ++address.port;
+    EndlessUpstream faulty(fixture.loop, address, begin, max_bytes);
+    fixture.store->Put("servers", "endless-1",
+                       {{"service", "desk"},
+                        {"address", address.ToString()},
+                        {"zone", "north"},
+                        {"version", "v1"},
+                        {"slots", 2 * kParallelRequests},
+                        {"state", "ready"},
+                        {"warmupLeft", "0ms"},
+                        {"seq", 1},
+                        {"born", 1}});
+    fixture.RunFor(kChangeDeadline);
+    const int key = OwnedKey("yard-1");
+    const MonotonicTime end = fixture.loop.timers().now() + seconds(4);
+    std::list<std::shared_ptr<CallerResponse>> open;
+    while (fixture.loop.timers().now() < end) {
+      std::erase_if(open,
+                    [](const auto& response) { return response->status != 0; });
+      while (open.size() < kParallelRequests)
+        open.push_back(fixture.Start(Host(1), "GET", "/price/a", -1));
+      CheckServed(fixture.SendAndWait(Host(1), "GET", "/lookup/a", key));
+      fixture.RunFor(milliseconds(20));
+    }
+    CheckHostsRun();
+    CHECK(faulty.responses() > kParallelRequests / 2);
+    const size_t peak = PeakMemoryKb(Host(1));
+    CHECK_TEXT(peak > 0 && peak <= kSmallestHostKb,
+               ("peak of " + std::to_string(peak) + " kB").c_str());
+    fixture.CheckRecord();
+  }
+};
+
+TEST_GROUP_BASE(EntryFaulty, EntryFaultyTest){};
+
+// Guards against the end of the lease holder's process, with the requests of
+// all its callers: an owner returns a handover that is no UTF-8 with a release.
+TEST(EntryFaulty, ALeaseHolderSurvivesAHandoverThatIsNoText) {
+  fixture.StartDefaultDeployment(3);
+  for (const auto& [name, upstream] : fixture.upstreams)
+    upstream->faults().handover = "\x9e\x80";
+  fixture.upstreams.at("yard-1")->Report("draining");
+  fixture.upstreams.at("yard-3")->Report("draining");
+  const bool moved = fixture.RunUntil(
+      [this] { return OwnedKey("yard-1") < 0 && OwnedKey("yard-3") < 0; },
+      seconds(6));
+  CheckHostsRun();
+  CHECK(moved);
+  CHECK(fixture.RunUntil([this] { return fixture.EveryKeyIsHeld(); },
+                         seconds(4)));
+  CHECK(fixture.RunUntil(
+      [this] { return CountFailures("GET", "/lookup/") == 0; }, seconds(4)));
+  fixture.CheckRecord();
+}
+
+// Guards against a host that keeps what a faulty upstream sends without end,
+// and is killed for its use of memory.
+TEST(EntryFaulty, ResponseHeadsWithoutEndDoNotExhaustTheHostsMemory) {
+  CheckMemoryHolds("HTTP/1.1 200 OK\r\nx-endless: ", SIZE_MAX);
+}
+
+TEST(EntryFaulty, ResponseBodiesWithoutEndDoNotExhaustTheHostsMemory) {
+  CheckMemoryHolds("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n",
+                   SIZE_MAX);
+}
+
+TEST(EntryFaulty, ChunkedBodiesWithoutEndDoNotExhaustTheHostsMemory) {
+  CheckMemoryHolds(
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7fffffff\r\n",
+      SIZE_MAX);
+}
+
+// Bodies that stay below the limit of one response are kept until the deadline,
+// many at a time.
+TEST(EntryFaulty, ManyUnfinishedResponsesDoNotExhaustTheHostsMemory) {
+  CheckMemoryHolds("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n",
+                   900 * 1024);
+}
+
+}  // namespace
+}  // namespace mimosadeal
