--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -182,8 +182,8 @@
   if (gained_ || status.zone != options_.zone) return;
   const bool known_to_have_stopped = HolderStopped();
   if (status.process != lease_.process) {
-    // Shows that the holder's process has ended only if it responds to a hello
-    // that was sent to this holder. Otherwise it may be from an earlier one.
+    // In response to a hello that was sent to the holder, this shows that the
+    // holder has ended. Otherwise it may be from an earlier holder.
     if (status.hello_sent_at_ms <=
         ToMilliseconds(holder_known_at_.time_since_epoch())) {
       return;
@@ -200,7 +200,7 @@
     }
     return;
   } else if (status.lease_revision < lease_.revision) {
-    return;  // The holder has renewed the lease since, or its write did late.
+    return;  // A renewal has taken effect since, maybe without a response.
   } else {
     // Its last renewal, which a takeover replaces. Without a term the revision
     // may be that of a successor's lease.
@@ -434,8 +434,8 @@
     return;
   }
   if (resigned_ || tenure != tenure_) {
-    // A late renewal of a tenure that has ended. Statuses must name it, so that
-    // another host can replace it.
+    // A renewal of a tenure that has ended meanwhile. Statuses must state its
+    // revision, so that another host can replace it at once.
     lease_.revision = std::max(lease_.revision, written.value().revision);
     return;
   }
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -57,8 +57,9 @@
   no_earlier_grants_ = lease_.lease().term == 1 && !ran_before_;
   ran_before_ = true;
   services_.clear();
-  // A lease with term 1 has no earlier holder whose grants may still be valid,
-  // and holds_ has the grants of this process.
+  // A lease with term 1 has no earlier holder whose grants may still be valid.
+  // If no other host has held the lease since this one did, holds_ has all
+  // grants.
   if (lease_.lease().term > 1 && !continued)
     holds_.AssumeHeld(started_at_, options_.longest_hold);
   loop_.timers().Cancel(timer_);
