--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -40,9 +40,9 @@
 // A lease is given up only then, because its next holder begins anew. Grants
 // outlast this and a takeover.
 constexpr Duration kMinOutageToYield = std::chrono::milliseconds(1000);
-// See UpstreamPoolLimits. The buffers are up to twice as large as their
-// content, and the smallest hosts have 112 MB for the whole process.
-constexpr size_t kMaxUnfinishedResponseBytes = 32 * 1024 * 1024;
+// See UpstreamPoolLimits. Buffers that grow, and the gaps that they leave, take
+// about three times their content, and the smallest hosts have 112 MB.
+constexpr size_t kMaxUnfinishedResponseBytes = 16 * 1024 * 1024;
 // See UpstreamPoolLimits. Many round trips to any zone.
 constexpr Duration kSlowConnect = std::chrono::milliseconds(150);
 // See UpstreamPoolLimits. Upstreams keep idle connections for some seconds.
