--- a/source/core/forwarding/caller_request.h
+++ b/source/core/forwarding/caller_request.h
@@ -29,6 +29,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  // How long work takes on the upstream's machine at this moment, relative to
+  // the usual time. Changes many times per second.
+  double work_time_factor = 1;
 };
 
 // What a response says about the limit of its upstream; see UpstreamLimit.
--- a/source/core/forwarding/deployment_bounds.h
+++ b/source/core/forwarding/deployment_bounds.h
@@ -2,6 +2,8 @@
 // defaults apply to limits that it does not state.
 #pragma once
 
+#include <optional>
+
 #include "common/boot_clock.h"
 
 namespace mimosadeal {
@@ -23,6 +25,18 @@
   double retry_ratio = 0.2;
   Duration retry_window = std::chrono::seconds(10);
   double retry_allowance = 100;
+  // Requests per second that a cold upstream tolerates from all hosts together:
+  // this multiple of what its service states, plus a fixed number. 0 if the
+  // deployment sets no limit.
+  double cold_ratio = 0;
+  double cold_allowance = 0;
+  // From the store's acknowledgement that an availability zone is to be
+  // evacuated until no more requests may reach its upstreams. Unset if
+  // operators of the deployment evacuate no zones.
+  std::optional<Duration> evacuation;
+  // Whether upstreams have room for few requests, and may reset or never answer
+  // those beyond it.
+  bool scarce_room = false;
 };
 
 }  // namespace mimosadeal
--- a/source/core/forwarding/deployment_protocol.h
+++ b/source/core/forwarding/deployment_protocol.h
@@ -23,6 +23,8 @@
   std::string configuration_kind;
   std::string configuration_name;
   std::string registry_kind;
+  // Objects named like the availability zones that are to be evacuated.
+  std::string evacuation_kind;
 
   // The functions that return a Result fail with kMalformed.
   Result<RouteTable> (*read_configuration)(const nlohmann::json& content);
--- a/source/core/routing/route_table.h
+++ b/source/core/routing/route_table.h
@@ -40,6 +40,11 @@
   // Requests of a key are slow for this long after the key moves without the
   // state that its previous owner hands over.
   Duration key_warmup_time{};
+  // An upstream is cold for this long after its start.
+  Duration warmup_time{};
+  // Requests per second that a cold upstream takes from all hosts together; 0
+  // if the service states no limit.
+  double warmup_requests_per_second = 0;
 };
 
 struct CallerLimits {
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -84,6 +84,8 @@
                 "lease holders of their zones."},
     SettingSpec{"limits.link_mbps", &Settings::link_mbps, "1000", 0.1, 1000000,
                 "Bandwidth of this host's network link, in Mbit/s."},
+    SettingSpec{"limits.memory_mb", &Settings::memory_mb, "0", 0, 1048576,
+                "Memory that this process may use, in MB; 0 if unknown."},
     SettingSpec{"limits.max_header_blocks", &Settings::max_header_blocks,
                 "2048", 16, 1048576,
                 "Largest number of HTTP header blocks held at once."},
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -45,6 +45,7 @@
   int64_t max_descriptors = 0;
   double cpu_share = 0;
   double link_mbps = 0;
+  int64_t memory_mb = 0;  // 0 if unknown.
   int64_t max_header_blocks = 0;
   int64_t max_waiting_requests = 0;
   int64_t max_queue_per_upstream = 0;
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -118,6 +118,34 @@
   CHECK(read.value().drain == Duration(milliseconds(2500)));
   DOUBLES_EQUAL(141, read.value().retry_allowance, 0);
   CHECK_FALSE(ReadBounds("drain=soon").has_value());
+  CHECK_FALSE(read.value().evacuation.has_value());
+  CHECK_FALSE(read.value().scarce_room);
+}
+
+TEST(PlatformConfiguration, ReadsBoundsOnColdAndEvacuatedUpstreams) {
+  const auto read = ReadBounds(
+      "coldOver=1.5,coldSlack=8,evac=5000ms,base=in-force,"
+      "pool=in-force");
+  CHECK(read.has_value());
+  DOUBLES_EQUAL(1.5, read.value().cold_ratio, 0);
+  DOUBLES_EQUAL(8, read.value().cold_allowance, 0);
+  CHECK(read.value().evacuation == Duration(milliseconds(5000)));
+  CHECK(read.value().scarce_room);
+  CHECK_FALSE(ReadBounds("evac=soon").has_value());
+}
+
+TEST(PlatformConfiguration, AColdRateThatIsNoNumberIsNone) {
+  nlohmann::json content = nlohmann::json::parse(kConfiguration);
+  content["services"][0]["warmupPerS"] = "many";
+  const std::string name = content["services"][0]["name"];
+  const auto odd = ReadConfiguration(content);
+  DOUBLES_EQUAL(0, odd.value().services.at(name).warmup_requests_per_second, 0);
+  content["services"][0]["warmupPerS"] = 4.5;
+  content["services"][0]["warmup"] = "3s";
+  const auto read = ReadConfiguration(content);
+  const ServiceConfig& service = read.value().services.at(name);
+  DOUBLES_EQUAL(4.5, service.warmup_requests_per_second, 0);
+  CHECK(service.warmup_time == Duration(milliseconds(3000)));
 }
 
 TEST_GROUP(PlatformUpstream){};
@@ -273,6 +301,18 @@
   CHECK_FALSE(answer.leaving);
 }
 
+TEST(PlatformUpstream, ALoadReportMayStateHowLongWorkTakes) {
+  const auto factor_of = [](const char* load) {
+    HttpResponse response = Response(200, "body");
+    response.headers = {{"x-server-load", load}};
+    return ReadUpstreamResponse(std::move(response)).load->work_time_factor;
+  };
+  DOUBLES_EQUAL(1, factor_of("3,1,8"), 0);
+  DOUBLES_EQUAL(2.5, factor_of("3,1,8,250"), 0);
+  DOUBLES_EQUAL(1, factor_of("3,1,8,-4"), 0);
+  DOUBLES_EQUAL(1, factor_of("3,1,8,x"), 0);
+}
+
 TEST(PlatformUpstream, AResponseWithAContentEncodingIsNotForwarded) {
   HttpResponse response = Response(200, "body");
   response.headers = {{"content-encoding", "gzip"}};
