--- a/source/core/balance/retry_budget.cc
+++ b/source/core/balance/retry_budget.cc
@@ -5,6 +5,10 @@
 namespace mimosadeal {
 namespace {
 
+// Fraction of the bucket that second tries of requests that have not failed
+// leave for retries.
+constexpr double kReserveForRetries = 1.0 / 3;
+
 void Refill(RetryBudget& budget, const RetryBudgetPolicy& policy,
             MonotonicTime now) {
   if (budget.updated_at == kNever) {
@@ -35,4 +39,10 @@
   return true;
 }
 
+bool HasTokenForHedge(RetryBudget& budget, const RetryBudgetPolicy& policy,
+                      MonotonicTime now) {
+  Refill(budget, policy, now);
+  return budget.tokens - 1 >= kReserveForRetries * policy.max_tokens;
+}
+
 }  // namespace mimosadeal
--- a/source/core/balance/retry_budget.h
+++ b/source/core/balance/retry_budget.h
@@ -25,5 +25,9 @@
 // Takes one token. Returns false if there is none.
 bool SpendOnRetry(RetryBudget& budget, const RetryBudgetPolicy& policy,
                   MonotonicTime now);
+// Whether a token is left for a second try of a request that has not failed.
+// Part of the bucket is kept for requests that failed.
+bool HasTokenForHedge(RetryBudget& budget, const RetryBudgetPolicy& policy,
+                      MonotonicTime now);
 
 }  // namespace mimosadeal
