Send repeatable requests a second time when their response is late

Off by default (requests.hedge_share = 0). Change: RequestForwarder plans a second try with the first, sends it into known free room when the response is late, takes the first whole response and cancels the other try; the end of one try without a response leaves the request to the other. If a try may have run, the caller isn't told that it did not.

--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 12> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 13> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -25,6 +25,7 @@
     {EntryGauge::kReady, "mimosadeal_ready"},
     {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
+    {EntryGauge::kHedgePercent, "mimosadeal_hedge_extra_work_percent"},
 }};
 
 // Bounds of the latency buckets, in seconds.
@@ -78,7 +79,15 @@
                    .Name("mimosadeal_relayed_total")
                    .Help("Requests that another host was asked to send, by "
                          "outcome")
-                   .Register(*registry_)) {
+                   .Register(*registry_)),
+      hedges_(prometheus::BuildCounter()
+                  .Name("mimosadeal_hedges_total")
+                  .Help("Second tries of late requests, sent and by outcome")
+                  .Register(*registry_)),
+      hedge_refusals_(prometheus::BuildCounter()
+                          .Name("mimosadeal_hedge_refusals_total")
+                          .Help("Late requests without a second try, by reason")
+                          .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -134,6 +143,14 @@
   relayed_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObserveHedge(std::string_view outcome) {
+  hedges_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void EntryMetrics::ObserveHedgeRefusal(std::string_view reason) {
+  hedge_refusals_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -35,6 +35,7 @@
   kReady,
   kServicesCutOff,
   kLogLinesDropped,
+  kHedgePercent,
 };
 
 class EntryMetrics {
@@ -64,6 +65,11 @@
   void ObservePermit(std::string_view outcome);
   // Another host was asked to send a request; see ExchangeRelay::OnReply.
   void ObserveRelayed(std::string_view outcome);
+  // A second try of a late request was sent or ended; see docs/OPERATIONS.md
+  // for the outcomes.
+  void ObserveHedge(std::string_view outcome);
+  // A late request got no second try; see HedgeRefusal.
+  void ObserveHedgeRefusal(std::string_view reason);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -81,6 +87,8 @@
   prometheus::Counter& sent_to_limited_;
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
+  prometheus::Family<prometheus::Counter>& hedges_;
+  prometheus::Family<prometheus::Counter>& hedge_refusals_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -216,6 +216,7 @@
   options.zone = settings_.zone;
   options.retry_policy = RetryPolicy(bounds_);
   options.crash_policy = kCrashPolicy;
+  options.hedge_share = settings_.hedge_share;
   options.drain = bounds_.drain;
   options.configuration_apply = bounds_.configuration_apply;
   RequestForwarderHandlers handlers;
@@ -482,6 +483,7 @@
   };
   for (const auto& [gauge, value] : values)
     metrics_.Set(gauge, static_cast<double>(value));
+  metrics_.Set(EntryGauge::kHedgePercent, forwarder_->HedgePercent());
 }
 
 EntryNode::EntryNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -126,6 +126,7 @@
   pending.service = &found->second;
   EarnForRequest(retry_budgets_[service], options_.retry_policy,
                  pending.received);
+  CountRequest(hedge_limits_[service], pending.received);
   pending.give_up_at =
       std::min(pending.deadline, pending.received + pending.route->timeout);
   ArmGiveUp(pending);
@@ -307,6 +308,7 @@
     Refuse(pending, RefusalReason::kOverloaded);
     return;
   }
+  NoteLatency(pending);
   if (CancelCall(pending)) {
     Refuse(pending, RefusalReason::kTimeout);
   } else {
@@ -346,7 +348,7 @@
     log_.LogRequest("request.delivered",
                     {{"id", pending.request.id},
                      {"route", pending.route->name},
-                     {"upstream", pending.tried.back()},
+                     {"upstream", pending.called},
                      {"status", response.status},
                      {"age_ms", age},
                      {"target_ms", pending.route->target_latency},
@@ -359,6 +361,10 @@
 
 void RequestForwarder::Refuse(PendingRequest& pending, RefusalReason reason,
                               Duration retry_after) {
+  // An earlier try may have run, so the caller must not be told otherwise.
+  if (pending.hedge.may_have_run && reason != RefusalReason::kTimeout)
+    reason = RefusalReason::kLostAnswer;
+  NoteRefusal(pending, reason);
   Refusal refusal;
   refusal.reason = reason;
   refusal.request_id = pending.request.id;
@@ -391,6 +397,7 @@
 void RequestForwarder::Finish(PendingRequest& pending) {
   loop_.timers().Cancel(pending.give_up_timer);
   loop_.timers().Cancel(pending.wait_timer);
+  loop_.timers().Cancel(pending.hedge.timer);
   pending_.erase(pending.exchange);
 }
 
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "balance/crash_suspects.h"
+#include "balance/hedge_limit.h"
+#include "balance/latency_quantile.h"
 #include "balance/retry_budget.h"
 #include "common/ids.h"
 #include "entry/upstream_pool.h"
@@ -26,7 +28,9 @@
 class EventLoop;
 class ExchangeRelay;
 class PathMonitor;
+enum class HedgeRefusal : uint8_t;
 struct ChoiceCandidate;
+struct HedgeTarget;
 struct KeyRange;
 struct ListedUpstream;
 struct NextChance;
@@ -39,6 +43,9 @@
   std::string zone;
   RetryBudgetPolicy retry_policy;
   CrashSuspectPolicy crash_policy;
+  // Share of a service's requests that may get a second try because their
+  // response is late; 0 for none.
+  double hedge_share = 0;
   // How long a leaving upstream may still receive requests.
   Duration drain{};
   // Time limit for a new configuration to take effect on all hosts.
@@ -110,6 +117,9 @@
   void CheckForCrash(uint64_t fingerprint, const UpstreamRecord& upstream);
 
   size_t pending() const { return pending_.size(); }
+  // Returns the second tries of late requests as a percentage of the requests,
+  // in the last 10 s, of the service with the highest one.
+  double HedgePercent() const;
 
  private:
   struct PendingRequest;
@@ -188,8 +198,39 @@
   // view changes, and after `recheck_after` unless that is zero.
   void WaitForOwner(PendingRequest& pending, RefusalReason reason,
                     Duration recheck_after);
-  void OnResult(ExchangeId exchange, const UpstreamRecord& upstream,
-                ExchangeResult result);
+  void OnResult(ExchangeId exchange, int try_number,
+                const UpstreamRecord& upstream, ExchangeResult result);
+  // Plans the second try of a request whose first one is being sent to the
+  // upstream.
+  void PlanSecondTry(PendingRequest& pending, const ListedUpstream& upstream,
+                     bool relayed);
+  // The response to the first try is late: sends the second one or not.
+  void OnLate(ExchangeId exchange);
+  HedgeRefusal DecideSecondTry(const PendingRequest& pending,
+                               const ListedUpstream* upstream);
+  HedgeTarget DescribeTarget(const ListedUpstream* upstream) const;
+  void SendSecondTry(PendingRequest& pending, const ListedUpstream& upstream);
+  // Makes the other try in flight the request's call, and the reverse.
+  static void SwapTries(PendingRequest& pending);
+  // A try ended without a response for the caller. Returns whether the request
+  // goes on with its other try, in which case nothing else is to be done.
+  // `answer`: null if there was no response.
+  bool ContinuesWithOtherTry(PendingRequest& pending,
+                             const UpstreamRecord& upstream,
+                             const ExchangeResult& result,
+                             const UpstreamResponse* answer);
+  // A try got the response for the caller: cancels the other one.
+  void EndOtherTry(PendingRequest& pending);
+  // Cancels the other try. Returns whether its upstream may have received the
+  // request.
+  bool CancelOtherTry(PendingRequest& pending, std::string_view outcome);
+  // Records how long the request was at upstreams.
+  void NoteLatency(const PendingRequest& pending);
+  // Records a refusal that shows a lack of room.
+  void NoteRefusal(const PendingRequest& pending, RefusalReason reason);
+  // Records that the service has too little room for its requests.
+  void NoteShort(const std::string& service);
+  bool IsShort(const std::string& service) const;
   // `relayed`: the request was sent through another host.
   void OnFailure(PendingRequest& pending, const UpstreamRecord& upstream,
                  const ExchangeResult& result, bool relayed);
@@ -230,6 +271,11 @@
   // another.
   std::map<std::string, RetryBudget> retry_budgets_;
   CrashSuspects suspects_;
+  // Of routes with repeatable requests, by route name; empty without hedging.
+  std::map<std::string, LatencyQuantile> latencies_;
+  // By service.
+  std::map<std::string, HedgeLimit> hedge_limits_;
+  std::map<std::string, MonotonicTime> short_until_;
   // Mean time in seconds that a request occupies a slot, by route name.
   std::map<std::string, double> route_seconds_;
   // By route name; valid for configuration version `round_robin_version_`.
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -33,6 +33,7 @@
   pending.called = id;
   pending.newly_tried = !tried_before;
   ++pending.sends;
+  pending.try_number = ++pending.tries;
   pending.sent_at = now;
   const UpstreamLoad& load = pool_.LoadOf(upstream.record);
   pending.waiting_ahead =
@@ -53,13 +54,15 @@
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
-  StartCall(pending, upstream.record, std::move(request), UsesRelay(upstream),
-            [this, exchange, leaving, chosen_at = now,
-             record = upstream.record](ExchangeResult result) {
+  const bool relayed = UsesRelay(upstream);
+  PlanSecondTry(pending, upstream, relayed);
+  StartCall(pending, upstream.record, std::move(request), relayed,
+            [this, exchange, number = pending.try_number, leaving,
+             chosen_at = now, record = upstream.record](ExchangeResult result) {
               const auto found = pending_.find(exchange);
               if (leaving.has_value() && found != pending_.end())
                 LogSentToLeaving(*found->second, *leaving, chosen_at, result);
-              OnResult(exchange, record, std::move(result));
+              OnResult(exchange, number, record, std::move(result));
             });
 }
 
@@ -90,10 +93,12 @@
 }
 
 bool RequestForwarder::CancelCall(PendingRequest& pending) {
+  const bool other_received =
+      CancelOtherTry(pending, "cancelled") || pending.hedge.may_have_run;
   const PoolCallId call = std::exchange(pending.call, 0);
   const RelayCallId relay_call = std::exchange(pending.relay_call, 0);
-  if (call != 0) return pool_.Cancel(call);
-  if (relay_call == 0) return false;
+  if (call != 0) return pool_.Cancel(call) || other_received;
+  if (relay_call == 0) return other_received;
   relay_.Cancel(relay_call);
   const ListedUpstream* listed = view_.directory().Find(pending.called);
   UpstreamLoad* load =
@@ -155,8 +160,8 @@
 void RequestForwarder::OnHelper() {
   std::vector<ExchangeId> stuck;
   for (const auto& [exchange, pending] : pending_) {
-    const bool sending =
-        pending->call != 0 && pool_.IsConnecting(pending->call);
+    const bool sending = pending->call != 0 && pending->hedge.call == 0 &&
+                         pool_.IsConnecting(pending->call);
     if ((sending || pending->waiting) &&
         paths_.IsCutOff(pending->service->name) &&
         relay_.HasHelper(pending->service->name)) {
--- a/source/core/entry/request_forwarder_permits.cc
+++ b/source/core/entry/request_forwarder_permits.cc
@@ -95,6 +95,7 @@
     TrySend(pending);
     return;
   }
+  NoteShort(upstream.service);
   log_.LogRequest("request.permit-refused",
                   {{"id", pending.request.id},
                    {"upstream", upstream.id},
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -28,18 +28,24 @@
 // A higher limit, per second, counts as none: an upstream gets fewer requests,
 // and asking for permits would only cost time.
 constexpr double kMaxLimit = 1000;
+// Failures come sooner than other responses and say nothing about their times.
+constexpr int kServerErrors = 500;
 
 }  // namespace
 
-void RequestForwarder::OnResult(ExchangeId exchange,
+void RequestForwarder::OnResult(ExchangeId exchange, int try_number,
                                 const UpstreamRecord& upstream,
                                 ExchangeResult result) {
   const auto found = pending_.find(exchange);
   if (found == pending_.end()) return;
   PendingRequest& pending = *found->second;
+  if (pending.hedge.call != 0 && pending.hedge.try_number == try_number)
+    SwapTries(pending);
+  loop_.timers().Cancel(std::exchange(pending.hedge.timer, 0));
   pending.call = 0;
   const bool relayed = std::exchange(pending.relay_call, 0) != 0;
   if (result.failure != ClientFailure::kNone) {
+    if (ContinuesWithOtherTry(pending, upstream, result, nullptr)) return;
     OnFailure(pending, upstream, result, relayed);
     return;
   }
@@ -55,8 +61,15 @@
   }
   NoteStatedLimit(pending, upstream, answer);
   if (answer.leaving) handlers_.on_leaving(upstream.id, upstream.incarnation);
+  if (answer.kind == ResponseKind::kNotRun) NoteShort(upstream.service);
+  if (answer.kind != ResponseKind::kUpstreamResponse &&
+      ContinuesWithOtherTry(pending, upstream, result, &answer)) {
+    return;
+  }
   switch (answer.kind) {
     case ResponseKind::kUpstreamResponse:
+      EndOtherTry(pending);
+      if (answer.response.status < kServerErrors) NoteLatency(pending);
       if (load != nullptr)
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
       if (pending.service->keyed)
@@ -107,7 +120,7 @@
   log_.LogRequest(
       "request.not-run",
       {{"id", pending.request.id},
-       {"upstream", pending.tried.back()},
+       {"upstream", pending.called},
        {"misdirected", misdirected},
        {"waiting", answer.load.has_value() ? answer.load->waiting : -1},
        {"sends", pending.sends}});
@@ -121,7 +134,7 @@
                             RefusalReason::kResting});
       return;
     }
-    const ListedUpstream* owner = view_.directory().Find(pending.tried.back());
+    const ListedUpstream* owner = view_.directory().Find(pending.called);
     const Duration wait =
         owner == nullptr
             ? kRetryAfterNoOwner
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -34,6 +34,25 @@
   MonotonicTime valid_until = kNever;
 };
 
+// The second try of a request, or what is known before it is sent.
+struct HedgeState {
+  uint64_t timer = 0;  // Fires when the response of the first try is late.
+  MonotonicTime first_sent_at = kNever;
+  bool sent = false;
+  // Number of the second try; see PendingRequest::try_number.
+  int second_try = 0;
+  // A try that ended before the other one may have run.
+  bool may_have_run = false;
+  // The other try in flight, with the fields of PendingRequest of these names.
+  // Invariant: if its call is not 0, neither is that of PendingRequest.
+  int try_number = 0;
+  PoolCallId call = 0;
+  std::string called;
+  bool newly_tried = false;
+  MonotonicTime sent_at = kNever;
+  int waiting_ahead = 0;
+};
+
 struct RequestForwarder::PendingRequest {
   ExchangeId exchange = 0;
   CallerRequest request;
@@ -59,6 +78,8 @@
   // Upstream that a permit is asked for; empty while none is.
   std::string permit_asked_for;
   std::optional<SendPermit> permit;
+  int tries = 0;               // Number of calls that were begun.
+  int try_number = 0;          // Of the last call, counted from 1.
   PoolCallId call = 0;         // 0 while none is in flight.
   RelayCallId relay_call = 0;  // As `call`, through another host.
   std::string called;          // Upstream of the last call.
@@ -66,6 +87,7 @@
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
+  HedgeState hedge;
   uint64_t give_up_timer = 0;
   uint64_t wait_timer = 0;
   uint64_t fingerprint = 0;
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -122,6 +122,10 @@
     SettingSpec{"requests.retry_budget", &Settings::retry_budget, "0.1", 0, 1,
                 "Limit of retries of idempotent requests, as a fraction of "
                 "first attempts."},
+    SettingSpec{"requests.hedge_share", &Settings::hedge_share, "0", 0, 0.2,
+                "Share of a service's requests that may be sent a second time "
+                "because their response is late; 0 sends none. With "
+                "platform.protocol = object-store."},
     SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0,
                 10000,
                 "Number of tenants with separate metrics; further tenants "
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -244,6 +244,10 @@
   const int key =
       static_cast<int>(ToNumber(FindHeader(request.headers, "x-shard-key")));
   CheckLimit();
+  if (faults_.requests_to_ignore > 0) {
+    --faults_.requests_to_ignore;
+    return;
+  }
   if (!faults_.rest_seconds.empty()) {
     ++refused_requests_;
     Respond(id, 503,
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -54,6 +54,8 @@
 struct UpstreamFaults {
   // Runs requests and closes the connection without a response.
   bool lose_responses = false;
+  // Neither runs nor responds to this many of the next requests of callers.
+  int requests_to_ignore = 0;
   // Neither applies grants nor responds to them.
   bool ignore_grants = false;
   // Neither applies releases nor responds to them.
