Evacuate availability zones within the deployment's bound

Change, only where DeploymentBounds::evacuation is set: a fourth kind of the view, watched by lease holders and fed to followers that state it (hosts of former builds state and get three; a host reads itself what its holder does not feed). Services without keys leave the zone with the news; owners of keys are used until 0.6 of the bound, counted from the earliest time at which the request may have been written, then refused as not run. The holder of the zone's lease moves its ranges to the other zones, busiest first, some at a time; cold owners take no more than their intake, also when the zone is taken back. A host that reads the registry but not the evacuations sends nothing.

The stand-in store writes evacuations again after a restore, as operators do.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -16,6 +16,7 @@
     {ViewKind::kConfiguration, "configuration"},
     {ViewKind::kRegistry, "registry"},
     {ViewKind::kRangeTables, "range-tables"},
+    {ViewKind::kEvacuations, "evacuations"},
 }};
 
 // Longest wait of a watch. A connection can stop working without an error,
@@ -68,16 +69,12 @@
       return kRegistryBatchDelay;
     case ViewKind::kRangeTables:
       return kTableBatchDelay;
+    case ViewKind::kEvacuations:
+      return Duration::zero();
   }
   return kNonHolderBatchDelay;
 }
 
-// Returns the largest possible age of a change, or -1 ms if unknown.
-Duration AgeOrUnknown(MonotonicTime now, MonotonicTime changed_after) {
-  return changed_after == kNever ? Duration(std::chrono::milliseconds(-1))
-                                 : now - changed_after;
-}
-
 bool DifferInWarmupOnly(UpstreamRecord before, const UpstreamRecord& after) {
   before.warmup_left = after.warmup_left;
   return IsSameState(before, after);
@@ -91,10 +88,16 @@
 
 }  // namespace
 
+Duration AgeOrUnknown(MonotonicTime now, MonotonicTime changed_after) {
+  return changed_after == kNever ? Duration(std::chrono::milliseconds(-1))
+                                 : now - changed_after;
+}
+
 DeploymentView::DeploymentView(EventLoop& loop, ObjectStore& store,
                                const DeploymentProtocol& protocol,
                                EventLog& log)
     : loop_(loop),
+      store_(store),
       protocol_(protocol),
       log_(log),
       directory_(kLapseGrace, kLapseUsePeriod) {
@@ -105,39 +108,45 @@
          {"before", observation.before},
          {"reason", observation.error}});
   });
-  const auto make_watcher = [&](ViewKind kind, const std::string& stored_kind,
-                                auto apply_change) {
+  const auto add_watcher = [&](ViewKind kind, const std::string& stored_kind,
+                               auto apply_change) {
     KindWatcherHandlers handlers;
     handlers.on_change = std::move(apply_change);
     handlers.on_synced = [this] { Notify(); };
-    handlers.on_update = [this, kind](const KindUpdate& update) {
-      if (on_update_) on_update_(kind, update);
-    };
-    handlers.on_reachable = [this, kind](bool reachable,
-                                         const std::string& reason) {
-      OnReachable(kind, reachable, reason);
-    };
-    handlers.on_watched = [this, kind](const WatchedChanges& changes) {
-      OnWatched(kind, changes);
-    };
-    // While the store is unreachable, only the registry's watch retries.
-    if (kind != ViewKind::kRegistry)
-      handlers.may_retry = [this] { return store_reachable(); };
-    watchers_.at(static_cast<size_t>(kind)) = std::make_unique<KindWatcher>(
-        loop, store, stored_kind, Timing(kind), std::move(handlers));
+    AddWatcher(kind, stored_kind, Timing(kind), std::move(handlers));
+  };
+  add_watcher(ViewKind::kConfiguration, protocol.configuration_kind,
+              [this](const StoredObject& object, const ChangeBound&) {
+                OnConfiguration(object);
+              });
+  add_watcher(ViewKind::kRegistry, protocol.registry_kind,
+              [this](const StoredObject& object, const ChangeBound& bound) {
+                OnRegistration(object, bound);
+              });
+  add_watcher(ViewKind::kRangeTables, kRangeTableKind,
+              [this](const StoredObject& object, const ChangeBound&) {
+                OnTable(object);
+              });
+}
+
+void DeploymentView::AddWatcher(ViewKind kind, const std::string& stored_kind,
+                                KindWatcherTiming timing,
+                                KindWatcherHandlers handlers) {
+  handlers.on_update = [this, kind](const KindUpdate& update) {
+    if (on_update_) on_update_(kind, update);
   };
-  make_watcher(ViewKind::kConfiguration, protocol.configuration_kind,
-               [this](const StoredObject& object, const ChangeBound&) {
-                 OnConfiguration(object);
-               });
-  make_watcher(ViewKind::kRegistry, protocol.registry_kind,
-               [this](const StoredObject& object, const ChangeBound& bound) {
-                 OnRegistration(object, bound);
-               });
-  make_watcher(ViewKind::kRangeTables, kRangeTableKind,
-               [this](const StoredObject& object, const ChangeBound&) {
-                 OnTable(object);
-               });
+  handlers.on_reachable = [this, kind](bool reachable,
+                                       const std::string& reason) {
+    OnReachable(kind, reachable, reason);
+  };
+  handlers.on_watched = [this, kind](const WatchedChanges& changes) {
+    OnWatched(kind, changes);
+  };
+  // While the store is unreachable, only the registry's watch retries.
+  if (kind != ViewKind::kRegistry)
+    handlers.may_retry = [this] { return store_reachable(); };
+  watchers_.push_back(std::make_unique<KindWatcher>(
+      loop_, store_, stored_kind, timing, std::move(handlers)));
 }
 
 DeploymentView::~DeploymentView() { loop_.timers().Cancel(timer_); }
@@ -146,27 +155,32 @@
   timer_ = loop_.timers().Every(kAdvanceInterval, [this] { Advance(); });
 }
 
-void DeploymentView::SetFed(bool fed, std::string_view reason) {
-  if (fed_ == fed) return;
+void DeploymentView::SetFed(bool fed, std::string_view reason,
+                            size_t fed_kinds) {
+  fed_kinds = std::min(fed_kinds, kinds());
+  if (fed_ == fed && (!fed || std::min(fed_kinds_, kinds()) == fed_kinds))
+    return;
   fed_ = fed;
+  fed_kinds_ = fed_kinds;
   log_.LogStateChange(
       "view.source",
       {{"fed", fed},
        {"reason", reason},
+       {"kinds", uint64_t{fed ? fed_kinds : 0}},
        {"configuration", watcher(ViewKind::kConfiguration).revision()},
        {"registry", watcher(ViewKind::kRegistry).revision()},
        {"tables", watcher(ViewKind::kRangeTables).revision()}});
-  for (const auto& watcher : watchers_) {
-    if (fed) {
-      watcher->Pause();
+  for (size_t kind = 0; kind < kinds(); ++kind) {
+    if (fed && kind < fed_kinds) {
+      watchers_.at(kind)->Pause();
     } else {
-      watcher->Start();
+      watchers_.at(kind)->Start();
     }
   }
 }
 
 void DeploymentView::SetReplicating(bool replicating) {
-  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+  for (size_t kind = 0; kind < kinds(); ++kind) {
     watchers_.at(kind)->SetBatchDelay(
         replicating ? BatchDelayOf(static_cast<ViewKind>(kind))
                     : kNonHolderBatchDelay);
@@ -175,7 +189,7 @@
 
 bool DeploymentView::ApplyFed(ViewKind kind, const KindUpdate& update,
                               MonotonicTime store_reachable_since) {
-  if (!fed_) return true;
+  if (!fed_ || static_cast<size_t>(kind) >= kinds()) return true;
   return watcher(kind).ApplyFed(update, store_reachable_since);
 }
 
@@ -463,6 +477,7 @@
 }
 
 void DeploymentView::Advance() {
+  AdvanceEvacuations();
   if (directory_.Advance(loop_.timers().now(), kForgetMissingAfter)) Notify();
 }
 
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -1,19 +1,21 @@
 // This host's copy of the deployment's state in the platform's store: the
-// configuration in force, the registered upstreams, and the owners of keys. The
+// configuration in force, the registered upstreams, the owners of keys, and the
+// availability zones that operators evacuate. The
 // holder of the zone's lease reads the store and replicates updates to the
 // zone's other hosts; this stream of updates is the feed. A host without a feed
 // reads the store itself.
 #pragma once
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "fleet/upstream_directory.h"
+#include "fleet/zone_evacuations.h"
 #include "forwarding/deployment_protocol.h"
 #include "ranges/range_table.h"
 #include "routing/route_table.h"
@@ -32,9 +34,20 @@
 
 // The parts of the view; each is one kind of object in the store. The registry
 // holds the upstreams' registrations.
-enum class ViewKind : uint8_t { kConfiguration, kRegistry, kRangeTables };
+enum class ViewKind : uint8_t {
+  kConfiguration,
+  kRegistry,
+  kRangeTables,
+  kEvacuations,  // Only in deployments with a bound on evacuations.
+};
+
+inline constexpr size_t kViewKinds = 4;
+// The kinds that every deployment has, and hosts of former builds know: the
+// first ones of ViewKind.
+inline constexpr size_t kCommonViewKinds = 3;
 
-inline constexpr size_t kViewKinds = 3;
+// Returns the largest possible age of a change, for the log; -1 ms if unknown.
+Duration AgeOrUnknown(MonotonicTime now, MonotonicTime changed_after);
 
 class DeploymentView {
  public:
@@ -49,10 +62,16 @@
   void SetAddressRoutes(std::map<std::string, std::string> routes) {
     address_routes_ = std::move(routes);
   }
+  // To be called before Start in deployments with this bound on evacuations;
+  // see DeploymentBounds::evacuation.
+  void EnableEvacuations(Duration bound);
   void Start();
+  // The number of kinds in use: kCommonViewKinds or kViewKinds.
+  size_t kinds() const { return watchers_.size(); }
   // While `fed`, this host takes updates from ApplyFed and does not read the
-  // store. `reason` is for the log.
-  void SetFed(bool fed, std::string_view reason);
+  // store, except for kinds from `fed_kinds` on, which the feed does not have.
+  // `reason` is for the log.
+  void SetFed(bool fed, std::string_view reason, size_t fed_kinds = kViewKinds);
   bool fed() const { return fed_; }
   // Whether this host replicates what it reads to other hosts. If so, it reads
   // changes quickly; otherwise it sends fewer requests to the store.
@@ -91,6 +110,18 @@
   // `listener` runs after each change that affects routing or ownership.
   void Subscribe(std::function<void()> listener);
 
+  // Whether this host's copy of the evacuations is complete, if the deployment
+  // has any.
+  bool evacuations_synced() const;
+  // Whether the operator requested that the zone's upstreams get no requests.
+  bool IsEvacuated(const std::string& zone) const;
+  // When this host learned that the zone is evacuated; kNever if it is not.
+  MonotonicTime EvacuatedAt(const std::string& zone) const;
+  // Returns the time until which owners in the zone may be sent requests for
+  // their keys, as far as evacuations are concerned. kNever in every zone while
+  // this host cannot show that it knows all evacuations; see CopyConfirmation.
+  MonotonicTime ZoneUsableUntil(const std::string& zone) const;
+  size_t evacuated_zones() const;
   // Null until a configuration was read.
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   const UpstreamDirectory& directory() const { return directory_; }
@@ -141,6 +172,12 @@
   // difference from an earlier one). Errors: kMalformed, also for a step whose
   // base table is missing here.
   Result<RangeTable> ReadTable(const StoredObject& object) const;
+  // Sets the watcher of the next kind of ViewKind.
+  void AddWatcher(ViewKind kind, const std::string& stored_kind,
+                  KindWatcherTiming timing, KindWatcherHandlers handlers);
+  void OnEvacuation(const StoredObject& object, const ChangeBound& bound);
+  void OnEvacuationsSynced();
+  void AdvanceEvacuations();
   KindWatcher& watcher(ViewKind kind) const {
     return *watchers_.at(static_cast<size_t>(kind));
   }
@@ -151,12 +188,14 @@
   void Advance();
 
   EventLoop& loop_;
+  ObjectStore& store_;
   const DeploymentProtocol& protocol_;
   EventLog& log_;
   std::map<std::string, std::string> address_routes_;
-  std::array<std::unique_ptr<KindWatcher>, kViewKinds> watchers_;
+  std::vector<std::unique_ptr<KindWatcher>> watchers_;  // By ViewKind.
   std::function<void(ViewKind, const KindUpdate&)> on_update_;
   bool fed_ = true;
+  size_t fed_kinds_ = kViewKinds;  // Valid while `fed_`.
   std::shared_ptr<const RouteTable> routes_;
   UpstreamDirectory directory_;
   RevisionClock revision_clock_;
@@ -164,6 +203,10 @@
   // By service; see the functions of these names.
   std::map<std::string, uint64_t> stored_revisions_;
   std::map<std::string, RangeTable> tables_before_restore_;
+  std::unique_ptr<ZoneEvacuations> evacuations_;  // Null without a bound.
+  // Zones that the update being applied no longer lists.
+  std::set<std::string> ended_evacuations_;
+  uint64_t evacuations_revision_ = 0;  // Of the copy, as last synced.
   std::vector<std::function<void()>> listeners_;
   MonotonicTime last_upstream_added_at_ = kNever;
   // Last argument of NoteStoreReachable, and when it was given.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 12> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 13> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -24,6 +24,7 @@
     {EntryGauge::kZoneLeasesHeld, "mimosadeal_zone_leases_held"},
     {EntryGauge::kReady, "mimosadeal_ready"},
     {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
+    {EntryGauge::kZonesEvacuated, "mimosadeal_zones_evacuated"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
 }};
 
@@ -63,6 +64,13 @@
                     "lapsed to a request that is sent to it all the same")
               .Register(*registry_)
               .Add({}, LatencyBuckets())),
+      sent_to_evacuated_seconds_(
+          prometheus::BuildHistogram()
+              .Name("mimosadeal_sent_to_evacuated_seconds")
+              .Help("Time from learning that an upstream's zone is evacuated "
+                    "to a request that is sent to it all the same")
+              .Register(*registry_)
+              .Add({}, LatencyBuckets())),
       sent_to_limited_(prometheus::BuildCounter()
                            .Name("mimosadeal_sent_to_limited_total")
                            .Help("Requests sent to upstreams that have stated "
@@ -124,6 +132,10 @@
   sent_to_lapsed_seconds_.Observe(ToSeconds(after));
 }
 
+void EntryMetrics::ObserveSentToEvacuated(Duration after) {
+  sent_to_evacuated_seconds_.Observe(ToSeconds(after));
+}
+
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
 void EntryMetrics::ObservePermit(std::string_view outcome) {
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -34,6 +34,7 @@
   kZoneLeasesHeld,
   kReady,
   kServicesCutOff,
+  kZonesEvacuated,
   kLogLinesDropped,
 };
 
@@ -57,6 +58,9 @@
   // A request was sent to an upstream `after` this host learned that its
   // registration lapsed.
   void ObserveSentToLapsed(Duration after);
+  // A request was sent to an upstream `after` this host learned that its zone
+  // is evacuated.
+  void ObserveSentToEvacuated(Duration after);
   // A request was sent to an upstream that has stated a limit.
   void ObserveSentToLimited();
   // A permit for such a request was given or refused; see
@@ -78,6 +82,7 @@
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Histogram& sent_to_leaving_seconds_;
   prometheus::Histogram& sent_to_lapsed_seconds_;
+  prometheus::Histogram& sent_to_evacuated_seconds_;
   prometheus::Counter& sent_to_limited_;
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -198,6 +198,8 @@
                                          kStoreTimeout);
   view_ = std::make_unique<DeploymentView>(loop_, *store_, protocol_, log_);
   view_->SetAddressRoutes(settings_.routes);
+  if (bounds_.evacuation.has_value())
+    view_->EnableEvacuations(*bounds_.evacuation);
   paths_ = std::make_unique<PathMonitor>(loop_, *view_, log_);
 }
 
@@ -382,8 +384,10 @@
 }
 
 bool EntryNode::Impl::ready() const {
-  if (stopping_ || view_->routes() == nullptr || !view_->registry_synced())
+  if (stopping_ || view_->routes() == nullptr || !view_->registry_synced() ||
+      !view_->evacuations_synced()) {
     return false;
+  }
   // Without the range tables a host can serve unkeyed services only, so it is
   // not ready until the tables were read once.
   return view_->tables_synced();
@@ -478,6 +482,7 @@
        static_cast<uint64_t>(coordinator_->leases_held())},
       {EntryGauge::kReady, ready() ? 1U : 0U},
       {EntryGauge::kServicesCutOff, paths_->cut_off_services()},
+      {EntryGauge::kZonesEvacuated, view_->evacuated_zones()},
       {EntryGauge::kLogLinesDropped, log_.dropped()},
   };
   for (const auto& [gauge, value] : values)
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -133,6 +133,7 @@
   for (const std::string& id : view_.directory().ServingIds(service)) {
     const ListedUpstream& listed = *view_.directory().Find(id);
     const UpstreamRecord& record = listed.record;
+    if (view_.IsEvacuated(record.zone)) continue;
     if (known != services_.end()) {
       const auto state =
           known->second->owners.find({record.id, record.incarnation});
@@ -149,7 +150,8 @@
     candidates.push_back(
         {record.id, record.incarnation, record.zone,
          OwnerCapacity(record.slots, speed, listed.limit.per_second,
-                       request_seconds)});
+                       request_seconds),
+         ColdIntake(view_.routes().get(), record, request_seconds)});
   }
   return candidates;
 }
@@ -180,6 +182,7 @@
   const MonotonicTime now = loop_.timers().now();
   const RangeTable table = *view_.table(service.name);
   RangeTable planned = PlannedTable(service);
+  EvacuateZone(service, planned);
   // One range may name an earlier incarnation of an upstream whose current
   // incarnation owns other ranges.
   std::set<UpstreamIncarnation> checked;
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -120,6 +120,9 @@
   // choose the same new owners.
   void Evacuate(Service& service, RangeTable& planned,
                 const UpstreamIncarnation& owner, const char* reason);
+  // If the zone is evacuated, starts moves of its ranges to other zones, some
+  // at a time.
+  void EvacuateZone(Service& service, RangeTable& planned);
   void Balance(Service& service);
   void StartMove(Service& service, const PlannedMove& planned,
                  const char* reason);
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -12,6 +12,9 @@
 
 namespace mimosadeal {
 
+struct RouteTable;
+struct UpstreamRecord;
+
 // First key, last key and generation.
 using GrantKey = std::tuple<int, int, uint64_t>;
 
@@ -56,6 +59,13 @@
   std::map<GrantKey, Grant> grants;
   std::map<UpstreamIncarnation, OwnerState> owners;
   std::vector<std::shared_ptr<Move>> moves;
+  bool evacuation_logged = false;  // For the present evacuation of the zone.
 };
 
+// Returns OwnerCandidate::intake of the upstream: while it is cold, the load of
+// the requests per second that its service states for a cold upstream. `routes`
+// may be null. `request_seconds`: see OwnerCapacity.
+double ColdIntake(const RouteTable* routes, const UpstreamRecord& upstream,
+                  double request_seconds);
+
 }  // namespace mimosadeal
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -24,6 +24,9 @@
 constexpr size_t kMaxCallsInFlight = 500;
 // After a failure to connect, an upstream is tried again within 0.25 to 2 s.
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
+// Keys that are still owned in an evacuated zone when its time is up belong to
+// an owner that does not release them; they move when its grants have lapsed.
+constexpr Duration kRetryAfterEvacuated = std::chrono::milliseconds(1000);
 // A host reads its first configuration within about 1 s of its start.
 constexpr Duration kRetryAfterNoConfiguration = std::chrono::milliseconds(500);
 // Longer than any caller waits, because the request should not be retried.
@@ -87,7 +90,7 @@
   pending.deadline = pending.received + time_left;
   pending.give_up_at = pending.deadline;
   pending.routes = view_.routes();
-  if (pending.routes == nullptr) {
+  if (pending.routes == nullptr || !view_.evacuations_synced()) {
     Refuse(pending, RefusalReason::kNoConfiguration,
            kRetryAfterNoConfiguration);
     return;
@@ -184,6 +187,10 @@
   if (pending.service->keyed) {
     const KeyRange* range = nullptr;
     upstream = FindOwner(pending, &range);
+    if (upstream == nullptr && IsOwnerEvacuated(range)) {
+      Refuse(pending, RefusalReason::kZoneEvacuated, kRetryAfterEvacuated);
+      return;
+    }
     if (upstream == nullptr) {
       WaitForOwner(pending, RefusalReason::kNoOwner, Duration::zero());
       return;
@@ -210,6 +217,10 @@
       RefuseUntil(pending, next);
       return;
     }
+    if (upstream == nullptr && IsServiceEvacuated(pending.service->name)) {
+      Refuse(pending, RefusalReason::kZoneEvacuated, kRetryAfterEvacuated);
+      return;
+    }
     if (upstream == nullptr) {
       Refuse(pending, RefusalReason::kNoUpstream, kRetryAfterNoUpstream);
       return;
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -114,6 +114,19 @@
  private:
   struct PendingRequest;
 
+  // See UsableUntil, without regard to evacuations.
+  MonotonicTime UsableUntilDeparture(const ListedUpstream& upstream) const;
+  // Whether the owner of the range may get no more requests because its zone is
+  // evacuated. `range` may be null.
+  bool IsOwnerEvacuated(const KeyRange* range) const;
+  // Whether no upstream of the service may be used because of evacuations.
+  bool IsServiceEvacuated(const std::string& service) const;
+  // Logs a request that was sent to an upstream of an evacuated zone.
+  void LogSentToEvacuated(const PendingRequest& pending,
+                          const UpstreamRecord& upstream,
+                          MonotonicTime chosen_at,
+                          const ExchangeResult& result);
+
   // Selects an upstream and sends the request to it. Without one, the request
   // waits or is refused.
   void TrySend(PendingRequest& pending);
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -53,12 +53,15 @@
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
+  const bool evacuated = view_.IsEvacuated(upstream.record.zone);
   StartCall(pending, upstream.record, std::move(request), UsesRelay(upstream),
-            [this, exchange, leaving, chosen_at = now,
+            [this, exchange, leaving, evacuated, chosen_at = now,
              record = upstream.record](ExchangeResult result) {
               const auto found = pending_.find(exchange);
               if (leaving.has_value() && found != pending_.end())
                 LogSentToLeaving(*found->second, *leaving, chosen_at, result);
+              if (evacuated && found != pending_.end())
+                LogSentToEvacuated(*found->second, record, chosen_at, result);
               OnResult(exchange, record, std::move(result));
             });
 }
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -36,6 +36,12 @@
 
 MonotonicTime RequestForwarder::UsableUntil(
     const ListedUpstream& upstream) const {
+  return std::min(UsableUntilDeparture(upstream),
+                  view_.ZoneUsableUntil(upstream.record.zone));
+}
+
+MonotonicTime RequestForwarder::UsableUntilDeparture(
+    const ListedUpstream& upstream) const {
   if (upstream.availability == UpstreamAvailability::kServing) {
     const RegistrationLapse* lapse =
         view_.directory().FindLapse(upstream.record.id);
@@ -109,6 +115,8 @@
   const MonotonicTime now = loop_.timers().now();
   for (const ListedUpstream* listed : upstreams) {
     const UpstreamRecord& record = listed->record;
+    // Other zones' upstreams can do the work, so none is sent from the news on.
+    if (view_.IsEvacuated(record.zone)) continue;
     if (std::find(pending.tried.begin(), pending.tried.end(), record.id) !=
         pending.tried.end()) {
       continue;
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -147,6 +147,7 @@
     hello.sent_at_ms = ToMilliseconds(loop_.timers().now().time_since_epoch());
     if (hello.home) {
       hello.revisions = view_.Revisions();
+      hello.revisions.resize(std::min(hello.revisions.size(), holder_kinds_));
       hello.resync = resync_;
     }
     transport_->SendDatagram(address, hello);
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -70,6 +70,7 @@
 struct Follower {
   MonotonicTime last_hello_at = kNever;
   bool wants_feed = false;
+  size_t kinds = 0;  // Of the view that it wants: the first ones of ViewKind.
   bool sent_any = false;
   int hello_count = 0;
   std::array<CopyLag, kViewKinds> lags;  // By ViewKind.
@@ -154,6 +155,7 @@
   void OnZoneMessage(const Frame& frame);
   void OnHello(const ZoneHello& hello);
   void OnStatus(const ZoneStatus& status);
+  void NoteHolderKinds(const ZoneStatus& status);
   // Tells the zone's other hosts and the other zones' holders that this host no
   // longer holds the lease, so that they need not ask.
   void AnnounceLoss();
@@ -248,6 +250,10 @@
   int rounds_until_speed_report_ = 0;
   uint64_t timer_ = 0;
   uint64_t feed_timer_ = 0;
+  // The number of kinds in the last feed, which has the first ones of ViewKind.
+  size_t feed_kinds_ = kViewKinds;
+  // The number of kinds that hellos to the home zone's holder state.
+  size_t holder_kinds_ = kCommonViewKinds;
   std::array<CopyLag, kViewKinds> own_lags_;  // Behind the holder, by ViewKind.
   uint64_t last_tenure_ = 0;  // Number of tenures that were named.
   bool resync_ = false;  // Set while a hello that requests a resync is sent.
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -62,7 +62,8 @@
   const bool starting = now - started_at_ < kStartupFeedWait;
   view_.SetFed(starting || now - fed_at_ < kFeedTimeout,
                fed_at_ == kNever ? "the holder sends no feed"
-                                 : "age of the holder's last feed status");
+                                 : "age of the holder's last feed status",
+               feed_kinds_);
 }
 
 void ZoneCoordinator::OnStoreUpdate(ViewKind kind, const KindUpdate& update) {
@@ -70,7 +71,8 @@
   if (!CanFeed()) return;
   std::vector<std::string> addresses;
   for (auto& [address, follower] : followers_) {
-    if (!follower.wants_feed) continue;
+    if (!follower.wants_feed || follower.kinds <= static_cast<size_t>(kind))
+      continue;
     follower.sent_any = true;
     addresses.push_back(address);
   }
@@ -192,7 +194,7 @@
 
 void ZoneCoordinator::OnViewUpdate(const ViewUpdate& message) {
   if (message.process != home().lease->lease().process ||
-      message.kind >= kViewKinds) {
+      message.kind >= view_.kinds()) {
     return;
   }
   KindUpdate update;
@@ -249,9 +251,14 @@
   }
   status.hello_sent_at_ms = hello.sent_at_ms;
   const bool wants_feed = hello.zone == options_.zone && hello.home &&
-                          hello.revisions.size() == kViewKinds;
+                          hello.revisions.size() >= kCommonViewKinds;
   const bool is_new = wants_feed && !follower.wants_feed;
   follower.wants_feed = wants_feed;
+  // A host of a former build has fewer kinds, and one of this build states all
+  // of them once it knows that this host has them.
+  const size_t kinds = std::min(hello.revisions.size(), view_.kinds());
+  const bool has_more_kinds = wants_feed && kinds > follower.kinds;
+  follower.kinds = kinds;
   status.replicating = wants_feed && CanFeed();
   if (status.replicating) DescribeFeed(status);
   if (wants_feed && follower.hello_count++ % kHellosPerPeerList == 0) {
@@ -269,11 +276,11 @@
   transport_->SendDatagram(hello.address, status);
   if (!status.replicating) return;
   const FeedDecision decision =
-      DecideFeed(follower, hello.revisions, status.revisions, hello.resync, now,
-                 kMinResendInterval);
+      DecideFeed(follower, hello.revisions, status.revisions,
+                 hello.resync || has_more_kinds, now, kMinResendInterval);
   if (decision.reconnect)
     transport_->Disconnect(transport_->ConnectionTo(hello.address));
-  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+  for (size_t kind = 0; kind < kinds; ++kind) {
     if (!decision.send_full.at(kind)) continue;
     const auto view_kind = static_cast<ViewKind>(kind);
     transport_->Send(transport_->ConnectionTo(hello.address),
@@ -287,7 +294,7 @@
 void ZoneCoordinator::DescribeFeed(ZoneStatus& status) const {
   const MonotonicTime now = loop_.timers().now();
   status.revisions = view_.Revisions();
-  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+  for (size_t kind = 0; kind < view_.kinds(); ++kind) {
     const MonotonicTime current_at =
         view_.current_at(static_cast<ViewKind>(kind));
     status.ages_ms.push_back(
@@ -304,7 +311,8 @@
                         MonotonicTime now, Duration min_resend_interval) {
   FeedDecision decision;
   const bool first = !follower.sent_any;
-  for (size_t kind = 0; kind < kViewKinds; ++kind) {
+  const size_t kinds = std::min({copies.size(), newest.size(), kViewKinds});
+  for (size_t kind = 0; kind < kinds; ++kind) {
     CopyLag& lag = follower.lags.at(kind);
     const bool lags =
         LagExceeds(lag, copies[kind], newest[kind], now, min_resend_interval);
@@ -376,10 +384,12 @@
     }
     // A feed whose updates do not arrive is treated as missing.
     fed_at_ = lags ? kNever : now;
+    feed_kinds_ = status.revisions.size();
     ApplyFreshness(status);
     view_.SetFed(!lags && !home().lease->active(),
                  lags ? "updates from the holder do not arrive"
-                      : "the holder sends a feed");
+                      : "the holder sends a feed",
+                 feed_kinds_);
   } else if (zone->second->home &&
              status.process == zone->second->lease->lease().process) {
     // A holder that reports that it sends no feed is not waited for. If it has
@@ -391,6 +401,18 @@
     UpdateFeedState();
   }
   zone->second->lease->OnStatus(status);
+  if (zone->second->home) NoteHolderKinds(status);
+}
+
+// A holder of a former build ignores hellos that state more revisions than it
+// has kinds, so this host states those only after a status has shown them.
+void ZoneCoordinator::NoteHolderKinds(const ZoneStatus& status) {
+  const size_t before = holder_kinds_;
+  holder_kinds_ =
+      status.replicating
+          ? std::clamp(status.revisions.size(), kCommonViewKinds, view_.kinds())
+          : kCommonViewKinds;
+  if (holder_kinds_ > before) home().lease->SendHello();
 }
 
 }  // namespace mimosadeal
--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -24,8 +24,9 @@
   kOverloaded,   // The request could not be served in time.
   kNotExecuted,  // The upstream rejected the request without running it.
   kResting,      // All eligible upstreams asked for no requests for some time.
-  kLimited,      // The upstream's limit leaves no room for the request.
-  kSuspect,      // The request is suspected to crash upstreams.
+  kZoneEvacuated,  // Only upstreams of evacuated zones could run it.
+  kLimited,        // The upstream's limit leaves no room for the request.
+  kSuspect,        // The request is suspected to crash upstreams.
   kStopping,
   // The request is invalid:
   kNoRoute,
@@ -35,7 +36,7 @@
   kLostAnswer,  // The request was sent, but its response was lost.
 };
 
-inline constexpr EnumNames<RefusalReason, 15> kRefusalReasonNames = {{
+inline constexpr EnumNames<RefusalReason, 16> kRefusalReasonNames = {{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kNoConfiguration, "no-configuration"},
     {RefusalReason::kRouteUnconfirmed, "route-unconfirmed"},
@@ -44,6 +45,7 @@
     {RefusalReason::kOverloaded, "overloaded"},
     {RefusalReason::kNotExecuted, "not-executed"},
     {RefusalReason::kResting, "resting"},
+    {RefusalReason::kZoneEvacuated, "zone-evacuated"},
     {RefusalReason::kLimited, "limited"},
     {RefusalReason::kSuspect, "suspect"},
     {RefusalReason::kStopping, "stopping"},
--- a/source/core/ranges/range_planner.cc
+++ b/source/core/ranges/range_planner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <tuple>
+#include <utility>
 
 namespace mimosadeal {
 namespace {
@@ -13,6 +15,16 @@
 // Smallest load of such a part, relative to its new owner's capacity. Each part
 // is a range of its own from then on, whose grant must be renewed.
 constexpr double kMinEvacuationPartLoad = 0.2;
+// The same for a range of an evacuated zone, whose hot keys must not go to few
+// owners: balancing begins only when they have moved.
+constexpr int kMaxZoneEvacuationParts = 8;
+// Share of an evacuated zone's ranges that move at the same time, and the least
+// number. A move takes about half a second.
+constexpr double kMovingShare = 0.34;
+constexpr size_t kMinMoving = 8;
+// All ranges move from then on, so that nearly all have new owners before those
+// in the zone get no more requests, 3 s after the request for a bound of 5 s.
+constexpr Duration kAllMoveAfter = std::chrono::milliseconds(1000);
 // A table with more ranges per owner than this counts as fragmented. Keys then
 // move only from overloaded owners, because every range adds renewals and makes
 // the table larger.
@@ -64,23 +76,32 @@
   return owners;
 }
 
+bool TakesKeys(const OwnerLoad& owner) {
+  return owner.candidate.intake <= 0 || owner.load < owner.candidate.intake;
+}
+
+// Prefers owners that take keys to those that have reached their intake.
 OwnerLoad* LeastLoaded(std::map<std::string, OwnerLoad>& owners,
                        const std::string& zone) {
   OwnerLoad* least = nullptr;
   for (auto& [id, owner] : owners) {
     if (!zone.empty() && owner.candidate.zone != zone) continue;
+    if (least != nullptr && TakesKeys(*least) != TakesKeys(owner)) {
+      if (TakesKeys(owner)) least = &owner;
+      continue;
+    }
     if (least == nullptr || owner.RelativeLoad() < least->RelativeLoad())
       least = &owner;
   }
   return least;
 }
 
-// Returns the number of parts that an evacuated range with this load is cut
-// into.
-int EvacuationPartCount(const OwnerLoad& target, double load) {
+// Returns the number of parts, at most `most`, that an evacuated range with
+// this load is cut into.
+int EvacuationPartCount(const OwnerLoad& target, double load, int most) {
   const double least = target.candidate.capacity * kMinEvacuationPartLoad;
   const double parts = std::ceil(load / std::max(least, 1e-3));
-  return std::clamp(static_cast<int>(parts), 1, kMaxEvacuationParts);
+  return std::clamp(static_cast<int>(parts), 1, most);
 }
 
 // Returns the last key, at most `last`, of the part that begins at `first` and
@@ -105,6 +126,27 @@
   return last;
 }
 
+// Appends moves of the range, in at most `most_parts` parts, to the least
+// loaded `owners` of the zone, or of any zone if it is empty.
+void PlaceRange(const KeyRange& range, const CellLoads& loads,
+                const std::string& zone, int most_parts,
+                std::map<std::string, OwnerLoad>& owners,
+                std::vector<PlannedMove>& moves) {
+  const double whole = LoadOfKeys(loads, range.first, range.last);
+  const int parts =
+      EvacuationPartCount(*LeastLoaded(owners, zone), whole, most_parts);
+  int first = range.first;
+  for (int part = 0; first <= range.last; ++part) {
+    OwnerLoad* target = LeastLoaded(owners, zone);
+    const bool is_last = part == parts - 1;
+    const int last =
+        is_last ? range.last : FindCut(loads, first, range.last, whole / parts);
+    moves.push_back({first, last, range.owner, target->candidate});
+    target->load += LoadOfKeys(loads, first, last);
+    first = last + 1;
+  }
+}
+
 }  // namespace
 
 RangeTable MakeFirstTable(const std::string& service,
@@ -185,21 +227,41 @@
     if (range.owner != leaving.id ||
         range.owner_incarnation != leaving.incarnation)
       continue;
-    const double whole = LoadOfKeys(loads, range.first, range.last);
-    const int parts =
-        EvacuationPartCount(*LeastLoaded(owners, target_zone), whole);
-    int first = range.first;
-    for (int part = 0; first <= range.last; ++part) {
-      OwnerLoad* target = LeastLoaded(owners, target_zone);
-      const bool is_last = part == parts - 1;
-      const int last = is_last
-                           ? range.last
-                           : FindCut(loads, first, range.last, whole / parts);
-      moves.push_back({first, last, leaving.id, target->candidate});
-      target->load += LoadOfKeys(loads, first, last);
-      first = last + 1;
-    }
+    PlaceRange(range, loads, target_zone, kMaxEvacuationParts, owners, moves);
+  }
+  return moves;
+}
+
+size_t EvacuationQuota(size_t left, size_t moving, Duration after) {
+  if (after >= kAllMoveAfter) return left;
+  const auto share = static_cast<size_t>(
+      std::ceil(static_cast<double>(left + moving) * kMovingShare));
+  const size_t most = std::max(kMinMoving, share);
+  return most > moving ? std::min(left, most - moving) : 0;
+}
+
+std::vector<PlannedMove> PlanZoneEvacuation(
+    const RangeTable& table, const CellLoads& loads,
+    const std::vector<OwnerCandidate>& targets, const std::string& zone,
+    size_t max_ranges) {
+  std::vector<PlannedMove> moves;
+  auto owners = LoadByOwner(table, loads, targets);
+  std::erase_if(owners, [&zone](const auto& entry) {
+    return entry.second.candidate.zone == zone;
+  });
+  if (owners.empty()) return moves;
+  std::vector<std::pair<double, const KeyRange*>> ranges;
+  for (const KeyRange& range : table.ranges) {
+    if (range.zone == zone)
+      ranges.emplace_back(LoadOfKeys(loads, range.first, range.last), &range);
   }
+  std::stable_sort(ranges.begin(), ranges.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first > right.first;
+                   });
+  if (ranges.size() > max_ranges) ranges.resize(max_ranges);
+  for (const auto& [load, range] : ranges)
+    PlaceRange(*range, loads, "", kMaxZoneEvacuationParts, owners, moves);
   return moves;
 }
 
@@ -223,6 +285,7 @@
   OwnerLoad* best = nullptr;
   double best_load = 0;
   for (auto& [id, owner] : owners) {
+    if (!TakesKeys(owner)) continue;
     const double load = owner.RelativeLoad() +
                         (owner.candidate.zone == zone ? 0 : other_zone_penalty);
     if (best != nullptr && load >= best_load) continue;
@@ -367,10 +430,11 @@
       break;
     }
     // Moving this much makes both relative loads equal.
-    const double wanted =
-        (source->load * target->candidate.capacity -
-         target->load * source->candidate.capacity) /
-        (source->candidate.capacity + target->candidate.capacity);
+    double wanted = (source->load * target->candidate.capacity -
+                     target->load * source->candidate.capacity) /
+                    (source->candidate.capacity + target->candidate.capacity);
+    if (target->candidate.intake > 0)
+      wanted = std::min(wanted, target->candidate.intake - target->load);
     KeySpan span = ChoosePart(planned, loads, source->candidate.id, wanted);
     if (span.last < span.first) {
       source->nothing_to_move = true;
--- a/source/core/ranges/range_planner.h
+++ b/source/core/ranges/range_planner.h
@@ -29,6 +29,9 @@
   std::string zone;
   // Busy slot seconds per second that it can do, at its measured speed.
   double capacity = 1;
+  // No keys move to it while its load, in the same unit, is at least this; 0
+  // for no limit. Set for cold owners, which take few requests at first.
+  double intake = 0;
 };
 
 // Returns the capacity of an owner with `slots` slots that works at `speed`
@@ -67,6 +70,25 @@
     const UpstreamIncarnation& leaving,
     const std::vector<OwnerCandidate>& candidates, const std::string& zone);
 
+// Returns how many of the `left` ranges of an evacuated zone may begin to move
+// now, beside `moving` moves in progress. Keys are unserved while they move, so
+// some move at a time, and all that are left a while `after` the host learned
+// of the evacuation.
+size_t EvacuationQuota(size_t left, size_t moving, Duration after);
+
+// Divides the ranges of the zone, the busiest first and at most `max_ranges` of
+// them, among `targets` in the order of their load relative to capacity. A busy
+// range is cut, so that several owners share its load. Targets that have
+// reached their intake get none while there are others. Nothing moves without
+// targets. Load beyond the capacity of all is divided equally as well.
+//
+// Load pattern: a third of the owners, at 45% of their capacity, are to have no
+// keys within seconds, while a few neighbouring keys get much of the traffic.
+std::vector<PlannedMove> PlanZoneEvacuation(
+    const RangeTable& table, const CellLoads& loads,
+    const std::vector<OwnerCandidate>& targets, const std::string& zone,
+    size_t max_ranges);
+
 // Limits on moves that balance load; see PlanBalance.
 struct BalanceLimits {
   // Loads are relative to the owner's capacity. Keys move only from an owner
--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -162,7 +162,8 @@
              << ":18413\"\n[platform]\nprotocol = \"object-store\"\n"
              << "address = \"" << link_address.ToString() << "\"\n"
              << "bounds = \"drain=2000ms,grace=6s,holdMax=10000ms,"
-             << "budgetSlack=100,retryBudgetRatio=0.2,budgetWindow=10s\"\n"
+             << "budgetSlack=100,retryBudgetRatio=0.2,budgetWindow=10s"
+             << extra_bounds << "\"\n"
              << "[log]\nlines_per_second = 1000\n"
              << (link_upstreams ? LinkUpstreams(*host) : "")
              << extra_settings[name];
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -114,6 +114,9 @@
   // Gives each host that is added from now on links to the upstreams that there
   // are, so that it can be partitioned from them.
   bool link_upstreams = false;
+  // Appended to the bounds of hosts that are added from now on, as
+  // ",NAME=VALUE".
+  std::string extra_bounds;
   // Appended to the settings file of a host, by the host's name.
   std::map<std::string, std::string> extra_settings;
 
--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -30,6 +30,10 @@
 constexpr uint64_t kPathsSeedOffset = 3'000'000;
 // Lower seeds are kept as they were when they failed, and have no such cuts.
 constexpr uint64_t kFirstSeedWithPathCuts = 200;
+// The same for evacuations of a zone.
+constexpr Duration kMaxEvacuationInterval = seconds(10);
+constexpr uint64_t kEvacuationSeedOffset = 4'000'000;
+constexpr uint64_t kFirstSeedWithEvacuations = 400;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -47,7 +51,9 @@
       paths_random_(seed + kPathsSeedOffset),
       // Through a link, a crashed upstream does not refuse connections, so only
       // every other seed has links.
-      loses_paths_(seed >= kFirstSeedWithPathCuts && seed % 2 == 0) {}
+      loses_paths_(seed >= kFirstSeedWithPathCuts && seed % 2 == 0),
+      evacuation_random_(seed + kEvacuationSeedOffset),
+      evacuates_(seed >= kFirstSeedWithEvacuations) {}
 
 std::vector<std::string> Soak::Run(Duration time) {
   constexpr std::array<Action, 14> actions = {&Soak::KillHost,
@@ -66,16 +72,19 @@
                                               &Soak::LoseResponses};
   fixture_.AddDefaultUpstreams();
   fixture_.link_upstreams = loses_paths_;
+  if (evacuates_) fixture_.extra_bounds = kEvacuationBoundText;
   fixture_.StartHosts(kHosts);
   const MonotonicTime end = Now() + time;
   MonotonicTime next = Now();
   MonotonicTime next_limit = Now();
   MonotonicTime next_restore = Now();
   MonotonicTime next_paths = loses_paths_ ? Now() : kForever;
+  MonotonicTime next_evacuation = evacuates_ ? Now() : kForever;
   while (Now() < end) {
     SendRequest();
     fixture_.RunFor(kRequestInterval);
     CheckResponses(false);
+    CheckEvacuations();
     while (!fault_ends_.empty() && fault_ends_.begin()->first <= Now()) {
       const auto end_fault = std::move(fault_ends_.begin()->second);
       fault_ends_.erase(fault_ends_.begin());
@@ -98,6 +107,11 @@
           Now() +
           milliseconds(paths_random_.Below(ToMilliseconds(kMaxPathsInterval)));
     }
+    if (Now() >= next_evacuation) {
+      EvacuateZone();
+      next_evacuation = Now() + milliseconds(evacuation_random_.Below(
+                                    ToMilliseconds(kMaxEvacuationInterval)));
+    }
     if (Now() < next) continue;
     (this->*actions.at(random_.Below(actions.size())))();
     next =
@@ -159,10 +173,12 @@
   const std::string name = PickHost();
   if (!fixture_.hosts.at(name)->process.running()) return;
   NoteDisturbance(name);
+  NoteOutOfTouch(name, false);
   fixture_.hosts.at(name)->process.Kill();
   EndLater(seconds(2), [this, name] {
     NoteDisturbance(name);
     fixture_.AddHost(name, fixture_.hosts.at(name)->zone);
+    NoteOutOfTouch(name, true);
   });
 }
 
@@ -170,11 +186,13 @@
   const std::string name = PickHost();
   if (!fixture_.hosts.at(name)->process.running()) return;
   NoteDisturbance(name);
+  NoteOutOfTouch(name, false);
   fixture_.hosts.at(name)->process.Signal(SIGSTOP);
   EndLater(seconds(4), [this, name] {
     NoteDisturbance(name);
     if (fixture_.hosts.at(name)->process.running())
       fixture_.hosts.at(name)->process.Signal(SIGCONT);
+    NoteOutOfTouch(name, true);
   });
 }
 
@@ -182,12 +200,14 @@
   const std::string name = PickHost();
   if (!fixture_.hosts.at(name)->process.running()) return;
   NoteDisturbance(name);
+  NoteOutOfTouch(name, false);
   fixture_.hosts.at(name)->process.Signal(SIGTERM);
   EndLater(seconds(7), [this, name] {
     NoteDisturbance(name);
     if (fixture_.hosts.at(name)->process.running())
       fixture_.hosts.at(name)->process.Kill();
     fixture_.AddHost(name, fixture_.hosts.at(name)->zone);
+    NoteOutOfTouch(name, true);
   });
 }
 
@@ -199,30 +219,46 @@
 void Soak::PartitionHost() {
   const std::string name = PickHost();
   fixture_.SetStorePartition(name, true);
-  EndLater(seconds(6),
-           [this, name] { fixture_.SetStorePartition(name, false); });
+  NoteOutOfTouch(name, false);
+  EndLater(seconds(6), [this, name] {
+    fixture_.SetStorePartition(name, false);
+    NoteOutOfTouch(name, true);
+  });
 }
 
 void Soak::SilenceStore() {
   fixture_.store->faults().silent = true;
   fixture_.store->CancelWatches();
-  EndLater(seconds(6), [this] { fixture_.store->faults().silent = false; });
+  NoteOutOfTouch("", false);
+  EndLater(seconds(6), [this] {
+    fixture_.store->faults().silent = false;
+    NoteOutOfTouch("", true);
+  });
 }
 
 void Soak::RefuseStoreRequests() {
   fixture_.store->faults().refuse = true;
-  EndLater(seconds(6), [this] { fixture_.store->faults().refuse = false; });
+  NoteOutOfTouch("", false);
+  EndLater(seconds(6), [this] {
+    fixture_.store->faults().refuse = false;
+    NoteOutOfTouch("", true);
+  });
 }
 
 void Soak::LoseStoreResponses() {
   fixture_.store->faults().lose_write_responses += 3;
-  EndLater(seconds(3),
-           [this] { fixture_.store->faults().lose_write_responses = 0; });
+  NoteOutOfTouch("", false);
+  EndLater(seconds(3), [this] {
+    fixture_.store->faults().lose_write_responses = 0;
+    NoteOutOfTouch("", true);
+  });
 }
 
 void Soak::CompactStore() {
   fixture_.store->Compact();
   fixture_.store->CancelWatches();
+  NoteOutOfTouch("", false);
+  NoteOutOfTouch("", true);
 }
 
 void Soak::ChangeConfiguration() {
@@ -280,8 +316,10 @@
       "host-" + std::to_string(1 + paths_random_.Below(kHosts));
   fixture_.SetUpstreamPartition(name, cuts.at(paths_random_.Below(3)));
   const auto length = milliseconds(paths_random_.Below(9000));
+  NoteOutOfTouch(name, false);
   fault_ends_.emplace(Now() + length, [this, name] {
     fixture_.SetUpstreamPartition(name, UpstreamCut::kNone);
+    NoteOutOfTouch(name, true);
   });
 }
 
@@ -294,11 +332,13 @@
   fault_ends_.emplace(Now() + copy_age, [this] {
     fixture_.store->faults().refuse = true;
     fixture_.store->CancelWatches();
+    NoteOutOfTouch("", false);
   });
   fault_ends_.emplace(Now() + copy_age + absence, [this] {
     fixture_.store->faults().refuse = false;
     fixture_.store->RestoreCopy();
     fixture_.store->RewriteLost();
+    NoteOutOfTouch("", true);
   });
 }
 
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -17,6 +17,9 @@
 
 namespace mimosadeal {
 
+// Appended to the bounds of hosts in runs with evacuations.
+inline constexpr char kEvacuationBoundText[] = ",evac=3000ms";
+
 class Soak {
  public:
   Soak(EntryFixture& fixture, uint64_t seed);
@@ -57,6 +60,7 @@
   void StateLimit();
   void RestoreStore();
   void LosePaths();
+  void EvacuateZone();
 
   // Calls `end` after a random time below `longest`, to end a fault.
   void EndLater(Duration longest, std::function<void()> end);
@@ -68,6 +72,11 @@
   // Checks the requests that are due, or all of them.
   void CheckResponses(bool all);
   void Check(const SentRequest& request);
+  // Notes the begin or end of a fault during which a host, or with an empty
+  // name every host, need not keep the bound on evacuations.
+  void NoteOutOfTouch(const std::string& host, bool ended);
+  // Checks that the latest requests reached no evacuated zone after the bound.
+  void CheckEvacuations();
   // Ends all faults and checks that every key is served again.
   void Recover();
   void AddViolation(const std::string& what);
@@ -79,6 +88,17 @@
   Random restore_random_;  // For RestoreStore.
   Random paths_random_;    // For LosePaths.
   bool loses_paths_;
+  Random evacuation_random_;  // For EvacuateZone.
+  bool evacuates_;
+  std::map<std::string, MonotonicTime> evacuated_;  // By zone, since when.
+  // Faults that keep a host, or under the empty name every host, from its bound
+  // on evacuations: how many there are, and when the last one ended.
+  struct Touch {
+    int faults = 0;
+    MonotonicTime ended_at = kNever;
+  };
+  std::map<std::string, Touch> touch_;
+  size_t checked_runs_ = 0;
   int version_ = 1;
   // Functions that end the current faults, by the time at which they run.
   std::multimap<MonotonicTime, std::function<void()>> fault_ends_;
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -81,7 +81,7 @@
 }
 
 void DeploymentStore::RewriteLost() {
-  for (const char* kind : {"config", "servers"}) {
+  for (const char* kind : {"config", "servers", "evacuations"}) {
     std::vector<std::string> removed;
     for (const auto& [name, object] : objects_[kind]) {
       if (!lost_[kind].contains(name)) removed.push_back(name);
--- a/source/unit_tests/entry/zone_coordinator_test.cc
+++ b/source/unit_tests/entry/zone_coordinator_test.cc
@@ -86,5 +86,17 @@
       1, Sent(DecideFeed(follower, {4, 4, 9}, {4, 5, 9}, true, now, kLimit)));
 }
 
+// A host of a former build has three kinds, one of this build four if its
+// deployment has a bound on evacuations. Each may be the holder.
+TEST(FeedDecision, AFollowerGetsOnlyTheKindsThatItStates) {
+  LONGS_EQUAL(3, Sent(DecideFeed(follower, {1, 2, 3}, {4, 5, 9, 7}, false, now,
+                                 kLimit)));
+  LONGS_EQUAL(1, Sent(DecideFeed(follower, {4, 5, 9, 0}, {4, 5, 9, 7}, true,
+                                 now, kLimit)));
+  Follower other;
+  LONGS_EQUAL(
+      3, Sent(DecideFeed(other, {1, 2, 3, 4}, {4, 5, 9}, false, now, kLimit)));
+}
+
 }  // namespace
 }  // namespace mimosadeal
