--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -24,6 +24,7 @@
     {EntryGauge::kZoneLeasesHeld, "mimosadeal_zone_leases_held"},
     {EntryGauge::kReady, "mimosadeal_ready"},
     {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
+    {EntryGauge::kZonesEvacuated, "mimosadeal_zones_evacuated"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
     {EntryGauge::kHedgePercent, "mimosadeal_hedge_extra_work_percent"},
 }};
@@ -64,6 +65,13 @@
                     "lapsed to a request that is sent to it all the same")
               .Register(*registry_)
               .Add({}, LatencyBuckets())),
+      sent_to_evacuated_seconds_(
+          prometheus::BuildHistogram()
+              .Name("mimosadeal_sent_to_evacuated_seconds")
+              .Help("Time from learning that an upstream's zone is evacuated "
+                    "to a request that is sent to it all the same")
+              .Register(*registry_)
+              .Add({}, LatencyBuckets())),
       sent_to_limited_(prometheus::BuildCounter()
                            .Name("mimosadeal_sent_to_limited_total")
                            .Help("Requests sent to upstreams that have stated "
@@ -133,6 +141,10 @@
   sent_to_lapsed_seconds_.Observe(ToSeconds(after));
 }
 
+void EntryMetrics::ObserveSentToEvacuated(Duration after) {
+  sent_to_evacuated_seconds_.Observe(ToSeconds(after));
+}
+
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
 void EntryMetrics::ObservePermit(std::string_view outcome) {
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -54,14 +54,17 @@
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
   if (upstream.leaving_since != kNever) leaving = upstream;
+  const bool evacuated = view_.IsEvacuated(upstream.record.zone);
   const bool relayed = UsesRelay(upstream);
   PlanSecondTry(pending, upstream, relayed);
   StartCall(pending, upstream.record, std::move(request), relayed,
-            [this, exchange, number = pending.try_number, leaving,
+            [this, exchange, number = pending.try_number, leaving, evacuated,
              chosen_at = now, record = upstream.record](ExchangeResult result) {
               const auto found = pending_.find(exchange);
               if (leaving.has_value() && found != pending_.end())
                 LogSentToLeaving(*found->second, *leaving, chosen_at, result);
+              if (evacuated && found != pending_.end())
+                LogSentToEvacuated(*found->second, record, chosen_at, result);
               OnResult(exchange, number, record, std::move(result));
             });
 }
