--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 13> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 14> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
