--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -134,6 +134,14 @@
   CHECK_FALSE(ReadBounds("evac=soon").has_value());
 }
 
+// No host started: one of the rules is named like a bound.
+TEST(PlatformConfiguration, ARuleInForceThatIsNamedLikeABoundIsNoBound) {
+  const auto read = ReadBounds("drain=2500ms,drain=in-force,config=in-force");
+  CHECK(read.has_value());
+  CHECK(read.value().drain == Duration(milliseconds(2500)));
+  CHECK_FALSE(read.value().scarce_room);
+}
+
 TEST(PlatformConfiguration, AColdRateThatIsNoNumberIsNone) {
   nlohmann::json content = nlohmann::json::parse(kConfiguration);
   content["services"][0]["warmupPerS"] = "many";
