One byte budget a host: callers' bodies, unfinished and unread responses

Cause: memory was taken before anyone counted it. Trailers and chunk headers were kept up to the body's limit, a body was kept up to four times, a caller that stopped short of its body's end kept its memory and its connection for good, and responses were queued without a limit for callers that do not read.

Change: net/byte_budget, sized from limits.memory_mb (0: as before, only unfinished responses of upstreams are limited); a part for each use, an eighth of it for holders of at most 64 kB. Taken when the header states a length, or as chunks come. Without room a request gets 503 with Retry-After, and callers that stalled are evicted; only under pressure. A full host closes a stalled or long idle connection for a new one. Bodies are kept once (SharedBody) and responses are moved. Trailers and chunk headers have the header's limit.

Unit tests were not run yet on this commit.

--- a/source/core/balance/crash_suspects.cc
+++ b/source/core/balance/crash_suspects.cc
@@ -46,8 +46,7 @@
 }
 
 uint64_t RequestFingerprint(const std::string& method, const std::string& host,
-                            const std::string& target,
-                            const std::string& body) {
+                            const std::string& target, std::string_view body) {
   const uint64_t head_hash = HashText(method + " " + host + target);
   return HashText(body, head_hash);
 }
--- a/source/core/balance/crash_suspects.h
+++ b/source/core/balance/crash_suspects.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "common/boot_clock.h"
 
@@ -48,6 +49,6 @@
 // Identifies a request by what the upstream sees of it. The request id is left
 // out, so that retries of the caller have the same fingerprint.
 uint64_t RequestFingerprint(const std::string& method, const std::string& host,
-                            const std::string& target, const std::string& body);
+                            const std::string& target, std::string_view body);
 
 }  // namespace mimosadeal
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -78,7 +78,12 @@
                    .Name("mimosadeal_relayed_total")
                    .Help("Requests that another host was asked to send, by "
                          "outcome")
-                   .Register(*registry_)) {
+                   .Register(*registry_)),
+      pressure_(prometheus::BuildCounter()
+                    .Name("mimosadeal_caller_pressure_total")
+                    .Help("Callers refused or closed because bytes or "
+                          "connections ran short, by action")
+                    .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -134,6 +139,10 @@
   relayed_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObservePressure(std::string_view action) {
+  pressure_.Add({{"action", std::string(action)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_node.h"
 
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -13,11 +14,13 @@
 #include "common/version.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/entry_servers.h"
 #include "entry/exchange_relay.h"
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/upstream_pool.h"
 #include "entry/zone_coordinator.h"
+#include "net/byte_budget.h"
 #include "net/event_loop.h"
 #include "net/exchange_server.h"
 #include "net/fd_watch.h"
@@ -29,9 +32,6 @@
 namespace {
 
 constexpr size_t kProcessSuffixLength = 8;
-// File descriptors for everything but callers' connections: connections to
-// upstreams, the store and other hosts, and the process's own files.
-constexpr size_t kReservedDescriptors = 900;
 // The store usually responds within 4 ms, and within 250 ms when it is slow.
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 // Connecting to any zone takes 2 ms. The time-out is too short for a
@@ -40,9 +40,9 @@
 // A lease is given up only then, because its next holder begins anew. Grants
 // outlast this and a takeover.
 constexpr Duration kMinOutageToYield = std::chrono::milliseconds(1000);
-// See UpstreamPoolLimits. Buffers that grow, and the gaps that they leave, take
-// about three times their content, and the smallest hosts have 112 MB.
-constexpr size_t kMaxUnfinishedResponseBytes = 16 * 1024 * 1024;
+// Larger buffers are returned to the system as soon as they are free. By
+// default the threshold rises with use, up to 32 MB.
+constexpr int kMapThresholdBytes = 128 * 1024;
 // See UpstreamPoolLimits. Many round trips to any zone.
 constexpr Duration kSlowConnect = std::chrono::milliseconds(150);
 // See UpstreamPoolLimits. Upstreams keep idle connections for some seconds.
@@ -66,11 +66,6 @@
 // end of the grace period.
 constexpr Duration kStopGraceReserve = std::chrono::milliseconds(400);
 constexpr Duration kGaugeUpdateInterval = std::chrono::seconds(1);
-// Limits on callers until a configuration has been read.
-constexpr ExchangeServerLimits kInitialCallerLimits = {{16 * 1024, 1024 * 1024},
-                                                       std::chrono::seconds(5),
-                                                       std::chrono::seconds(15),
-                                                       0};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -91,28 +86,6 @@
   return policy;
 }
 
-HttpResponse PlainResponse(int status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.content_type = "text/plain";
-  response.body = std::move(body);
-  return response;
-}
-
-HttpServerHandlers ProbeHandlers(
-    std::function<void(ExchangeId, const HttpRequest&)> on_request) {
-  HttpServerHandlers handlers;
-  handlers.on_request = [on_request = std::move(on_request)](
-                            ExchangeId id, HttpRequest&& request) {
-    on_request(id, request);
-  };
-  handlers.on_abandoned = [](ExchangeId) {};
-  handlers.make_refusal = [](int status, const std::string& detail) {
-    return PlainResponse(status, detail);
-  };
-  return handlers;
-}
-
 }  // namespace
 
 class EntryNode::Impl {
@@ -125,7 +98,11 @@
         process_(settings_.host_id + "." +
                  NewUniqueId().substr(0, kProcessSuffixLength)),
         loop_(LoopOptions(settings_)),
-        log_(settings_.host_id, settings_.log_lines_per_second) {}
+        log_(settings_.host_id, settings_.log_lines_per_second),
+        budget_(
+            std::make_shared<ByteBudget>(MakeByteBudget(settings_.memory_mb))) {
+    mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
+  }
 
   Result<void> Start();
   void Run() { loop_.Run(); }
@@ -140,7 +117,6 @@
   Result<void> Listen();
   void OnViewChanged();
   bool ready() const;
-  ExchangeServerLimits CurrentCallerLimits() const;
   void OnSignal();
   void Reload();
   void Stop();
@@ -155,6 +131,7 @@
   EventLoop loop_;
   EventLog log_;
   EntryMetrics metrics_;
+  std::shared_ptr<ByteBudget> budget_;
   std::unique_ptr<ObjectStore> store_;
   std::unique_ptr<DeploymentView> view_;
   std::unique_ptr<PathMonitor> paths_;
@@ -204,7 +181,7 @@
 void EntryNode::Impl::MakeForwarder() {
   UpstreamPoolLimits limits;
   limits.text = {64 * 1024, static_cast<size_t>(settings_.max_response_bytes)};
-  limits.max_unfinished_bytes = kMaxUnfinishedResponseBytes;
+  limits.budget = budget_;
   limits.connect_timeout = kConnectTimeout;
   limits.slow_connect = kSlowConnect;
   limits.usable_idle_share = kUsableIdleShare;
@@ -219,8 +196,8 @@
   options.drain = bounds_.drain;
   options.configuration_apply = bounds_.configuration_apply;
   RequestForwarderHandlers handlers;
-  handlers.respond = [this](ExchangeId id, const HttpResponse& response) {
-    callers_->Respond(id, response);
+  handlers.respond = [this](ExchangeId id, HttpResponse&& response) {
+    callers_->Respond(id, std::move(response));
   };
   handlers.on_crash = [this](uint64_t fingerprint,
                              const std::string& upstream_incarnation) {
@@ -332,17 +309,22 @@
   handlers.on_abandoned = [this](ExchangeId id) {
     forwarder_->OnAbandoned(id);
   };
-  handlers.make_refusal = [](int status, const std::string& detail) {
-    return PlainResponse(status, detail);
+  handlers.make_refusal = [this](int status, const std::string& detail) {
+    return MakeServerRefusal(protocol_, status, detail);
   };
-  BOOST_OUTCOME_TRY(callers, ExchangeServer::Listen(loop_, callers_address,
-                                                    CurrentCallerLimits(),
-                                                    std::move(handlers)));
+  BOOST_OUTCOME_TRY(callers, ExchangeServer::Listen(
+                                 loop_, callers_address,
+                                 CallerLimits(settings_, view_->routes().get()),
+                                 std::move(handlers)));
   callers_ = std::move(callers);
+  callers_->ShareBudget(budget_, [this](const PressureEvent& event) {
+    NotePressure(event, metrics_, log_);
+  });
   BOOST_OUTCOME_TRY(
       readiness,
       ExchangeServer::Listen(
-          loop_, readiness_address, CurrentCallerLimits(),
+          loop_, readiness_address,
+          ProbeLimits(settings_, view_->routes().get()),
           ProbeHandlers([this](ExchangeId id, const HttpRequest& request) {
             const int status = !protocol_.is_readiness_probe(request)
                                    ? kNotFound
@@ -353,7 +335,8 @@
   BOOST_OUTCOME_TRY(
       operators,
       ExchangeServer::Listen(
-          loop_, operators_address, CurrentCallerLimits(),
+          loop_, operators_address,
+          ProbeLimits(settings_, view_->routes().get()),
           ProbeHandlers([this](ExchangeId id, const HttpRequest& request) {
             if (request.path == "/metrics") {
               UpdateGauges();
@@ -366,21 +349,6 @@
   return outcome::success();
 }
 
-ExchangeServerLimits EntryNode::Impl::CurrentCallerLimits() const {
-  ExchangeServerLimits limits = kInitialCallerLimits;
-  const auto descriptors = static_cast<size_t>(settings_.max_descriptors);
-  limits.max_connections = descriptors > 2 * kReservedDescriptors
-                               ? descriptors - kReservedDescriptors
-                               : descriptors / 2;
-  if (const auto& routes = view_->routes()) {
-    limits.text = {routes->limits.max_header_bytes,
-                   routes->limits.max_body_bytes};
-    limits.header_timeout = routes->limits.header_timeout;
-    limits.idle_timeout = routes->limits.idle_timeout;
-  }
-  return limits;
-}
-
 bool EntryNode::Impl::ready() const {
   if (stopping_ || view_->routes() == nullptr || !view_->registry_synced())
     return false;
@@ -390,7 +358,7 @@
 }
 
 void EntryNode::Impl::OnViewChanged() {
-  callers_->SetLimits(CurrentCallerLimits());
+  callers_->SetLimits(CallerLimits(settings_, view_->routes().get()));
   if (ready() != was_ready_) {
     was_ready_ = ready();
     log_.LogStateChange("process.ready", {{"ready", was_ready_}});
--- /dev/null
+++ b/source/core/entry/entry_servers.h
@@ -0,0 +1,36 @@
+// Parts of an entry host's HTTP servers: the limits that they set for callers,
+// the responses that they make themselves, and what they do about a shortage.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "forwarding/deployment_protocol.h"
+#include "net/exchange_server.h"
+
+namespace mimosadeal {
+
+class EntryMetrics;
+class EventLog;
+struct Settings;
+
+// `routes` may be null while no configuration has been read.
+ExchangeServerLimits CallerLimits(const Settings& settings,
+                                  const RouteTable* routes);
+// For servers that callers do not use: of readiness probes, and of operators.
+ExchangeServerLimits ProbeLimits(const Settings& settings,
+                                 const RouteTable* routes);
+
+HttpResponse PlainResponse(int status, std::string body);
+HttpServerHandlers ProbeHandlers(
+    std::function<void(ExchangeId, const HttpRequest&)> on_request);
+
+// The response to a request that the server of callers refuses by itself.
+HttpResponse MakeServerRefusal(const DeploymentProtocol& protocol, int status,
+                               const std::string& detail);
+
+// Logs and counts what a server did because bytes or connections ran short.
+void NotePressure(const PressureEvent& event, EntryMetrics& metrics,
+                  EventLog& log);
+
+}  // namespace mimosadeal
--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -267,7 +267,8 @@
   message.method = std::move(request.method);
   message.target = std::move(request.target);
   message.headers = ToWire(request.headers);
-  message.body = std::move(request.body);
+  message.body = request.shared_body.empty() ? std::move(request.body)
+                                             : std::string(request.shared_body);
   Call& call = calls_[id];
   call.callback = std::move(callback);
   call.helper = ChooseHelper(upstream.service);
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -338,7 +338,7 @@
 }
 
 void RequestForwarder::Deliver(PendingRequest& pending,
-                               const HttpResponse& response) {
+                               HttpResponse&& response) {
   const Duration age = loop_.timers().now() - pending.received;
   metrics_.ObserveAnswer(pending.service->name, pending.route->rank,
                          response.status, age);
@@ -353,7 +353,7 @@
                      {"sends", pending.sends},
                      {"configuration", pending.routes->version}});
   }
-  handlers_.respond(pending.exchange, response);
+  handlers_.respond(pending.exchange, std::move(response));
   Finish(pending);
 }
 
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -46,7 +46,7 @@
 };
 
 struct RequestForwarderHandlers {
-  std::function<void(ExchangeId, const HttpResponse&)> respond;
+  std::function<void(ExchangeId, HttpResponse&&)> respond;
   // A request was in flight at an upstream that crashed. The incarnation is
   // written as "ID/START_TIME".
   std::function<void(uint64_t fingerprint,
@@ -203,7 +203,7 @@
                      MonotonicTime refused_at);
   // The request's time has run out; see PendingRequest::give_up_at.
   void OnGiveUp(ExchangeId exchange);
-  void Deliver(PendingRequest& pending, const HttpResponse& response);
+  void Deliver(PendingRequest& pending, HttpResponse&& response);
   void Refuse(PendingRequest& pending, RefusalReason reason,
               Duration retry_after = Duration::zero());
   void Finish(PendingRequest& pending);
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -61,7 +61,7 @@
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
       if (pending.service->keyed)
         NoteServiceTime(pending, upstream, now - pending.sent_at);
-      Deliver(pending, answer.response);
+      Deliver(pending, std::move(answer.response));
       return;
     case ResponseKind::kNotRun:
     case ResponseKind::kMisdirected:
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -36,11 +36,7 @@
 
 UpstreamPool::UpstreamPool(EventLoop& loop, PathMonitor& paths,
                            UpstreamPoolLimits limits)
-    : loop_(loop),
-      paths_(paths),
-      limits_(limits),
-      budget_(std::make_shared<ReceiveBudget>()) {
-  budget_->limit = limits_.max_unfinished_bytes;
+    : loop_(loop), paths_(paths), limits_(std::move(limits)) {
   idle_timer_ =
       loop_.timers().Every(kIdleCheckInterval, [this] { CloseIdle(); });
 }
@@ -98,7 +94,7 @@
   ++connections_opened_;
   auto client = std::make_unique<ExchangeClient>(loop_, upstream.record.address,
                                                  limits_.text);
-  client->ShareBudget(budget_);
+  client->ShareBudget(limits_.budget);
   return client;
 }
 
--- a/source/core/entry/upstream_pool.h
+++ b/source/core/entry/upstream_pool.h
@@ -21,8 +21,8 @@
 
 struct UpstreamPoolLimits {
   HttpMessageLimits text;
-  // Of all responses that are not complete, together.
-  size_t max_unfinished_bytes = 0;
+  // For the responses that are not complete.
+  std::shared_ptr<ByteBudget> budget;
   Duration connect_timeout{};
   // A connection that takes longer to open shows that the path may be lost.
   Duration slow_connect{};
@@ -93,7 +93,6 @@
   EventLoop& loop_;
   PathMonitor& paths_;
   UpstreamPoolLimits limits_;
-  std::shared_ptr<ReceiveBudget> budget_;
   uint64_t next_id_ = 1;
   uint64_t connections_opened_ = 0;
   uint64_t idle_timer_ = 0;
--- a/source/core/forwarding/caller_request.h
+++ b/source/core/forwarding/caller_request.h
@@ -8,6 +8,7 @@
 
 #include "common/boot_clock.h"
 #include "net/http_message.h"
+#include "net/shared_body.h"
 
 namespace mimosadeal {
 
@@ -21,7 +22,7 @@
   std::optional<Duration> time_left;
   std::optional<int> key;
   HttpHeaders headers;  // To be forwarded to the upstream.
-  std::string body;
+  SharedBody body;
 };
 
 // Load that an upstream may report with a response.
--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -27,6 +27,7 @@
   kLimited,      // The upstream's limit leaves no room for the request.
   kSuspect,      // The request is suspected to crash upstreams.
   kStopping,
+  kOutOfRoom,  // This host has no room for its body.
   // The request is invalid:
   kNoRoute,
   kMalformed,
@@ -35,7 +36,7 @@
   kLostAnswer,  // The request was sent, but its response was lost.
 };
 
-inline constexpr EnumNames<RefusalReason, 15> kRefusalReasonNames = {{
+inline constexpr EnumNames<RefusalReason, 16> kRefusalReasonNames = {{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kNoConfiguration, "no-configuration"},
     {RefusalReason::kRouteUnconfirmed, "route-unconfirmed"},
@@ -47,6 +48,7 @@
     {RefusalReason::kLimited, "limited"},
     {RefusalReason::kSuspect, "suspect"},
     {RefusalReason::kStopping, "stopping"},
+    {RefusalReason::kOutOfRoom, "out-of-room"},
     {RefusalReason::kNoRoute, "no-route"},
     {RefusalReason::kMalformed, "malformed"},
     {RefusalReason::kTimeout, "timeout"},
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -4,12 +4,15 @@
 #include <charconv>
 #include <utility>
 
+#include "net/byte_budget.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// A body up to this size is copied, so that one call sends it with its head.
+constexpr size_t kMaxCopiedBody = 16 * 1024;
 // Limit on the received bytes, as a multiple of the largest response: a whole
 // response, and as many bytes of interim and rejected responses before it.
 constexpr size_t kReceiveLimitFactor = 2;
@@ -43,12 +46,16 @@
     : loop_(loop), address_(std::move(address)), limits_(limits) {}
 
 ExchangeClient::~ExchangeClient() {
-  RefundBudget();
   loop_.timers().Cancel(timeout_);
   loop_.timers().Cancel(connect_timeout_);
   loop_.timers().Cancel(acceptance_timer_);
 }
 
+void ExchangeClient::ShareBudget(std::shared_ptr<ByteBudget> budget) {
+  budget_ = std::move(budget);
+  hold_ = std::make_unique<ByteHold>(budget_, ByteUse::kUpstreamResponses);
+}
+
 bool ExchangeClient::reusable() const {
   return stream_ != nullptr && !busy() && !must_not_reuse_;
 }
@@ -83,9 +90,15 @@
   parser_ =
       std::make_unique<HttpResponseParser>(limits_, request_.method == "HEAD");
   timeout_ = loop_.timers().After(request_.timeout, [this] { OnTimeout(); });
-  unsent_request_ = SerializeRequest(request_.method, request_.target,
-                                     request_.headers, request_.body);
-  request_.body.clear();
+  if (request_.shared_body.empty()) {
+    unsent_request_ = SerializeRequest(request_.method, request_.target,
+                                       request_.headers, request_.body);
+  } else {
+    unsent_request_ =
+        SerializeRequestHead(request_.method, request_.target, request_.headers,
+                             std::string_view(request_.shared_body).size());
+  }
+  request_.body = {};
   reused_ = stream_ != nullptr;
   if (!reused_ && !Connect(request_.connect_timeout)) {
     // The callback must not run from within this call.
@@ -105,7 +118,14 @@
 
 void ExchangeClient::SendRequest() {
   sent_at_ = loop_.timers().now();
-  stream_->Write(std::exchange(unsent_request_, {}));
+  std::string head = std::exchange(unsent_request_, {});
+  const SharedBody body = std::exchange(request_.shared_body, {});
+  if (std::string_view(body).size() <= kMaxCopiedBody) {
+    stream_->Write(head.append(body));
+    return;
+  }
+  stream_->Write(head);
+  stream_->WriteShared(body.pointer());
 }
 
 bool ExchangeClient::Connect(Duration timeout) {
@@ -161,7 +181,7 @@
   }
   input_.append(bytes);
   bytes_received_ += bytes.size();
-  ChargeBudget(bytes.size());
+  if (hold_ != nullptr) hold_->Set(hold_->bytes() + bytes.size());
   while (busy()) {
     ParseState state = parser_->Feed(input_);
     if (state == ParseState::kNeedMore &&
@@ -198,22 +218,11 @@
          (limits_.max_header_bytes + limits_.max_body_bytes);
 }
 
-void ExchangeClient::ChargeBudget(size_t bytes) {
-  if (budget_ == nullptr) return;
-  if (charged_ == 0) ++budget_->responses;
-  charged_ += bytes;
-  budget_->used += bytes;
-}
-
-void ExchangeClient::RefundBudget() {
-  if (charged_ == 0) return;
-  --budget_->responses;
-  budget_->used -= std::exchange(charged_, 0);
-}
-
 bool ExchangeClient::ExceedsBudget() const {
-  return budget_ != nullptr && budget_->used > budget_->limit &&
-         charged_ * budget_->responses >= budget_->used;
+  if (hold_ == nullptr) return false;
+  const BytePart& part = PartOf(*budget_, ByteUse::kUpstreamResponses);
+  if (part.holders == 1 && hold_->bytes() <= part.single_limit) return false;
+  return part.used > part.limit && hold_->bytes() * part.holders >= part.used;
 }
 
 void ExchangeClient::Complete(ParsedHttpResponse text) {
@@ -292,7 +301,7 @@
   result.reused = reused_;
   result.sent_at = sent_at_;
   timeout_ = 0;
-  RefundBudget();
+  if (hold_ != nullptr) hold_->Set(0);
   Callback callback = std::exchange(callback_, nullptr);
   if (callback) callback(std::move(result));
 }
@@ -302,7 +311,7 @@
   loop_.timers().Cancel(connect_timeout_);
   timeout_ = 0;
   const bool was_busy = busy();
-  RefundBudget();
+  if (hold_ != nullptr) hold_->Set(0);
   callback_ = nullptr;
   on_opened_ = nullptr;
   lost_while_idle_ = false;
@@ -328,6 +337,7 @@
   loop_.timers().Cancel(acceptance_timer_);
   acceptance_timer_ = 0;
   unsent_request_.clear();
+  request_.shared_body = {};
   stream_.reset();
   input_.clear();
   connected_ = false;
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -14,18 +14,22 @@
 #include "common/boot_clock.h"
 #include "net/http_client_connection.h"
 #include "net/http_codec.h"
+#include "net/shared_body.h"
 #include "net/socket_address.h"
 #include "net/tcp_stream.h"
 
 namespace mimosadeal {
 
+class ByteHold;
 class EventLoop;
+struct ByteBudget;
 
 struct ExchangeRequest {
   std::string method;
   std::string target;  // Percent-encoded, with the query.
   HttpHeaders headers;
   std::string body;
+  SharedBody shared_body;  // Sent in place of `body` unless it is empty.
   Duration timeout = std::chrono::seconds(10);
   // Time for establishing a new connection. If it is zero, only `timeout`
   // applies.
@@ -61,14 +65,6 @@
   HttpResponse response;
 };
 
-// Limits what several clients store of responses that are not complete. Beyond
-// the limit those responses fail that are larger than the mean.
-struct ReceiveBudget {
-  size_t limit = 0;
-  size_t used = 0;       // By all responses.
-  size_t responses = 0;  // That use any of it.
-};
-
 class ExchangeClient {
  public:
   using Callback = std::function<void(ExchangeResult)>;
@@ -77,10 +73,9 @@
                  HttpMessageLimits limits);
   // Closes the connection; a request in flight gets no callback.
   ~ExchangeClient();
-  // Also limits the responses of this client by a budget that it shares.
-  void ShareBudget(std::shared_ptr<ReceiveBudget> budget) {
-    budget_ = std::move(budget);
-  }
+  // Also limits the responses of this client by a budget that it shares. Beyond
+  // the limit those responses fail that are larger than the mean.
+  void ShareBudget(std::shared_ptr<ByteBudget> budget);
   ExchangeClient(const ExchangeClient&) = delete;
   ExchangeClient& operator=(const ExchangeClient&) = delete;
 
@@ -116,8 +111,6 @@
   void FinishOpening(bool connected);
   bool Connect(Duration timeout);
   size_t ReceiveLimit() const;
-  void ChargeBudget(size_t bytes);
-  void RefundBudget();
   bool ExceedsBudget() const;
   void Complete(ParsedHttpResponse text);
   void Finish(ExchangeResult result);
@@ -143,10 +136,10 @@
   MonotonicTime connect_started_at_ = kNever;
   std::function<void(bool)> on_opened_;  // Set while Open is in progress.
   size_t bytes_received_ = 0;  // Bytes received since the request started.
-  std::shared_ptr<ReceiveBudget> budget_;  // Null if there is none.
-  size_t charged_ = 0;  // Of the budget, for the response in progress.
+  std::shared_ptr<ByteBudget> budget_;  // Null if there is none.
+  std::unique_ptr<ByteHold> hold_;      // Of the response in progress.
   // Not passed to the connection yet; see ExchangeRequest::await_acceptance.
-  std::string unsent_request_;
+  std::string unsent_request_;      // Without a shared body.
   MonotonicTime sent_at_ = kNever;  // See ExchangeResult::sent_at.
   // The connection must not carry another request, because unexpected bytes
   // arrived, the last request was not sent completely, or the peer announced
--- a/source/core/net/exchange_server.cc
+++ b/source/core/net/exchange_server.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/event_loop.h"
+#include "net/exchange_server_connection.h"
 #include "net/fd_watch.h"
 #include "net/tcp_stream.h"
 
@@ -19,26 +20,11 @@
 constexpr Duration kLastResponseTimeout = std::chrono::seconds(2);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int kMaxAcceptsPerIteration = 64;
+// A body up to this size is copied, so that one call sends it with its head.
+constexpr size_t kMaxCopiedBody = 16 * 1024;
 
 }  // namespace
 
-struct ExchangeServer::Connection {
-  uint64_t id = 0;
-  std::unique_ptr<TcpStream> stream;
-  std::unique_ptr<HttpRequestParser> parser;
-  std::string input;
-  ExchangeId exchange = 0;  // 0 while no request waits for its response.
-  bool head_request = false;
-  bool client_keeps_alive = true;
-  bool continue_sent = false;
-  bool closing = false;
-  // More pipelined bytes arrived than are stored. They are dropped, and the
-  // next response closes the connection, so that the caller sends them again.
-  bool input_overflow = false;
-  // When the connection became idle, or its current request began.
-  MonotonicTime state_since = kNever;
-};
-
 ExchangeServer::ExchangeServer(EventLoop& loop, ExchangeServerLimits limits,
                                HttpServerHandlers handlers)
     : loop_(loop), limits_(limits), handlers_(std::move(handlers)) {
@@ -67,7 +53,7 @@
     const int fd = accept4(listener_->fd(), nullptr, nullptr,
                            SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return false;
-    if (connections_.size() >= limits_.max_connections) {
+    if (connections_.size() >= limits_.max_connections && !FreeSlot()) {
       close(fd);
       continue;
     }
@@ -75,11 +61,17 @@
     auto connection = std::make_unique<Connection>();
     connection->id = id;
     connection->state_since = loop_.timers().now();
+    connection->request_hold =
+        std::make_shared<ByteHold>(budget_, ByteUse::kRequestBodies);
+    connection->response_hold =
+        std::make_shared<ByteHold>(budget_, ByteUse::kUnreadResponses);
     connection->stream = std::make_unique<TcpStream>(
         loop_, fd,
         TcpStreamHandlers{
             nullptr, [this, id](std::string_view bytes) { OnData(id, bytes); },
-            [this, id](StreamEnd) { OnEnd(id); }});
+            [this, id](StreamEnd) { OnEnd(id); },
+            [hold = connection->response_hold] { hold->Set(0); }});
+    RestartProgress(connection->progress, 0, connection->state_since);
     connections_.emplace(id, std::move(connection));
   }
   return true;
@@ -89,9 +81,14 @@
   const auto found = connections_.find(connection);
   if (found == connections_.end() || found->second->closing) return;
   Connection& self = *found->second;
+  self.received += bytes.size();
   if (self.input_overflow) return;
   self.input.append(bytes);
-  if (self.exchange == 0) ParseNextRequest(connection);
+  if (self.exchange == 0) {
+    ParseNextRequest(connection);
+  } else if (!HoldPipelined(self)) {
+    return;
+  }
   const auto remaining = connections_.find(connection);
   if (remaining == connections_.end() || remaining->second->closing) return;
   // The parser enforces the limits of the request that is being read.
@@ -110,9 +107,14 @@
     connection.parser = std::make_unique<HttpRequestParser>(limits_.text);
     connection.state_since = loop_.timers().now();
     connection.continue_sent = false;
+    RestartProgress(connection.progress, connection.moved(),
+                    connection.state_since);
   }
   const ParseState state = connection.parser->Feed(connection.input);
-  if (state == ParseState::kNeedMore) {
+  const bool unfinished = state == ParseState::kNeedMore;
+  if ((unfinished || state == ParseState::kDone) && !HoldRequest(connection))
+    return;
+  if (unfinished) {
     if (connection.parser->header_done() && !connection.continue_sent &&
         connection.parser->expects_continue()) {
       connection.continue_sent = true;
@@ -136,20 +138,30 @@
   connection.client_keeps_alive = text.keep_alive;
   connection.exchange = next_id_++;
   exchanges_[connection.exchange] = id;
+  text.request.hold = std::exchange(
+      connection.request_hold,
+      std::make_shared<ByteHold>(budget_, ByteUse::kRequestBodies));
   handlers_.on_request(connection.exchange, std::move(text.request));
 }
 
 void ExchangeServer::Refuse(Connection& connection, int status) {
-  connection.closing = true;
+  connection.parser.reset();
+  connection.input = {};
+  connection.request_hold->Set(0);
   const HttpResponse response =
       handlers_.make_refusal(status, "the request could not be read");
   connection.stream->Write(SerializeResponse(response, false, true));
+  CloseLater(connection);
+}
+
+void ExchangeServer::CloseLater(Connection& connection) {
+  connection.closing = true;
   connection.stream->FinishWriting();
-  const uint64_t id = connection.id;
-  loop_.timers().After(kLastResponseTimeout, [this, id] { Close(id); });
+  loop_.timers().After(kLastResponseTimeout,
+                       [this, id = connection.id] { Close(id); });
 }
 
-void ExchangeServer::Respond(ExchangeId id, const HttpResponse& response) {
+void ExchangeServer::Respond(ExchangeId id, HttpResponse response) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   const uint64_t connection_id = found->second;
@@ -159,15 +171,22 @@
   connection.state_since = loop_.timers().now();
   const bool close = !keep_alive_ || !connection.client_keeps_alive ||
                      connection.input_overflow;
-  connection.stream->Write(
-      SerializeResponse(response, connection.head_request, close));
-  if (close) {
-    connection.closing = true;
-    connection.stream->FinishWriting();
-    loop_.timers().After(kLastResponseTimeout,
-                         [this, connection_id] { Close(connection_id); });
-    return;
+  RestartProgress(connection.progress, connection.moved(),
+                  connection.state_since);
+  std::string text = SerializeResponseHead(response, close);
+  const bool has_body = !connection.head_request && !response.body.empty();
+  if (has_body && response.body.size() <= kMaxCopiedBody) {
+    connection.stream->Write(text.append(response.body));
+  } else {
+    connection.stream->Write(text);
+    if (has_body) {
+      connection.stream->WriteShared(
+          std::make_shared<const std::string>(std::move(response.body)));
+    }
   }
+  if (close) CloseLater(connection);
+  HoldResponse(connection_id);
+  if (close || !connections_.contains(connection_id)) return;
   // The next pipelined request is passed on in a later iteration of the loop,
   // not from within this call.
   if (!connection.input.empty()) {
@@ -222,6 +241,7 @@
 }
 
 void ExchangeServer::CloseTimedOut() {
+  JudgeTransfers();
   const MonotonicTime now = loop_.timers().now();
   std::vector<uint64_t> timed_out;
   for (const auto& [id, connection] : connections_) {
--- /dev/null
+++ b/source/core/net/exchange_server_connection.h
@@ -0,0 +1,43 @@
+// State of one connection in ExchangeServer; shared by the files that implement
+// the class.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "net/byte_budget.h"
+#include "net/exchange_server.h"
+#include "net/tcp_stream.h"
+
+namespace mimosadeal {
+
+struct ExchangeServer::Connection {
+  uint64_t id = 0;
+  std::unique_ptr<TcpStream> stream;
+  std::unique_ptr<HttpRequestParser> parser;
+  std::string input;
+  ExchangeId exchange = 0;  // 0 while no request waits for its response.
+  bool head_request = false;
+  bool client_keeps_alive = true;
+  bool continue_sent = false;
+  bool closing = false;
+  // More pipelined bytes arrived than are stored. They are dropped, and the
+  // next response closes the connection, so that the caller sends them again.
+  bool input_overflow = false;
+  // When the connection became idle, or its current request began.
+  MonotonicTime state_since = kNever;
+  uint64_t received = 0;  // Bytes in all.
+  // Null without a budget. That of a complete request goes with its body.
+  std::shared_ptr<ByteHold> request_hold;
+  std::shared_ptr<ByteHold> response_hold;
+  // Of the request that is being read, or of the unread response.
+  TransferProgress progress;
+
+  // Whether a request has begun to arrive that is not complete.
+  bool reading() const {
+    return exchange == 0 && !closing && parser != nullptr;
+  }
+  uint64_t moved() const { return received + stream->bytes_sent(); }
+};
+
+}  // namespace mimosadeal
--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -50,10 +51,11 @@
 }
 
 // Feeds the parser until it needs more input or the message ends, and removes
-// the parsed bytes from `input`.
+// the parsed bytes from `input`. What it leaves there after the header is the
+// begin of a chunk's header or of the trailers, which have the header's limit.
 template <typename Parser>
-ParseState FeedParser(Parser& parser, std::string& input,
-                      boost::beast::error_code& error) {
+ParseState FeedParser(Parser& parser, size_t max_header_bytes,
+                      std::string& input, boost::beast::error_code& error) {
   size_t parsed = 0;
   error = {};
   while (!parser.is_done() && parsed < input.size()) {
@@ -69,6 +71,9 @@
     if (error || used == 0) break;
   }
   input.erase(0, parsed);
+  if (!error && !parser.is_done() && parser.is_header_done() &&
+      input.size() > max_header_bytes)
+    error = http::error::header_limit;
   if (error == http::error::header_limit || error == http::error::body_limit)
     return ParseState::kTooLarge;
   if (error) return ParseState::kMalformed;
@@ -88,10 +93,12 @@
 
 struct HttpRequestParser::Impl {
   http::request_parser<http::string_body> parser;
+  size_t max_header_bytes = 0;
 };
 
 HttpRequestParser::HttpRequestParser(HttpMessageLimits limits)
     : impl_(std::make_unique<Impl>()) {
+  impl_->max_header_bytes = limits.max_header_bytes;
   impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
   impl_->parser.body_limit(limits.max_body_bytes);
   impl_->parser.eager(true);
@@ -101,7 +108,8 @@
 
 ParseState HttpRequestParser::Feed(std::string& input) {
   boost::beast::error_code error;
-  const ParseState state = FeedParser(impl_->parser, input, error);
+  const ParseState state =
+      FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
   if (state == ParseState::kTooLarge) {
     refusal_status_ =
         error == http::error::header_limit ? kHeaderTooLarge : kContentTooLarge;
@@ -115,6 +123,12 @@
   return impl_->parser.is_header_done();
 }
 
+size_t HttpRequestParser::expected_body_bytes() const {
+  const auto length = impl_->parser.content_length();
+  return length ? static_cast<size_t>(*length)
+                : std::bit_ceil(impl_->parser.get().body().size());
+}
+
 bool HttpRequestParser::expects_continue() const {
   const auto value = impl_->parser.get()[http::field::expect];
   return Lower({value.data(), value.size()}) == "100-continue";
@@ -139,11 +153,13 @@
 
 struct HttpResponseParser::Impl {
   http::response_parser<http::string_body> parser;
+  size_t max_header_bytes = 0;
 };
 
 HttpResponseParser::HttpResponseParser(HttpMessageLimits limits,
                                        bool head_request)
     : impl_(std::make_unique<Impl>()) {
+  impl_->max_header_bytes = limits.max_header_bytes;
   impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
   impl_->parser.body_limit(limits.max_body_bytes);
   impl_->parser.eager(true);
@@ -155,7 +171,7 @@
 ParseState HttpResponseParser::Feed(std::string& input) {
   if (!input.empty()) started_ = true;
   boost::beast::error_code error;
-  return FeedParser(impl_->parser, input, error);
+  return FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
 }
 
 ParseState HttpResponseParser::FeedEnd() {
@@ -177,26 +193,30 @@
   return text;
 }
 
-std::string SerializeRequest(std::string_view method, std::string_view target,
-                             const HttpHeaders& headers,
-                             std::string_view body) {
+std::string SerializeRequestHead(std::string_view method,
+                                 std::string_view target,
+                                 const HttpHeaders& headers,
+                                 size_t body_bytes) {
   std::string text;
-  text.reserve(body.size() + 512);
   text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
   AppendHeaderLines(headers, text);
-  if (!body.empty() || method == "POST" || method == "PUT" ||
+  if (body_bytes > 0 || method == "POST" || method == "PUT" ||
       method == "PATCH") {
-    text += "content-length: " + std::to_string(body.size()) + "\r\n";
+    text += "content-length: " + std::to_string(body_bytes) + "\r\n";
   }
   text += "\r\n";
-  text.append(body);
   return text;
 }
 
-std::string SerializeResponse(const HttpResponse& response, bool head_request,
-                              bool close) {
+std::string SerializeRequest(std::string_view method, std::string_view target,
+                             const HttpHeaders& headers,
+                             std::string_view body) {
+  return SerializeRequestHead(method, target, headers, body.size())
+      .append(body);
+}
+
+std::string SerializeResponseHead(const HttpResponse& response, bool close) {
   std::string text;
-  text.reserve(response.body.size() + 512);
   const auto reason = http::obsolete_reason(
       http::int_to_status(static_cast<unsigned>(response.status)));
   text += "HTTP/1.1 " + std::to_string(response.status) + " ";
@@ -208,6 +228,12 @@
     text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
   if (close) text += "connection: close\r\n";
   text += "\r\n";
+  return text;
+}
+
+std::string SerializeResponse(const HttpResponse& response, bool head_request,
+                              bool close) {
+  std::string text = SerializeResponseHead(response, close);
   if (!head_request) text += response.body;
   return text;
 }
--- a/source/core/net/http_codec.h
+++ b/source/core/net/http_codec.h
@@ -45,6 +45,9 @@
   // the end of the request.
   ParseState Feed(std::string& input);
   bool header_done() const;
+  // After header_done: the length that the header states for the body, or, if
+  // it states none, what its growing buffer takes at the most.
+  size_t expected_body_bytes() const;
   // Whether the caller waits for "100 Continue" before it sends the body.
   bool expects_continue() const;
   // Returns the request. Call only once, after kDone.
@@ -79,8 +82,13 @@
   bool started_ = false;
 };
 
-// Return the bytes of a message. A content-length header is added where HTTP
-// allows one.
+// Return the bytes of a message up to its body. A content-length header is
+// added where HTTP allows one.
+std::string SerializeRequestHead(std::string_view method,
+                                 std::string_view target,
+                                 const HttpHeaders& headers, size_t body_bytes);
+std::string SerializeResponseHead(const HttpResponse& response, bool close);
+// Return the bytes of a message.
 std::string SerializeRequest(std::string_view method, std::string_view target,
                              const HttpHeaders& headers, std::string_view body);
 std::string SerializeResponse(const HttpResponse& response, bool head_request,
--- a/source/core/net/http_message.h
+++ b/source/core/net/http_message.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace mimosadeal {
 
+class ByteHold;
+
 struct HttpHeader {
   std::string name;  // Lower case.
   std::string value;
@@ -28,6 +31,8 @@
   std::string body;
   // The request target as received. Not set by HttpServer.
   std::string target{};
+  // Counts the body's bytes for as long as they are kept; null if nobody does.
+  std::shared_ptr<ByteHold> hold{};
 };
 
 struct HttpResponse {
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -23,6 +23,8 @@
 }};
 
 constexpr size_t kReadBytes = 16 * 1024;
+// A peer that sends without a pause must not keep the loop from others.
+constexpr int kMaxReadsPerIteration = 16;
 // The user timeout also ends an idle connection whose probes are unanswered,
 // whatever their number: here after the first one, about 2 s after the last
 // byte. That is within the 3 s after which the platform requires a host to keep
@@ -85,8 +87,18 @@
 }
 
 void TcpStream::Write(std::string_view bytes) {
-  if (ended_ || finishing_) return;
-  output_.append(bytes);
+  if (ended_ || finishing_ || bytes.empty()) return;
+  if (output_.empty() || output_.back().shared != nullptr)
+    output_.emplace_back();
+  output_.back().own.append(bytes);
+  queued_ += bytes.size();
+  if (!connecting_) Flush();
+}
+
+void TcpStream::WriteShared(std::shared_ptr<const std::string> bytes) {
+  if (ended_ || finishing_ || bytes->empty()) return;
+  queued_ += bytes->size();
+  output_.push_back({"", std::move(bytes)});
   if (!connecting_) Flush();
 }
 
@@ -97,26 +109,34 @@
 }
 
 void TcpStream::Flush() {
-  while (output_sent_ < output_.size()) {
-    const ssize_t sent =
-        send(watch_->fd(), output_.data() + output_sent_,
-             output_.size() - output_sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent > 0) {
-      bytes_sent_ += static_cast<uint64_t>(sent);
-      output_sent_ += static_cast<size_t>(sent);
-      continue;
+  while (!output_.empty()) {
+    if (!SendFirst()) {
+      // An error is also reported to the callbacks of the watch. They end the
+      // stream there, not within the call that writes.
+      watch_->RequestWritable();
+      return;
     }
-    if (sent < 0 && errno == EINTR) continue;
-    // An error is also reported to the callbacks of the watch. They end the
-    // stream there, not within the call that writes.
-    watch_->RequestWritable();
-    return;
+    output_.pop_front();
+    first_sent_ = 0;
   }
-  output_.clear();
-  output_sent_ = 0;
   if (finishing_) shutdown(watch_->fd(), SHUT_WR);
 }
 
+bool TcpStream::SendFirst() {
+  const std::string_view bytes = output_.front().bytes();
+  while (first_sent_ < bytes.size()) {
+    const ssize_t sent =
+        send(watch_->fd(), bytes.data() + first_sent_,
+             bytes.size() - first_sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent <= 0) return false;
+    bytes_sent_ += static_cast<uint64_t>(sent);
+    first_sent_ += static_cast<size_t>(sent);
+    queued_ -= static_cast<size_t>(sent);
+  }
+  return true;
+}
+
 void TcpStream::OnWritable() {
   if (ended_) return;
   int error = 0;
@@ -127,7 +147,9 @@
     return;
   }
   if (!connecting_) {
+    const bool queued = queued_ > 0;
     Flush();
+    if (queued && queued_ == 0 && handlers_.on_drained) handlers_.on_drained();
     return;
   }
   connecting_ = false;
@@ -140,7 +162,8 @@
   if (ended_) return;
   const std::weak_ptr<char> alive = alive_;
   std::array<char, kReadBytes> buffer;
-  while (!alive.expired() && !ended_) {
+  for (int reads = 0;
+       reads < kMaxReadsPerIteration && !alive.expired() && !ended_; ++reads) {
     const ssize_t received =
         recv(watch_->fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (received > 0) {
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,8 @@
   std::function<void()> on_connected;  // For outgoing connections only.
   std::function<void(std::string_view)> on_data;
   std::function<void(StreamEnd)> on_end;  // Called at most once, and last.
+  // The last queued byte was sent. Never called from within a call of Write.
+  std::function<void()> on_drained = nullptr;
 };
 
 // The handlers may destroy the stream.
@@ -48,7 +51,11 @@
 
   // Queues bytes and sends as many as the socket accepts now.
   void Write(std::string_view bytes);
-  size_t queued_bytes() const { return output_.size() - output_sent_; }
+  // As Write, but keeps the bytes where they are until they are sent.
+  void WriteShared(std::shared_ptr<const std::string> bytes);
+  size_t queued_bytes() const { return queued_; }
+  // As queued_bytes, with what was sent of a piece that is kept whole.
+  size_t held_bytes() const { return queued_ + first_sent_; }
   // Number of bytes that the kernel has accepted so far.
   uint64_t bytes_sent() const { return bytes_sent_; }
   // Resets the connection, which discards the bytes that the peer has not
@@ -66,6 +73,8 @@
   void OnReadable();
   void OnWritable();
   void Flush();
+  // Returns whether the first of the queued pieces was sent completely.
+  bool SendFirst();
   void Watch(int fd);
   void End(StreamEnd end);
 
@@ -75,8 +84,15 @@
   // Expires with the stream; shows a handler's caller whether the handler
   // destroyed the stream.
   std::shared_ptr<char> alive_ = std::make_shared<char>();
-  std::string output_;
-  size_t output_sent_ = 0;  // Invariant: at most output_.size().
+  // What is queued. The last piece grows if it is this stream's own.
+  struct Piece {
+    std::string own;
+    std::shared_ptr<const std::string> shared = nullptr;
+    std::string_view bytes() const { return shared ? *shared : own; }
+  };
+  std::deque<Piece> output_;
+  size_t first_sent_ = 0;  // Bytes of the first piece.
+  size_t queued_ = 0;      // Invariant: size of all pieces less first_sent_.
   uint64_t bytes_sent_ = 0;
   bool connecting_ = false;
   bool finishing_ = false;
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -64,6 +64,36 @@
   LONGS_EQUAL(431, header.refusal_status());
 }
 
+// Guards against trailers, and chunk headers, that no limit counted.
+TEST(HttpCodec, TrailersAndChunkHeadersHaveTheHeadersLimit) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin :
+       {std::string("1\r\nx\r\n0\r\nX-Trailer: "), std::string("1;x=")}) {
+    const std::string end = begin + std::string(2000, 'x');
+    for (const size_t step : {size_t{1}, size_t{100}, size_t{5000}}) {
+      HttpRequestParser request(kLimits);
+      std::string rest;
+      CHECK(FeedRequest(request,
+                        "POST / HTTP/1.1\r\nHost: h\r\n" + chunked + end, step,
+                        rest) == ParseState::kTooLarge);
+      LONGS_EQUAL(431, request.refusal_status());
+    }
+    HttpResponseParser response(kLimits, false);
+    std::string text = "HTTP/1.1 200 OK\r\n" + chunked + end;
+    CHECK(response.Feed(text) == ParseState::kTooLarge);
+  }
+}
+
+TEST(HttpCodec, TrailersWithinTheLimitAreRead) {
+  HttpRequestParser parser(kLimits);
+  std::string text =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nX-Trailer: " +
+      std::string(500, 'x') + "\r\n\r\n";
+  CHECK(parser.Feed(text) == ParseState::kDone);
+  STRCMP_EQUAL("abc", parser.Take().request.body.c_str());
+}
+
 TEST(HttpCodec, ABodyWithoutALengthEndsWithTheConnection) {
   HttpResponseParser parser(kLimits, false);
   std::string text = "HTTP/1.1 200 OK\r\nX: 1\r\n\r\nall";
