--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -95,7 +95,12 @@
       hedge_refusals_(prometheus::BuildCounter()
                           .Name("mimosadeal_hedge_refusals_total")
                           .Help("Late requests without a second try, by reason")
-                          .Register(*registry_)) {
+                          .Register(*registry_)),
+      pressure_(prometheus::BuildCounter()
+                    .Name("mimosadeal_caller_pressure_total")
+                    .Help("Callers refused or closed because bytes or "
+                          "connections ran short, by action")
+                    .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -163,6 +168,10 @@
   hedge_refusals_.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void EntryMetrics::ObservePressure(std::string_view action) {
+  pressure_.Add({{"action", std::string(action)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -74,6 +74,9 @@
   void ObserveHedge(std::string_view outcome);
   // A late request got no second try; see HedgeRefusal.
   void ObserveHedgeRefusal(std::string_view reason);
+  // This host refused or closed a caller because bytes or connections ran
+  // short; see PressureAction.
+  void ObservePressure(std::string_view action);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -94,6 +97,7 @@
   prometheus::Family<prometheus::Counter>& relayed_;
   prometheus::Family<prometheus::Counter>& hedges_;
   prometheus::Family<prometheus::Counter>& hedge_refusals_;
+  prometheus::Family<prometheus::Counter>& pressure_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -28,6 +28,7 @@
   kLimited,        // The upstream's limit leaves no room for the request.
   kSuspect,        // The request is suspected to crash upstreams.
   kStopping,
+  kOutOfRoom,  // This host has no room for its body.
   // The request is invalid:
   kNoRoute,
   kMalformed,
@@ -49,6 +50,7 @@
     {RefusalReason::kLimited, "limited"},
     {RefusalReason::kSuspect, "suspect"},
     {RefusalReason::kStopping, "stopping"},
+    {RefusalReason::kOutOfRoom, "out-of-room"},
     {RefusalReason::kNoRoute, "no-route"},
     {RefusalReason::kMalformed, "malformed"},
     {RefusalReason::kTimeout, "timeout"},
