Cold upstreams get their rate from all hosts together, by permits

Each host knows only its own requests.

Change: a cold upstream has a rate, as one with a stated limit, and its zone's lease holder gives the permits; the lower of both rates binds. Cold are: what the registration states, counted from when it is read; and an upstream of a service without keys that refused a connection, until a second after the service's time of coldness: its next incarnation serves before its registration is heard. A refusal is told to all hosts (cold-report), and a request for a permit carries the asker's belief (cold-permit-request); both new messages, by datagram only, which former builds ignore. Cold owners get keys up to their rate and keep those that they have. Requests that wait for a permit when a limit or coldness ends are sent at once (they were refused).

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -57,9 +57,6 @@
 // Responses of a watch with fewer changes make no line.
 constexpr size_t kMinLoggedChanges = 50;
 
-// Stands in the log for an upstream without a limit.
-constexpr double kNoLimit = -1;
-
 constexpr Duration BatchDelayOf(ViewKind kind) {
   switch (kind) {
     case ViewKind::kConfiguration:
@@ -312,6 +309,7 @@
   }
   const Result<UpstreamRecord> read = protocol_.read_registration(object);
   if (!read.has_value()) {
+    ++unreadable_registrations_;
     log_.LogStateChange("upstream.unreadable",
                         {{"upstream", object.name},
                          {"revision", object.revision},
@@ -322,10 +320,12 @@
   RouteUpstream(record);
   const ListedUpstream* listed = directory_.Find(record.id);
   const bool known = listed != nullptr;
+  const MonotonicTime cold_before = known ? listed->cold.stated_until : kNever;
   const bool only_warmup_changed =
       known && listed->availability == UpstreamAvailability::kServing &&
       DifferInWarmupOnly(listed->record, record);
   if (!directory_.Update(record, now, changed_after)) return;
+  LogColdness(*directory_.Find(record.id), cold_before);
   if (!known) last_upstream_added_at_ = now;
   if (only_warmup_changed) return;
   log_.LogStateChange("upstream.registered",
@@ -350,22 +350,6 @@
   return true;
 }
 
-bool DeploymentView::NoteLimit(const std::string& id, int64_t incarnation,
-                               const UpstreamLimit& stated) {
-  const ListedUpstream* listed = directory_.Find(id);
-  const double before = listed == nullptr
-                            ? kNoLimit
-                            : listed->limit.per_second.value_or(kNoLimit);
-  if (!directory_.NoteLimit(id, incarnation, stated)) return false;
-  log_.LogStateChange("upstream.limit",
-                      {{"upstream", id},
-                       {"incarnation", incarnation},
-                       {"per_second", stated.per_second.value_or(kNoLimit)},
-                       {"before", before},
-                       {"age_ms", loop_.timers().now() - stated.stated_at}});
-  return true;
-}
-
 void DeploymentView::OnTable(const StoredObject& object) {
   const RangeTable* existing = table(object.name);
   if (object.deleted ||
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -9,10 +9,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "balance/cold_upstream.h"
 #include "fleet/upstream_directory.h"
 #include "forwarding/deployment_protocol.h"
 #include "ranges/range_table.h"
@@ -49,6 +51,8 @@
   void SetAddressRoutes(std::map<std::string, std::string> routes) {
     address_routes_ = std::move(routes);
   }
+  // To be called before Start.
+  void SetColdBound(const ColdBound& bound) { cold_bound_ = bound; }
   void Start();
   // While `fed`, this host takes updates from ApplyFed and does not read the
   // store. `reason` is for the log.
@@ -127,6 +131,25 @@
   bool NoteLimit(const std::string& id, int64_t incarnation,
                  const UpstreamLimit& stated);
 
+  // Returns the requests per second that the upstream takes from all hosts
+  // together: its stated limit, and less while it is cold; unset if unlimited.
+  std::optional<double> RateLimitOf(const ListedUpstream& upstream) const;
+  // Returns how long the upstream is still taken for cold; zero if it is not,
+  // or if the deployment does not bound the requests of cold upstreams.
+  Duration ColdLeft(const ListedUpstream& upstream) const;
+  size_t cold_upstreams() const;
+  // The upstream refused a connection, so it may be another incarnation when it
+  // accepts one again. Returns whether other hosts are to be told.
+  bool NoteRefused(const std::string& id);
+  // The upstream may be cold for `left`; see ColdTimes. Returns whether this is
+  // news.
+  bool NoteAssumedCold(const std::string& id, Duration left,
+                       std::string_view reason);
+  // Number of registrations that could not be read.
+  uint64_t unreadable_registrations() const {
+    return unreadable_registrations_;
+  }
+
   // Replaces the service's table with one that this or another host wrote to
   // the store, unless it is older, or a copy's that was restored.
   void ApplyTable(RangeTable table);
@@ -136,6 +159,11 @@
   // Replaces the upstream's address if the settings say so.
   void RouteUpstream(UpstreamRecord& record) const;
   void OnRegistration(const StoredObject& object, const ChangeBound& bound);
+  // Returns null if the configuration does not have it.
+  const ServiceConfig* ServiceOf(const ListedUpstream& upstream) const;
+  // Logs that an upstream has turned cold. `stated_before`: the end of its
+  // coldness as it was known before.
+  void LogColdness(const ListedUpstream& listed, MonotonicTime stated_before);
   void OnTable(const StoredObject& object);
   // Decodes a whole table, or applies a table step (a table stored as its
   // difference from an earlier one). Errors: kMalformed, also for a step whose
@@ -159,6 +187,8 @@
   bool fed_ = true;
   std::shared_ptr<const RouteTable> routes_;
   UpstreamDirectory directory_;
+  ColdBound cold_bound_;
+  uint64_t unreadable_registrations_ = 0;
   RevisionClock revision_clock_;
   std::map<std::string, RangeTable> range_tables_;
   // By service; see the functions of these names.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 12> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 14> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -24,6 +24,9 @@
     {EntryGauge::kZoneLeasesHeld, "mimosadeal_zone_leases_held"},
     {EntryGauge::kReady, "mimosadeal_ready"},
     {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
+    {EntryGauge::kColdUpstreams, "mimosadeal_cold_upstreams"},
+    {EntryGauge::kUnreadableRegistrations,
+     "mimosadeal_unreadable_registrations"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
 }};
 
@@ -69,6 +72,11 @@
                                  "a limit of requests per second")
                            .Register(*registry_)
                            .Add({})),
+      sent_to_cold_(prometheus::BuildCounter()
+                        .Name("mimosadeal_sent_to_cold_total")
+                        .Help("Requests sent to upstreams that count as cold")
+                        .Register(*registry_)
+                        .Add({})),
       permits_(prometheus::BuildCounter()
                    .Name("mimosadeal_permits_total")
                    .Help("Permits for requests to upstreams with a limit, by "
@@ -126,6 +134,8 @@
 
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
+void EntryMetrics::ObserveSentToCold() { sent_to_cold_.Increment(); }
+
 void EntryMetrics::ObservePermit(std::string_view outcome) {
   permits_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -34,6 +34,8 @@
   kZoneLeasesHeld,
   kReady,
   kServicesCutOff,
+  kColdUpstreams,
+  kUnreadableRegistrations,
   kLogLinesDropped,
 };
 
@@ -59,6 +61,8 @@
   void ObserveSentToLapsed(Duration after);
   // A request was sent to an upstream that has stated a limit.
   void ObserveSentToLimited();
+  // A request was sent to an upstream that counts as cold.
+  void ObserveSentToCold();
   // A permit for such a request was given or refused; see
   // RequestForwarder::OnPermit.
   void ObservePermit(std::string_view outcome);
@@ -79,6 +83,7 @@
   prometheus::Histogram& sent_to_leaving_seconds_;
   prometheus::Histogram& sent_to_lapsed_seconds_;
   prometheus::Counter& sent_to_limited_;
+  prometheus::Counter& sent_to_cold_;
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
   // Metrics by label values, so that each is looked up in its family only once.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -198,6 +198,7 @@
                                          kStoreTimeout);
   view_ = std::make_unique<DeploymentView>(loop_, *store_, protocol_, log_);
   view_->SetAddressRoutes(settings_.routes);
+  view_->SetColdBound({bounds_.cold_ratio, bounds_.cold_allowance});
   paths_ = std::make_unique<PathMonitor>(loop_, *view_, log_);
 }
 
@@ -234,6 +235,9 @@
                              const UpstreamLimit& stated) {
     coordinator_->ReportLimit(upstream, incarnation, stated);
   };
+  handlers.on_refused = [this](const std::string& upstream) {
+    coordinator_->ReportRefused(upstream);
+  };
   handlers.ask_for_permit = [this](const ListedUpstream& upstream, int rank,
                                    Duration wait,
                                    PermitBroker::Callback callback) {
@@ -478,6 +482,8 @@
        static_cast<uint64_t>(coordinator_->leases_held())},
       {EntryGauge::kReady, ready() ? 1U : 0U},
       {EntryGauge::kServicesCutOff, paths_->cut_off_services()},
+      {EntryGauge::kColdUpstreams, view_->cold_upstreams()},
+      {EntryGauge::kUnreadableRegistrations, view_->unreadable_registrations()},
       {EntryGauge::kLogLinesDropped, log_.dropped()},
   };
   for (const auto& [gauge, value] : values)
--- a/source/core/entry/permit_broker.cc
+++ b/source/core/entry/permit_broker.cc
@@ -42,11 +42,11 @@
     loop_.timers().Cancel(state.timer);
 }
 
-const UpstreamLimit* PermitBroker::LimitOf(const UpstreamKey& upstream) const {
+const ListedUpstream* PermitBroker::Find(const UpstreamKey& upstream) const {
   const ListedUpstream* listed = view_.directory().Find(upstream.first);
-  if (listed == nullptr || listed->record.incarnation != upstream.second)
-    return nullptr;
-  return &listed->limit;
+  const bool same =
+      listed != nullptr && listed->record.incarnation == upstream.second;
+  return same ? listed : nullptr;
 }
 
 void PermitBroker::Ask(const ListedUpstream& upstream, int rank, Duration wait,
@@ -80,13 +80,17 @@
   request.wait_ms = static_cast<uint32_t>(
       std::max<int64_t>(0, ToMilliseconds(ask.give_up_at - kReplyTime - now)));
   request.limit = ToStatement(ask.limit, now);
+  const ListedUpstream* listed = view_.directory().Find(request.upstream);
+  const Duration cold =
+      listed == nullptr ? Duration::zero() : view_.ColdLeft(*listed);
   ask.timer =
       loop_.timers().After(std::min(kResendInterval, ask.give_up_at - now),
                            [this, id] { SendAsk(id); });
   if (giver.is_self) {
     Decide(request, giver);
   } else {
-    handlers_.send_request(giver.address, request);
+    handlers_.send_request(
+        giver.address, {request, static_cast<uint32_t>(ToMilliseconds(cold))});
   }
 }
 
@@ -110,11 +114,13 @@
                       std::chrono::milliseconds(reply.retry_after_ms)});
 }
 
-void PermitBroker::OnRequest(const PermitRequest& request) {
+void PermitBroker::OnRequest(const ColdPermitRequest& message) {
+  const PermitRequest& request = message.request;
   const PermitGiver giver = handlers_.find_giver(request.zone);
   const auto limit = FromStatement(request.limit, loop_.timers().now());
   if (limit.has_value())
     handlers_.on_limit(request.upstream, request.incarnation, *limit);
+  if (message.cold_ms > 0) handlers_.on_cold(request.upstream, message.cold_ms);
   if (giver.is_self) {
     Decide(request, giver);
     return;
@@ -124,8 +130,8 @@
           {request.address, request.id}, false, kRetryWithoutGiver);
     return;
   }
-  PermitRequest forwarded = request;
-  ++forwarded.hops;
+  ColdPermitRequest forwarded = message;
+  ++forwarded.request.hops;
   handlers_.send_request(giver.address, forwarded);
 }
 
@@ -133,17 +139,18 @@
                           const PermitGiver& giver) {
   const UpstreamKey upstream{request.upstream, request.incarnation};
   const Asker asker{request.address, request.id};
-  const UpstreamLimit* limit = LimitOf(upstream);
-  if (limit == nullptr) {
+  const ListedUpstream* listed = Find(upstream);
+  if (listed == nullptr) {
     Reply(upstream, asker, false, kRetryWithoutGiver);
     return;
   }
-  if (!limit->per_second.has_value()) {
+  const std::optional<double> limit = view_.RateLimitOf(*listed);
+  if (!limit.has_value()) {
     Reply(upstream, asker, true, Duration::zero());
     return;
   }
   const MonotonicTime now = loop_.timers().now();
-  GiverState& state = StateFor(request, giver, *limit->per_second);
+  GiverState& state = StateFor(request, giver, *limit);
   const bool waits = std::any_of(
       state.askers.begin(), state.askers.end(), [&asker](const auto& entry) {
         return entry.second.address == asker.address &&
@@ -183,16 +190,20 @@
 void PermitBroker::Serve(const UpstreamKey& upstream) {
   const auto found = given_.find(upstream);
   if (found == given_.end()) return;
-  const UpstreamLimit* limit = LimitOf(upstream);
+  const ListedUpstream* listed = Find(upstream);
   const PermitGiver giver = handlers_.find_giver(found->second.zone);
-  if (!giver.is_self || giver.term != found->second.term || limit == nullptr ||
-      !limit->per_second.has_value()) {
+  if (!giver.is_self || giver.term != found->second.term || listed == nullptr) {
     StopGiving(upstream);
     return;
   }
+  const std::optional<double> limit = view_.RateLimitOf(*listed);
+  if (!limit.has_value()) {
+    EndLimit(upstream);
+    return;
+  }
   GiverState& state = found->second;
   const MonotonicTime now = loop_.timers().now();
-  SetRate(state.queue, *limit->per_second, giver.share, now);
+  SetRate(state.queue, *limit, giver.share, now);
   for (const PermitOutcome& outcome : TakeOutcomes(state.queue, now)) {
     const auto asker = state.askers.extract(outcome.ticket);
     Reply(upstream, asker.mapped(), outcome.granted, outcome.retry_after);
@@ -219,14 +230,32 @@
     Reply(upstream, asker, false, kRetryWithoutGiver);
 }
 
+void PermitBroker::EndLimit(const UpstreamKey& upstream) {
+  auto node = given_.extract(upstream);
+  if (node.empty()) return;
+  loop_.timers().Cancel(node.mapped().timer);
+  log_.LogStateChange(
+      "permits.unlimited",
+      {{"upstream", upstream.first},
+       {"incarnation", upstream.second},
+       {"waiting", static_cast<uint64_t>(node.mapped().askers.size())}});
+  for (const auto& [ticket, asker] : node.mapped().askers)
+    Reply(upstream, asker, true, Duration::zero());
+}
+
 void PermitBroker::RemoveUnlimited() {
+  std::vector<UpstreamKey> gone;
   std::vector<UpstreamKey> unlimited;
   for (const auto& [upstream, state] : given_) {
-    const UpstreamLimit* limit = LimitOf(upstream);
-    if (limit == nullptr || !limit->per_second.has_value())
+    const ListedUpstream* listed = Find(upstream);
+    if (listed == nullptr) {
+      gone.push_back(upstream);
+    } else if (!view_.RateLimitOf(*listed).has_value()) {
       unlimited.push_back(upstream);
+    }
   }
-  for (const UpstreamKey& upstream : unlimited) StopGiving(upstream);
+  for (const UpstreamKey& upstream : gone) StopGiving(upstream);
+  for (const UpstreamKey& upstream : unlimited) EndLimit(upstream);
 }
 
 void PermitBroker::Reply(const UpstreamKey& upstream, const Asker& asker,
@@ -235,8 +264,9 @@
   reply.id = asker.id;
   reply.granted = granted;
   reply.retry_after_ms = static_cast<uint32_t>(ToMilliseconds(retry_after));
-  const UpstreamLimit* limit = LimitOf(upstream);
-  if (limit != nullptr) reply.limit = ToStatement(*limit, loop_.timers().now());
+  const ListedUpstream* listed = Find(upstream);
+  if (listed != nullptr)
+    reply.limit = ToStatement(listed->limit, loop_.timers().now());
   if (asker.address != address_) {
     handlers_.send_reply(asker.address, reply);
     return;
--- a/source/core/entry/permit_broker.h
+++ b/source/core/entry/permit_broker.h
@@ -1,5 +1,5 @@
 // Gives and asks for permits to send requests to upstreams that limit the
-// requests per second of all hosts together.
+// requests per second of all hosts together, or that are cold.
 //
 // The holder of the lease on an upstream's availability zone gives the permits
 // for it, so that at most one host does. While the store does not confirm its
@@ -44,7 +44,8 @@
 
 struct PermitBrokerHandlers {
   std::function<PermitGiver(const std::string& zone)> find_giver;
-  std::function<void(const std::string& address, const PermitRequest&)>
+  // With `cold_ms` 0, the upstream is not known to be cold.
+  std::function<void(const std::string& address, const ColdPermitRequest&)>
       send_request;
   std::function<void(const std::string& address, const PermitReply&)>
       send_reply;
@@ -52,6 +53,8 @@
   std::function<void(const std::string& upstream, int64_t incarnation,
                      const UpstreamLimit& stated)>
       on_limit;
+  // Another host takes an upstream for cold.
+  std::function<void(const std::string& upstream, uint32_t cold_ms)> on_cold;
 };
 
 class PermitBroker {
@@ -68,7 +71,7 @@
   // request may wait for it. The callback runs once, later than this call.
   void Ask(const ListedUpstream& upstream, int rank, Duration wait,
            Callback callback);
-  void OnRequest(const PermitRequest& request);
+  void OnRequest(const ColdPermitRequest& message);
   void OnReply(const PermitReply& reply);
 
  private:
@@ -104,12 +107,15 @@
   void Serve(const UpstreamKey& upstream);
   // Refuses all that wait for a permit for the upstream, and forgets it.
   void StopGiving(const UpstreamKey& upstream);
+  // Ends giving for the upstream, because it has no limit any more: all that
+  // wait may send.
+  void EndLimit(const UpstreamKey& upstream);
   // Forgets upstreams that have no limit any more.
   void RemoveUnlimited();
   void Reply(const UpstreamKey& upstream, const Asker& asker, bool granted,
              Duration retry_after);
-  // Returns the limit of that incarnation; null if this host does not list it.
-  const UpstreamLimit* LimitOf(const UpstreamKey& upstream) const;
+  // Returns null if this host does not list that incarnation.
+  const ListedUpstream* Find(const UpstreamKey& upstream) const;
 
   EventLoop& loop_;
   const DeploymentView& view_;
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -16,6 +16,9 @@
 namespace mimosadeal {
 namespace {
 
+// A move takes half of it or less. An owner that is warm by then keeps its
+// keys.
+constexpr Duration kMoveTime = std::chrono::seconds(1);
 constexpr Duration kTickInterval = std::chrono::milliseconds(200);
 // Between two grants of one range, even if the first one failed.
 constexpr Duration kMinGrantInterval = std::chrono::milliseconds(100);
@@ -146,10 +149,16 @@
       const auto found = speeds->second.find(id);
       if (found != speeds->second.end()) speed = found->second;
     }
-    candidates.push_back(
-        {record.id, record.incarnation, record.zone,
-         OwnerCapacity(record.slots, speed, listed.limit.per_second,
-                       request_seconds)});
+    OwnerCandidate candidate{
+        record.id, record.incarnation, record.zone,
+        OwnerCapacity(record.slots, speed, listed.limit.per_second,
+                      request_seconds),
+        std::nullopt};
+    if (view_.ColdLeft(listed) > kMoveTime) {
+      candidate.cold_capacity = OwnerCapacity(
+          record.slots, speed, view_.RateLimitOf(listed), request_seconds);
+    }
+    candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -193,7 +193,7 @@
       RefuseUntil(pending, {load.rest_until, RefusalReason::kResting});
       return;
     }
-    if (upstream->limit.per_second.has_value() && load.limited_until > now) {
+    if (load.limited_until > now && view_.RateLimitOf(*upstream).has_value()) {
       RefuseUntil(pending, {load.limited_until, RefusalReason::kLimited});
       return;
     }
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -59,6 +59,8 @@
   std::function<void(const std::string& upstream, int64_t incarnation,
                      const UpstreamLimit& stated)>
       on_limit;
+  // An upstream refused a connection.
+  std::function<void(const std::string& upstream)> on_refused;
   // Asks for a permit to send one request of this rank to an upstream with a
   // limit; see PermitBroker::Ask.
   std::function<void(const ListedUpstream& upstream, int rank, Duration wait,
@@ -153,6 +155,8 @@
   void AskForPermit(PendingRequest& pending, const ListedUpstream& upstream);
   void OnPermit(ExchangeId exchange, const UpstreamRecord& upstream,
                 const PermitDecision& decision);
+  // A connection to the upstream failed, by what is known of its end.
+  void NoteRefused(const UpstreamRecord& upstream, StreamEnd end);
   // Whether a change of the view may help the request: it waits for an owner of
   // its key, or for a permit for an upstream that does not own it any more.
   bool MayTryAgain(PendingRequest& pending);
@@ -176,7 +180,8 @@
   // Logs a request that is being sent to an upstream whose registration lapsed.
   void NoteSentToLapsed(const PendingRequest& pending,
                         const RegistrationLapse& lapse);
-  // Logs a request that is being sent to an upstream with a limit.
+  // Logs a request that is being sent to an upstream with a limit, or to a cold
+  // one.
   void NoteSentToLimited(const PendingRequest& pending,
                          const ListedUpstream& upstream);
   // Records what a response says about the limit of its upstream.
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -46,7 +46,7 @@
     request.send_by = std::min(request.send_by, pending.permit->valid_until);
   pending.permit.reset();
   request.require_new_connection = tried_before && !pending.idempotent();
-  if (upstream.limit.per_second.has_value())
+  if (view_.RateLimitOf(upstream).has_value())
     NoteSentToLimited(pending, upstream);
   if (const RegistrationLapse* lapse = view_.directory().FindLapse(id))
     NoteSentToLapsed(pending, *lapse);
@@ -104,8 +104,20 @@
 
 void RequestForwarder::NoteSentToLimited(const PendingRequest& pending,
                                          const ListedUpstream& upstream) {
-  metrics_.ObserveSentToLimited();
   const MonotonicTime now = loop_.timers().now();
+  const Duration cold = view_.ColdLeft(upstream);
+  if (cold > Duration::zero()) {
+    metrics_.ObserveSentToCold();
+    log_.LogRequest("request.sent-to-cold",
+                    {{"id", pending.request.id},
+                     {"upstream", upstream.record.id},
+                     {"per_second", *view_.RateLimitOf(upstream)},
+                     {"cold_ms", cold},
+                     {"age_ms", now - pending.received},
+                     {"sends", pending.sends}});
+    return;
+  }
+  metrics_.ObserveSentToLimited();
   log_.LogRequest("request.sent-to-limited",
                   {{"id", pending.request.id},
                    {"upstream", upstream.record.id},
--- a/source/core/entry/request_forwarder_permits.cc
+++ b/source/core/entry/request_forwarder_permits.cc
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/path_monitor.h"
 #include "entry/permit_broker.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_forwarder_state.h"
@@ -26,7 +27,7 @@
 
 bool RequestForwarder::HasPermit(const PendingRequest& pending,
                                  const ListedUpstream& upstream) const {
-  if (!upstream.limit.per_second.has_value()) return true;
+  if (!view_.RateLimitOf(upstream).has_value()) return true;
   return pending.permit.has_value() &&
          pending.permit->upstream == upstream.record.id &&
          pending.permit->incarnation == upstream.record.incarnation &&
@@ -40,7 +41,7 @@
       view_.directory().Find(pending.permit->upstream);
   const bool usable = listed != nullptr &&
                       listed->availability == UpstreamAvailability::kServing &&
-                      listed->limit.per_second.has_value() &&
+                      view_.RateLimitOf(*listed).has_value() &&
                       HasPermit(pending, *listed);
   return usable ? listed : nullptr;
 }
@@ -109,6 +110,13 @@
   }
 }
 
+// A host without paths learns nothing of upstreams from refusals.
+void RequestForwarder::NoteRefused(const UpstreamRecord& upstream,
+                                   StreamEnd end) {
+  if (end == StreamEnd::kRefused && !paths_.IsCutOff(upstream.service))
+    handlers_.on_refused(upstream.id);
+}
+
 bool RequestForwarder::MayTryAgain(PendingRequest& pending) {
   if (pending.waiting) return true;
   if (pending.permit_asked_for.empty() || !pending.service->keyed) return false;
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -146,6 +146,7 @@
                    {"relayed", relayed},
                    {"sends", pending.sends}});
   if (!result.request_written) {
+    if (!relayed) NoteRefused(upstream, result.end);
     if (paths_.IsCutOff(upstream.service) && !relayed) {
       NoteUnsent(pending);  // Another host may reach the upstream.
     } else {
@@ -192,6 +193,7 @@
     loop_.Post([probe] { probe->reset(); });
     if (end != StreamEnd::kRefused) return;
     paths_.OnConnectFailed(upstream, true);
+    NoteRefused(upstream, end);
     loop_.timers().After(kPathCheckTime, [this, fingerprint, upstream,
                                           refused_at = loop_.timers().now()] {
       DecideOnCrash(fingerprint, upstream, refused_at);
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -121,7 +121,7 @@
       next = Sooner(next, {load.rest_until, RefusalReason::kResting});
       continue;
     }
-    if (listed->limit.per_second.has_value() && load.limited_until > now) {
+    if (load.limited_until > now && view_.RateLimitOf(*listed).has_value()) {
       next = Sooner(next, {load.limited_until, RefusalReason::kLimited});
       continue;
     }
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -279,6 +279,13 @@
     case MessageType::kPermitReply:
       decode_and_handle(PermitReply{}, &ZoneCoordinator::OnPermitReply);
       return;
+    case MessageType::kColdPermitRequest:
+      decode_and_handle(ColdPermitRequest{},
+                        &ZoneCoordinator::OnColdPermitRequest);
+      return;
+    case MessageType::kColdReport:
+      decode_and_handle(ColdReport{}, &ZoneCoordinator::OnColdReport);
+      return;
     case MessageType::kLoadReport:
       decode_and_handle(LoadReport{}, &ZoneCoordinator::OnLoadReport);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -116,6 +116,8 @@
   // the other hosts.
   void ReportLimit(const std::string& upstream, int64_t incarnation,
                    const UpstreamLimit& stated);
+  // An upstream refused a connection; see DeploymentView::NoteRefused.
+  void ReportRefused(const std::string& upstream);
   // Asks for a permit to send one request to an upstream with a limit; see
   // PermitBroker::Ask.
   void AskForPermit(const ListedUpstream& upstream, int rank, Duration wait,
@@ -198,10 +200,19 @@
   LimitReport MakeLimitReport(const ListedUpstream& upstream,
                               ReportScope scope) const;
   void OnPermitRequest(const PermitRequest& request);
+  void OnColdPermitRequest(const ColdPermitRequest& request);
   void OnPermitReply(const PermitReply& reply);
   // Returns the host that gives permits for the upstreams of the zone.
   PermitGiver FindPermitGiver(const std::string& zone) const;
   void MakePermitBroker();
+  void OnColdReport(const ColdReport& report);
+  // Returns whether it was news that the upstream is cold for that long.
+  bool NoteReportedCold(const std::string& upstream, uint32_t cold_ms);
+  ColdReport MakeColdReport(const ListedUpstream& upstream,
+                            ReportScope scope) const;
+  // As ForwardLimit and SendLimits, for the upstreams that may be cold.
+  void ForwardCold(const std::string& upstream, ReportScope scope);
+  void SendColdReports(const std::string& address);
   void OnLoadReport(const LoadReport& report);
   void ShareLoad();
   void ApplySpeeds();
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -281,7 +281,10 @@
   }
   // Limits refer to registered upstreams, so they follow the registry.
   const auto registry = static_cast<size_t>(ViewKind::kRegistry);
-  if (is_new || decision.send_full.at(registry)) SendLimits(hello.address);
+  if (is_new || decision.send_full.at(registry)) {
+    SendLimits(hello.address);
+    SendColdReports(hello.address);
+  }
 }
 
 void ZoneCoordinator::DescribeFeed(ZoneStatus& status) const {
--- a/source/core/entry/zone_coordinator_limits.cc
+++ b/source/core/entry/zone_coordinator_limits.cc
@@ -27,8 +27,12 @@
     return FindPermitGiver(zone);
   };
   handlers.send_request = [this](const std::string& address,
-                                 const PermitRequest& request) {
-    transport_->SendDatagram(address, request);
+                                 const ColdPermitRequest& message) {
+    if (message.cold_ms > 0) {
+      transport_->SendDatagram(address, message);
+    } else {
+      transport_->SendDatagram(address, message.request);
+    }
   };
   handlers.send_reply = [this](const std::string& address,
                                const PermitReply& reply) {
@@ -38,6 +42,9 @@
                              const UpstreamLimit& stated) {
     ReportLimit(upstream, incarnation, stated);
   };
+  handlers.on_cold = [this](const std::string& upstream, uint32_t cold_ms) {
+    NoteReportedCold(upstream, cold_ms);
+  };
   permits_ = std::make_unique<PermitBroker>(
       loop_, view_, log_, options_.inner_address, std::move(handlers));
 }
@@ -49,6 +56,10 @@
 }
 
 void ZoneCoordinator::OnPermitRequest(const PermitRequest& request) {
+  permits_->OnRequest({request, 0});
+}
+
+void ZoneCoordinator::OnColdPermitRequest(const ColdPermitRequest& request) {
   permits_->OnRequest(request);
 }
 
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -42,6 +42,25 @@
          record.report <= known.record.report;
 }
 
+// Records how long the upstream stays cold according to a registration that was
+// read at `now`. To be called before `listed` takes the record over.
+void NoteWarmup(ListedUpstream& listed, const UpstreamRecord& record,
+                MonotonicTime now) {
+  const UpstreamRecord& known = listed.record;
+  const MonotonicTime until =
+      record.warmup_left > Duration::zero() ? now + record.warmup_left : kNever;
+  MonotonicTime& stated_until = listed.cold.stated_until;
+  const bool same_incarnation = listed.availability_since != kNever &&
+                                known.incarnation == record.incarnation;
+  if (same_incarnation && record.report == known.report &&
+      record.warmup_left == known.warmup_left) {
+    return;  // The same report, read again.
+  }
+  const bool earlier =
+      same_incarnation && record.report != 0 && record.report < known.report;
+  stated_until = earlier ? std::max(stated_until, until) : until;
+}
+
 void EndDeparture(ListedUpstream& listed) {
   listed.leaving_since = kNever;
   listed.left_after = kNever;
@@ -62,6 +81,7 @@
   const int64_t last_report = listed.record.incarnation == record.incarnation
                                   ? listed.record.report
                                   : 0;
+  NoteWarmup(listed, record, now);
   if (listed.record.incarnation != record.incarnation) {
     listed.announced_leaving = false;
     listed.limit = {};
@@ -124,6 +144,14 @@
   return true;
 }
 
+void UpstreamDirectory::NoteAssumedCold(const std::string& id,
+                                        MonotonicTime until) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  MonotonicTime& assumed_until = found->second.cold.assumed_until;
+  assumed_until = std::max(assumed_until, until);
+}
+
 void UpstreamDirectory::NoteReport(const UpstreamRecord& record) {
   const auto found = upstreams_.find(record.id);
   if (found == upstreams_.end()) return;
--- a/source/core/fleet/upstream_directory.h
+++ b/source/core/fleet/upstream_directory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/cold_times.h"
 #include "fleet/upstream_limit.h"
 #include "fleet/upstream_record.h"
 
@@ -39,6 +40,7 @@
   // regardless of its registration.
   bool announced_leaving = false;
   UpstreamLimit limit;  // As stated by this incarnation.
+  ColdTimes cold;
 };
 
 // A registration that disappeared around an outage of the store.
@@ -88,6 +90,9 @@
   // one counts as the same. Returns whether the known limit changed.
   bool NoteLimit(const std::string& id, int64_t incarnation,
                  const UpstreamLimit& stated);
+  // The upstream may be cold until then, although its registration does not say
+  // so. Never shortens what is known.
+  void NoteAssumedCold(const std::string& id, MonotonicTime until);
   // Marks upstreams as missing whose registration lapsed longer ago than the
   // grace time, lists missing ones again whose registration has reappeared for
   // longer than it lasts without renewal, and deletes those that have been
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -65,6 +65,10 @@
       return Check<PermitRequest>(body);
     case MessageType::kPermitReply:
       return Check<PermitReply>(body);
+    case MessageType::kColdPermitRequest:
+      return Check<ColdPermitRequest>(body);
+    case MessageType::kColdReport:
+      return Check<ColdReport>(body);
     case MessageType::kRelayProbe:
       return Check<RelayProbe>(body);
     case MessageType::kRelayOffer:
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -245,7 +245,36 @@
   }
 };
 
-// The reply to a PermitRequest.
+// A PermitRequest for an upstream that the asking host takes for cold. Hosts of
+// former builds do not answer it: they would give a permit without a limit.
+struct ColdPermitRequest {
+  static constexpr MessageType kType = MessageType::kColdPermitRequest;
+
+  PermitRequest request;
+  uint32_t cold_ms = 0;  // How long the upstream still counts as cold.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request, cold_ms);
+  }
+};
+
+// An upstream refused a connection, and counts as cold when it is back: it may
+// have started anew.
+struct ColdReport {
+  static constexpr MessageType kType = MessageType::kColdReport;
+
+  std::string upstream;
+  uint32_t cold_ms = 0;  // How long it counts as cold.
+  uint8_t scope = 0;     // ReportScope.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(upstream, cold_ms, scope);
+  }
+};
+
+// The reply to a PermitRequest or a ColdPermitRequest.
 struct PermitReply {
   static constexpr MessageType kType = MessageType::kPermitReply;
 
--- a/source/core/ranges/range_planner.cc
+++ b/source/core/ranges/range_planner.cc
@@ -38,6 +38,10 @@
 // keeps a few keys, as only a response can show that its limit has ended.
 constexpr double kMinLimit = 0.25;
 
+// Load relative to capacity with which a cold owner counts that has more keys
+// than it can serve. Below the load at which keys move away.
+constexpr double kColdOwnerLoad = 0.59;
+
 struct OwnerLoad {
   OwnerCandidate candidate;
   double load = 0;
@@ -61,6 +65,14 @@
     found->second.load += LoadOfKeys(loads, range.first, range.last);
     found->second.keys += range.last - range.first + 1;
   }
+  for (auto& [id, owner] : owners) {
+    double& capacity = owner.candidate.capacity;
+    if (!owner.candidate.cold_capacity.has_value()) continue;
+    const double cold = std::min(capacity, *owner.candidate.cold_capacity);
+    capacity = owner.load <= cold
+                   ? cold
+                   : std::clamp(owner.load / kColdOwnerLoad, cold, capacity);
+  }
   return owners;
 }
 
--- a/source/core/ranges/range_planner.h
+++ b/source/core/ranges/range_planner.h
@@ -29,6 +29,9 @@
   std::string zone;
   // Busy slot seconds per second that it can do, at its measured speed.
   double capacity = 1;
+  // While it is cold: what it can do then. It gets no more keys than that, but
+  // those that it has stay, because it is warm again before they could return.
+  std::optional<double> cold_capacity = std::nullopt;
 };
 
 // Returns the capacity of an owner with `slots` slots that works at `speed`
--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -82,16 +82,21 @@
         {"timeout", "1500ms"}, {"targetLatency", "600ms"}, {"priority", 1},
         {"maxAttempts", 2},    {"service", service}};
   };
+  nlohmann::json yard = {{"name", "yard"},
+                         {"healthPath", "/health"},
+                         {"maxConnections", 100},
+                         {"sharded", true},
+                         {"warm", "1s"}};
+  nlohmann::json desk = {
+      {"name", "desk"}, {"healthPath", "/health"}, {"maxConnections", 100}};
+  if (cold_rate > 0) {
+    for (nlohmann::json* service : {&yard, &desk}) {
+      (*service)["warmup"] = "3s";
+      (*service)["warmupPerS"] = cold_rate;
+    }
+  }
   return {{"version", "r" + std::to_string(version)},
-          {"services",
-           {{{"name", "yard"},
-             {"healthPath", "/health"},
-             {"maxConnections", 100},
-             {"sharded", true},
-             {"warm", "1s"}},
-            {{"name", "desk"},
-             {"healthPath", "/health"},
-             {"maxConnections", 100}}}},
+          {"services", {yard, desk}},
           {"limits",
            {{"maxHeaderBytes", 16384},
             {"maxBodyBytes", 1048576},
@@ -110,12 +115,32 @@
                                               const std::string& service,
                                               const std::string& zone,
                                               int index) {
+  return StartUpstream(id, service, zone, index, {}, {});
+}
+
+DeploymentUpstream& EntryFixture::AddColdUpstream(const std::string& id,
+                                                  const std::string& service,
+                                                  const std::string& zone,
+                                                  int index,
+                                                  Duration report_delay) {
+  return StartUpstream(id, service, zone, index, kColdTime, report_delay);
+}
+
+DeploymentUpstream& EntryFixture::StartUpstream(const std::string& id,
+                                                const std::string& service,
+                                                const std::string& zone,
+                                                int index, Duration cold_time,
+                                                Duration report_delay) {
   DeploymentUpstreamOptions options;
   options.id = id;
   options.service = service;
   options.zone = zone;
   options.address = {Address(kUpstreamNetwork, index), kUpstreamPort};
   options.keyed = service == "yard";
+  options.cold_time = cold_time;
+  options.report_delay = report_delay;
+  if (cold_rate > 0)
+    options.cold_allowed = cold_rate * kColdRatio + kColdAllowance;
   auto made = DeploymentUpstream::Start(loop, *store, record, options);
   CHECK(made.has_value());
   upstreams[id] = std::move(made.value());
@@ -162,7 +187,8 @@
              << ":18413\"\n[platform]\nprotocol = \"object-store\"\n"
              << "address = \"" << link_address.ToString() << "\"\n"
              << "bounds = \"drain=2000ms,grace=6s,holdMax=10000ms,"
-             << "budgetSlack=100,retryBudgetRatio=0.2,budgetWindow=10s\"\n"
+             << "budgetSlack=100,retryBudgetRatio=0.2,budgetWindow=10s"
+             << (cold_rate > 0 ? ",coldOver=1.5,coldSlack=8" : "") << "\"\n"
              << "[log]\nlines_per_second = 1000\n"
              << (link_upstreams ? LinkUpstreams(*host) : "")
              << extra_settings[name];
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -62,6 +62,12 @@
   DeploymentUpstream& AddUpstream(const std::string& id,
                                   const std::string& service,
                                   const std::string& zone, int index);
+  // As AddUpstream; the upstream is cold for a while, as after any start while
+  // there is traffic. Its registration arrives `report_delay` later.
+  DeploymentUpstream& AddColdUpstream(const std::string& id,
+                                      const std::string& service,
+                                      const std::string& zone, int index,
+                                      Duration report_delay);
   // Stops an upstream without notice, so that its address refuses connections.
   void CrashUpstream(const std::string& id);
   EntryProcess& AddHost(const std::string& name, const std::string& zone);
@@ -114,10 +120,17 @@
   // Gives each host that is added from now on links to the upstreams that there
   // are, so that it can be partitioned from them.
   bool link_upstreams = false;
+  // Requests per second that cold upstreams take from all hosts together; 0 if
+  // the deployment states no bound. To be set before the start.
+  double cold_rate = 0;
   // Appended to the settings file of a host, by the host's name.
   std::map<std::string, std::string> extra_settings;
 
  private:
+  DeploymentUpstream& StartUpstream(const std::string& id,
+                                    const std::string& service,
+                                    const std::string& zone, int index,
+                                    Duration cold_time, Duration report_delay);
   void UpdatePeers();
   // Opens the host's links to the upstreams, and returns its settings for them.
   std::string LinkUpstreams(EntryProcess& host);
@@ -129,6 +142,12 @@
   std::vector<std::unique_ptr<ExchangeClient>> clients_;
 };
 
+// How long upstreams are cold after their start, and how many requests may
+// reach a cold one within a second: this multiple of its rate, plus a number.
+inline constexpr Duration kColdTime = std::chrono::seconds(3);
+inline constexpr double kColdRatio = 1.5;
+inline constexpr double kColdAllowance = 8;
+
 // A change must be in force at every host within this time after the store
 // acknowledged it.
 inline constexpr Duration kChangeDeadline = std::chrono::seconds(2);
--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -30,6 +30,11 @@
 constexpr uint64_t kPathsSeedOffset = 3'000'000;
 // Lower seeds are kept as they were when they failed, and have no such cuts.
 constexpr uint64_t kFirstSeedWithPathCuts = 200;
+// The same for the reports of upstreams that are cold after their start.
+constexpr Duration kMaxReportDelay = seconds(1);
+constexpr uint64_t kColdSeedOffset = 4'000'000;
+constexpr uint64_t kFirstSeedWithColdUpstreams = 300;
+constexpr double kColdRate = 4.5;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -45,9 +50,12 @@
       limit_random_(seed + kLimitSeedOffset),
       restore_random_(seed + kRestoreSeedOffset),
       paths_random_(seed + kPathsSeedOffset),
+      cold_random_(seed + kColdSeedOffset),
       // Through a link, a crashed upstream does not refuse connections, so only
       // every other seed has links.
-      loses_paths_(seed >= kFirstSeedWithPathCuts && seed % 2 == 0) {}
+      loses_paths_(seed >= kFirstSeedWithPathCuts && seed % 2 == 0),
+      has_cold_upstreams_(seed >= kFirstSeedWithColdUpstreams &&
+                          !loses_paths_) {}
 
 std::vector<std::string> Soak::Run(Duration time) {
   constexpr std::array<Action, 14> actions = {&Soak::KillHost,
@@ -64,6 +72,7 @@
                                               &Soak::DrainUpstream,
                                               &Soak::IgnoreCommands,
                                               &Soak::LoseResponses};
+  if (has_cold_upstreams_) fixture_.cold_rate = kColdRate;
   fixture_.AddDefaultUpstreams();
   fixture_.link_upstreams = loses_paths_;
   fixture_.StartHosts(kHosts);
@@ -238,7 +247,13 @@
   fixture_.CrashUpstream(id);
   const int index = id.back() - '0' + (options.keyed ? 0 : kKeyedUpstreams);
   EndLater(seconds(4), [this, id, options, index] {
-    fixture_.AddUpstream(id, options.service, options.zone, index);
+    if (has_cold_upstreams_) {
+      fixture_.AddColdUpstream(
+          id, options.service, options.zone, index,
+          milliseconds(cold_random_.Below(ToMilliseconds(kMaxReportDelay))));
+    } else {
+      fixture_.AddUpstream(id, options.service, options.zone, index);
+    }
     crashed_.erase(id);
   });
 }
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -50,7 +50,8 @@
   // Faults of upstreams.
   void CrashUpstream();
   void DrainUpstream();
-  // Crashes the upstream and later starts its next incarnation.
+  // Crashes the upstream and later starts its next incarnation, which is cold
+  // in some seeds.
   void ReplaceUpstream(const std::string& id);
   void IgnoreCommands();
   void LoseResponses();
@@ -78,7 +79,9 @@
   Random limit_random_;    // For StateLimit.
   Random restore_random_;  // For RestoreStore.
   Random paths_random_;    // For LosePaths.
+  Random cold_random_;     // For the delays of cold upstreams' reports.
   bool loses_paths_;
+  bool has_cold_upstreams_;
   int version_ = 1;
   // Functions that end the current faults, by the time at which they run.
   std::multimap<MonotonicTime, std::function<void()>> fault_ends_;
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -23,6 +23,10 @@
 constexpr Duration kLimitWindow = std::chrono::seconds(4);
 constexpr double kLimitFactor = 1.5;
 constexpr double kLimitSlack = 5;
+// The platform's rule on cold upstreams counts the requests of any second.
+constexpr Duration kColdWindow = std::chrono::seconds(1);
+// Time between two reports of an upstream.
+constexpr Duration kReportInterval = std::chrono::milliseconds(870);
 
 std::vector<DeploymentUpstream*>& Peers() {
   static std::vector<DeploymentUpstream*> peers;
@@ -74,7 +78,11 @@
                                 {kTextLimits, kIdleTimeout, kIdleTimeout, 200},
                                 std::move(handlers)));
   upstream->server_ = std::move(server);
-  upstream->Report("ready");
+  if (self->options_.cold_time > Duration::zero()) {
+    self->BecomeCold(self->options_.cold_time);
+  } else {
+    self->Report("ready");
+  }
   return upstream;
 }
 
@@ -84,16 +92,64 @@
 }
 
 void DeploymentUpstream::Report(const std::string& state) {
-  store_.Put("servers", options_.id,
-             {{"service", options_.service},
-              {"address", options_.address.ToString()},
-              {"zone", options_.zone},
-              {"version", "v1"},
-              {"slots", options_.slots},
-              {"state", state},
-              {"warmupLeft", "0ms"},
-              {"seq", ++reports_},
-              {"born", incarnation_}});
+  state_ = state;
+  const Duration left =
+      std::max(Duration::zero(), cold_until_ - loop_.timers().now());
+  const nlohmann::json content = {
+      {"service", options_.service},
+      {"address", options_.address.ToString()},
+      {"zone", options_.zone},
+      {"version", "v1"},
+      {"slots", options_.slots},
+      {"state", state},
+      {"warmupLeft", std::to_string(ToMilliseconds(left)) + "ms"},
+      {"seq", ++reports_},
+      {"born", incarnation_}};
+  if (options_.report_delay == Duration::zero()) {
+    store_.Put("servers", options_.id, content);
+    return;
+  }
+  loop_.timers().After(options_.report_delay,
+                       [this, content, alive = std::weak_ptr<char>(alive_)] {
+                         if (!alive.expired())
+                           store_.Put("servers", options_.id, content);
+                       });
+}
+
+void DeploymentUpstream::BecomeCold(Duration time) {
+  const MonotonicTime now = loop_.timers().now();
+  const bool was_cold = now < cold_until_;
+  cold_until_ = now + time;
+  Report(state_);
+  if (!was_cold) RepeatReport();
+}
+
+void DeploymentUpstream::RepeatReport() {
+  loop_.timers().After(kReportInterval,
+                       [this, alive = std::weak_ptr<char>(alive_)] {
+                         if (alive.expired()) return;
+                         const bool cold = loop_.timers().now() < cold_until_;
+                         Report(state_);
+                         if (cold) RepeatReport();
+                       });
+}
+
+void DeploymentUpstream::CheckCold() {
+  const MonotonicTime now = loop_.timers().now();
+  if (now >= cold_until_) {
+    cold_arrivals_.clear();
+    return;
+  }
+  cold_arrivals_.push_back(now);
+  while (now - cold_arrivals_.front() > kColdWindow) cold_arrivals_.pop_front();
+  most_while_cold_ = std::max(most_while_cold_, cold_arrivals_.size());
+  if (options_.cold_allowed <= 0 ||
+      static_cast<double>(cold_arrivals_.size()) <= options_.cold_allowed) {
+    return;
+  }
+  record_.violations.push_back(options_.id + " is cold and got " +
+                               std::to_string(cold_arrivals_.size()) +
+                               " requests within a second");
 }
 
 void DeploymentUpstream::StateLimit(const std::string& per_second) {
@@ -256,6 +312,7 @@
     Respond(id, 421, {{"x-not-executed", "1"}, {"x-request-id", request_id}});
     return;
   }
+  CheckCold();
   if (running_ >= options_.slots && queue_.size() >= kMaxQueuedRequests) {
     Respond(id, 503, {{"x-not-executed", "1"}, {"x-request-id", request_id}});
     return;
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -26,6 +26,12 @@
   int slots = 2;
   bool keyed = true;
   Duration work = std::chrono::milliseconds(20);  // Time to run a request.
+  // The upstream is cold for this long after its start.
+  Duration cold_time{};
+  // Requests that may arrive within any second while the upstream is cold.
+  double cold_allowed = 0;
+  // From a report to its arrival in the store.
+  Duration report_delay{};
 };
 
 // A request that an upstream accepted.
@@ -82,6 +88,9 @@
   // States in each response from now on that all hosts together may send this
   // many requests per second. An empty text ends the limit.
   void StateLimit(const std::string& per_second);
+  // The upstream is cold for this long from now on, and says so in its
+  // registration.
+  void BecomeCold(Duration time);
   // Registers the upstream in the store with this state.
   void Report(const std::string& state);
   // Returns whether the upstream holds the key now.
@@ -91,6 +100,8 @@
   int64_t incarnation() const { return incarnation_; }
   void SetWork(Duration work) { options_.work = work; }
   bool crashed() const { return server_ == nullptr; }
+  // Most requests that arrived within a second while the upstream was cold.
+  size_t most_while_cold() const { return most_while_cold_; }
   int running() const { return running_; }
   // Number of requests refused because of UpstreamFaults::rest_seconds.
   int refused_requests() const { return refused_requests_; }
@@ -132,6 +143,11 @@
   // Records the arrival of a caller's request, and a violation if more arrived
   // than the limit allows.
   void CheckLimit();
+  // The same for the requests that a cold upstream takes.
+  void CheckCold();
+  // Repeats the registration while the upstream is cold, as its content changes
+  // with each report.
+  void RepeatReport();
   // Returns whether a request with a key from `first` to `last` is running.
   bool IsRunningKeyIn(int first, int last) const;
 
@@ -157,6 +173,10 @@
   // When a response first stated the limit; kNever before.
   MonotonicTime limit_stated_at_ = kNever;
   std::deque<MonotonicTime> arrivals_;  // While the limit is stated.
+  std::string state_ = "ready";         // As last reported.
+  MonotonicTime cold_until_ = kNever;
+  std::deque<MonotonicTime> cold_arrivals_;  // Of the last second, while cold.
+  size_t most_while_cold_ = 0;
 };
 
 }  // namespace mimosadeal
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -75,6 +75,10 @@
       MakeSample(LimitReport{"u1", 1, {true, 1.4, 5}, 2}),
       MakeSample(PermitRequest{
           7, "10.1.0.10:7720", "u1", 1, "north", 2, 200, {true, 1.4, 5}, 1}),
+      MakeSample(ColdPermitRequest{
+          {7, "10.1.0.10:7720", "u1", 1, "north", 2, 200, {false, 0, -1}, 1},
+          2900}),
+      MakeSample(ColdReport{"u1", 2900, 2}),
       MakeSample(PermitReply{7, true, 900, {true, 1.4, 5}}),
       MakeSample(RelayProbe{"10.1.0.10:7720", "north"}),
       MakeSample(offer),
