--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 14> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 16> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -25,6 +25,9 @@
     {EntryGauge::kReady, "mimosadeal_ready"},
     {EntryGauge::kServicesCutOff, "mimosadeal_services_cut_off"},
     {EntryGauge::kZonesEvacuated, "mimosadeal_zones_evacuated"},
+    {EntryGauge::kColdUpstreams, "mimosadeal_cold_upstreams"},
+    {EntryGauge::kUnreadableRegistrations,
+     "mimosadeal_unreadable_registrations"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
     {EntryGauge::kHedgePercent, "mimosadeal_hedge_extra_work_percent"},
 }};
@@ -78,6 +81,11 @@
                                  "a limit of requests per second")
                            .Register(*registry_)
                            .Add({})),
+      sent_to_cold_(prometheus::BuildCounter()
+                        .Name("mimosadeal_sent_to_cold_total")
+                        .Help("Requests sent to upstreams that count as cold")
+                        .Register(*registry_)
+                        .Add({})),
       permits_(prometheus::BuildCounter()
                    .Name("mimosadeal_permits_total")
                    .Help("Permits for requests to upstreams with a limit, by "
@@ -152,6 +160,8 @@
 
 void EntryMetrics::ObserveSentToLimited() { sent_to_limited_.Increment(); }
 
+void EntryMetrics::ObserveSentToCold() { sent_to_cold_.Increment(); }
+
 void EntryMetrics::ObservePermit(std::string_view outcome) {
   permits_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -35,6 +35,8 @@
   kReady,
   kServicesCutOff,
   kZonesEvacuated,
+  kColdUpstreams,
+  kUnreadableRegistrations,
   kLogLinesDropped,
   kHedgePercent,
 };
@@ -64,6 +66,8 @@
   void ObserveSentToEvacuated(Duration after);
   // A request was sent to an upstream that has stated a limit.
   void ObserveSentToLimited();
+  // A request was sent to an upstream that counts as cold.
+  void ObserveSentToCold();
   // A permit for such a request was given or refused; see
   // RequestForwarder::OnPermit.
   void ObservePermit(std::string_view outcome);
@@ -93,6 +97,7 @@
   prometheus::Histogram& sent_to_lapsed_seconds_;
   prometheus::Histogram& sent_to_evacuated_seconds_;
   prometheus::Counter& sent_to_limited_;
+  prometheus::Counter& sent_to_cold_;
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
   prometheus::Family<prometheus::Counter>& hedges_;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -177,6 +177,7 @@
   view_->SetAddressRoutes(settings_.routes);
   if (bounds_.evacuation.has_value())
     view_->EnableEvacuations(*bounds_.evacuation);
+  view_->SetColdBound({bounds_.cold_ratio, bounds_.cold_allowance});
   paths_ = std::make_unique<PathMonitor>(loop_, *view_, log_);
 }
 
@@ -214,6 +215,9 @@
                              const UpstreamLimit& stated) {
     coordinator_->ReportLimit(upstream, incarnation, stated);
   };
+  handlers.on_refused = [this](const std::string& upstream) {
+    coordinator_->ReportRefused(upstream);
+  };
   handlers.ask_for_permit = [this](const ListedUpstream& upstream, int rank,
                                    Duration wait,
                                    PermitBroker::Callback callback) {
@@ -452,6 +456,8 @@
       {EntryGauge::kReady, ready() ? 1U : 0U},
       {EntryGauge::kServicesCutOff, paths_->cut_off_services()},
       {EntryGauge::kZonesEvacuated, view_->evacuated_zones()},
+      {EntryGauge::kColdUpstreams, view_->cold_upstreams()},
+      {EntryGauge::kUnreadableRegistrations, view_->unreadable_registrations()},
       {EntryGauge::kLogLinesDropped, log_.dropped()},
   };
   for (const auto& [gauge, value] : values)
--- a/source/core/entry/range_manager_evacuation.cc
+++ b/source/core/entry/range_manager_evacuation.cc
@@ -20,14 +20,6 @@
 
 }  // namespace
 
-double ColdIntake(const RouteTable* routes, const UpstreamRecord& upstream,
-                  double request_seconds) {
-  if (routes == nullptr || upstream.warmup_left <= Duration::zero()) return 0;
-  const auto service = routes->services.find(upstream.service);
-  if (service == routes->services.end()) return 0;
-  return service->second.warmup_requests_per_second * request_seconds;
-}
-
 void RangeManager::EvacuateZone(Service& service, RangeTable& planned) {
   const MonotonicTime now = loop_.timers().now();
   const MonotonicTime evacuated_at = view_.EvacuatedAt(options_.zone);
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -12,9 +12,6 @@
 
 namespace mimosadeal {
 
-struct RouteTable;
-struct UpstreamRecord;
-
 // First key, last key and generation.
 using GrantKey = std::tuple<int, int, uint64_t>;
 
@@ -62,10 +59,4 @@
   bool evacuation_logged = false;  // For the present evacuation of the zone.
 };
 
-// Returns OwnerCandidate::intake of the upstream: while it is cold, the load of
-// the requests per second that its service states for a cold upstream. `routes`
-// may be null. `request_seconds`: see OwnerCapacity.
-double ColdIntake(const RouteTable* routes, const UpstreamRecord& upstream,
-                  double request_seconds);
-
 }  // namespace mimosadeal
--- a/source/core/ranges/range_planner.cc
+++ b/source/core/ranges/range_planner.cc
@@ -50,6 +50,10 @@
 // keeps a few keys, as only a response can show that its limit has ended.
 constexpr double kMinLimit = 0.25;
 
+// Load relative to capacity with which a cold owner counts that has more keys
+// than it can serve. Below the load at which keys move away.
+constexpr double kColdOwnerLoad = 0.59;
+
 struct OwnerLoad {
   OwnerCandidate candidate;
   double load = 0;
@@ -73,14 +77,23 @@
     found->second.load += LoadOfKeys(loads, range.first, range.last);
     found->second.keys += range.last - range.first + 1;
   }
+  for (auto& [id, owner] : owners) {
+    double& capacity = owner.candidate.capacity;
+    if (!owner.candidate.cold_capacity.has_value()) continue;
+    const double cold = std::min(capacity, *owner.candidate.cold_capacity);
+    capacity = owner.load <= cold
+                   ? cold
+                   : std::clamp(owner.load / kColdOwnerLoad, cold, capacity);
+  }
   return owners;
 }
 
 bool TakesKeys(const OwnerLoad& owner) {
-  return owner.candidate.intake <= 0 || owner.load < owner.candidate.intake;
+  return !owner.candidate.cold_capacity.has_value() ||
+         owner.load < *owner.candidate.cold_capacity;
 }
 
-// Prefers owners that take keys to those that have reached their intake.
+// Prefers owners that take keys to cold ones that have enough.
 OwnerLoad* LeastLoaded(std::map<std::string, OwnerLoad>& owners,
                        const std::string& zone) {
   OwnerLoad* least = nullptr;
@@ -433,8 +446,9 @@
     double wanted = (source->load * target->candidate.capacity -
                      target->load * source->candidate.capacity) /
                     (source->candidate.capacity + target->candidate.capacity);
-    if (target->candidate.intake > 0)
-      wanted = std::min(wanted, target->candidate.intake - target->load);
+    if (target->candidate.cold_capacity.has_value())
+      wanted =
+          std::min(wanted, *target->candidate.cold_capacity - target->load);
     KeySpan span = ChoosePart(planned, loads, source->candidate.id, wanted);
     if (span.last < span.first) {
       source->nothing_to_move = true;
--- a/source/core/ranges/range_planner.h
+++ b/source/core/ranges/range_planner.h
@@ -29,9 +29,9 @@
   std::string zone;
   // Busy slot seconds per second that it can do, at its measured speed.
   double capacity = 1;
-  // No keys move to it while its load, in the same unit, is at least this; 0
-  // for no limit. Set for cold owners, which take few requests at first.
-  double intake = 0;
+  // While it is cold: what it can do then. It gets no more keys than that, but
+  // those that it has stay, because it is warm again before they could return.
+  std::optional<double> cold_capacity = std::nullopt;
 };
 
 // Returns the capacity of an owner with `slots` slots that works at `speed`
@@ -79,8 +79,8 @@
 // Divides the ranges of the zone, the busiest first and at most `max_ranges` of
 // them, among `targets` in the order of their load relative to capacity. A busy
 // range is cut, so that several owners share its load. Targets that have
-// reached their intake get none while there are others. Nothing moves without
-// targets. Load beyond the capacity of all is divided equally as well.
+// reached their cold capacity get none while there are others. Nothing moves
+// without targets. Load beyond the capacity of all is divided equally as well.
 //
 // Load pattern: a third of the owners, at 45% of their capacity, are to have no
 // keys within seconds, while a few neighbouring keys get much of the traffic.
--- a/source/unit_tests/ranges/zone_evacuation_test.cc
+++ b/source/unit_tests/ranges/zone_evacuation_test.cc
@@ -166,27 +166,28 @@
 TEST(ZoneEvacuation, ColdTargetsGetNoMoreThanTheirIntake) {
   AddEvenLoad(0.2);
   auto targets = OwnersOutside({"west"});
-  const double intake = 4.5 * 0.29;
+  const double cold_capacity = 4.5 * 0.29;
   for (OwnerCandidate& target : targets) {
-    if (target.zone == "east") target.intake = intake;
+    if (target.zone == "east") target.cold_capacity = cold_capacity;
   }
   Evacuate("west", targets);
   LONGS_EQUAL(0, KeysIn("west"));
-  // At most one range, or a part of one, beyond the intake.
+  // At most one range, or a part of one, beyond the cold capacity.
   for (const OwnerCandidate& target : targets) {
-    if (target.intake > 0) CHECK(LoadOf(target.id) < intake + 0.2 * kSlots);
+    if (target.cold_capacity.has_value())
+      CHECK(LoadOf(target.id) < cold_capacity + 0.2 * kSlots);
   }
 }
 
 // Load pattern: the zone is taken back, and its owners are cold for 3 s. Keys
-// return by their intake, and no key goes back and forth.
+// return by their cold capacity, and no key goes back and forth.
 TEST(ZoneEvacuation, KeysReturnToAColdZoneSlowlyAndStay) {
   AddEvenLoad(0.45);
   Evacuate("west", OwnersOutside({"west"}));
-  const double intake = 4.5 * 0.29;
+  const double cold_capacity = 4.5 * 0.29;
   auto cold = owners;
   for (OwnerCandidate& owner : cold) {
-    if (owner.zone == "west") owner.intake = intake;
+    if (owner.zone == "west") owner.cold_capacity = cold_capacity;
   }
   // Six rounds take 3 s.
   int most_moved = 0;
@@ -195,7 +196,7 @@
     most_moved = std::max(most_moved, Balance(cold));
     CHECK(KeysIn("west") >= before);
     for (const OwnerCandidate& owner : cold) {
-      if (owner.zone == "west") CHECK(LoadOf(owner.id) <= intake * 1.1);
+      if (owner.zone == "west") CHECK(LoadOf(owner.id) <= cold_capacity * 1.1);
     }
   }
   CHECK(KeysIn("west") > 0);
