Lend the room of upstreams without keys to hosts in bulk

Cause: where upstreams have room for few requests and reset those beyond it, hosts that choose alone lose requests. Change: the holder of a zone's lease lends its upstreams' room (entry/room_lender), hosts send only into their loans (entry/room_borrower) and keep what does not fit in a queue by rank, refused at once if it would be too late (request_forwarder_room). Two new datagram types; only where DeploymentBounds::scarce_room.

--- a/source/core/balance/room_plan.cc
+++ b/source/core/balance/room_plan.cc
@@ -24,9 +24,9 @@
 constexpr double kPoorShare = 0.65;
 // A host that has parts of this many upstreams gets more room at the same ones.
 constexpr size_t kFewUpstreams = 3;
-// The queue of an upstream may take this share of the target latency: the rest
-// is for slower requests than the mean.
-constexpr double kQueuedShare = 0.5;
+// A request at the end of an upstream's queue is answered within this share of
+// the target latency: the rest is for slower requests than the mean.
+constexpr double kQueuedShare = 0.75;
 
 struct Planner {
   const std::vector<PlannedUpstream>& upstreams;
@@ -72,18 +72,32 @@
   return planner;
 }
 
+// Takes one request's room at the upstream from the host that has the most
+// above its share.
+void TakeOne(Planner& planner, const std::string& upstream) {
+  std::string richest;
+  for (const auto& [host, loans] : planner.loans) {
+    if (loans.contains(upstream) &&
+        (richest.empty() || planner.Fill(host) > planner.Fill(richest))) {
+      richest = host;
+    }
+  }
+  planner.Add(richest, upstream, -1);
+}
+
 // Keeps the loans of hosts and upstreams that there are still, as far as the
 // upstream has room.
 void Keep(Planner& planner, const RoomByHost& current) {
   for (const auto& [host, loans] : current) {
     if (!planner.shares.contains(host)) continue;
     for (const auto& [upstream, room] : loans) {
-      const auto left = planner.free.find(upstream);
-      if (left == planner.free.end()) continue;
-      const int kept = std::min(room, left->second);
-      if (kept > 0) planner.Add(host, upstream, kept);
+      if (room > 0 && planner.free.contains(upstream))
+        planner.Add(host, upstream, room);
     }
   }
+  for (const PlannedUpstream& upstream : planner.upstreams) {
+    while (planner.free[upstream.id] < 0) TakeOne(planner, upstream.id);
+  }
 }
 
 // Takes up to one part of the host's smallest loan, but not its last request.
--- a/source/core/balance/room_plan.h
+++ b/source/core/balance/room_plan.h
@@ -30,8 +30,9 @@
 // Loans by host.
 using RoomByHost = std::map<std::string, RoomByUpstream>;
 
-// Returns the room of an upstream: its slots, and a queue that is served within
-// half of `target`. `service_time`: of one request in a slot; zero if unknown.
+// Returns the room of an upstream: its slots, and a queue that is answered
+// within three quarters of `target`. `service_time`: of one request in a slot;
+// zero if unknown.
 int RoomOf(int slots, Duration service_time, Duration target);
 
 // Returns the size of the parts in which the room of an upstream is lent.
--- a/source/core/balance/room_queue.cc
+++ b/source/core/balance/room_queue.cc
@@ -106,14 +106,11 @@
   for (const size_t index : ServiceOrder(queue)) {
     const RoomWaiter& waiter = queue.waiters[index];
     const Duration wait = SendTime(static_cast<double>(ahead + 1), per_second);
-    const bool just_arrived = waiter.arrived == now;
     const auto usable = Duration(static_cast<int64_t>(
-        static_cast<double>((waiter.start_by - now).count()) *
-        (just_arrived ? kUsableWait : 1)));
-    const bool too_late = waiter.start_by <= now;
-    // One that was kept waits on while it may still be served.
-    if (too_late || (just_arrived && wait > usable) ||
-        (ahead > 0 && wait > 2 * usable)) {
+        static_cast<double>((waiter.start_by - now).count()) * kUsableWait));
+    const bool refused_on_arrival = waiter.arrived == now && wait > usable;
+    const bool displaced = ahead > 0 && now + wait > waiter.drop_at;
+    if (refused_on_arrival || displaced || now >= waiter.drop_at) {
       refusals.push_back({waiter.ticket, ahead, Duration::zero()});
     } else {
       ++ahead;
--- a/source/core/balance/room_queue.h
+++ b/source/core/balance/room_queue.h
@@ -24,8 +24,12 @@
   int rank = 0;         // 0 is the most urgent.
   std::string route;
   MonotonicTime arrived = kNever;
-  // When it must be sent at last to be answered in time.
+  // When it must be sent at last to be answered in time. It waits only if it is
+  // expected to be sent before.
   MonotonicTime start_by = kNever;
+  // One that waits is refused if it is not sent by then. Later than `start_by`:
+  // after a wait, a late response is worth more than a refusal.
+  MonotonicTime drop_at = kNever;
 };
 
 struct RoomRefusal {
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -78,7 +78,12 @@
                    .Name("mimosadeal_relayed_total")
                    .Help("Requests that another host was asked to send, by "
                          "outcome")
-                   .Register(*registry_)) {
+                   .Register(*registry_)),
+      room_(prometheus::BuildCounter()
+                .Name("mimosadeal_room_total")
+                .Help("Requests to services whose room is lent that had no "
+                      "free loan, by what was done")
+                .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -134,6 +139,10 @@
   relayed_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObserveRoom(std::string_view outcome) {
+  room_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -64,6 +64,8 @@
   void ObservePermit(std::string_view outcome);
   // Another host was asked to send a request; see ExchangeRelay::OnReply.
   void ObserveRelayed(std::string_view outcome);
+  // A request met scarce room; see RequestForwarder::FindInRoom.
+  void ObserveRoom(std::string_view outcome);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -81,6 +83,7 @@
   prometheus::Counter& sent_to_limited_;
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
+  prometheus::Family<prometheus::Counter>& room_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -16,6 +16,7 @@
 #include "entry/exchange_relay.h"
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
+#include "entry/room_borrower.h"
 #include "entry/upstream_pool.h"
 #include "entry/zone_coordinator.h"
 #include "net/event_loop.h"
@@ -135,6 +136,7 @@
   Result<void> MakeCoordinator();
   void MakeForwarder();
   void MakeRelay();
+  void MakeRoomBorrower();
   // Whether this host can grant keys, or no other host can either.
   bool MayHoldLeases() const;
   Result<void> Listen();
@@ -162,6 +164,7 @@
   std::unique_ptr<ExchangeRelay> relay_;
   std::unique_ptr<RequestForwarder> forwarder_;
   std::unique_ptr<ZoneCoordinator> coordinator_;
+  std::unique_ptr<RoomBorrower> room_;  // Null unless room is scarce.
   std::unique_ptr<ExchangeServer> callers_;
   std::unique_ptr<ExchangeServer> readiness_;
   std::unique_ptr<ExchangeServer> operators_;
@@ -186,6 +189,7 @@
   MakeStore(store_address);
   MakeForwarder();
   BOOST_OUTCOME_TRY(MakeCoordinator());
+  if (bounds_.scarce_room) MakeRoomBorrower();
   BOOST_OUTCOME_TRY(Listen());
   view_->Subscribe([this] { OnViewChanged(); });
   view_->Start();
@@ -285,6 +289,8 @@
   options.longest_hold = bounds_.longest_hold;
   options.cpu_share = settings_.cpu_share;
   options.link_mbps = settings_.link_mbps;
+  options.scarce_room = bounds_.scarce_room;
+  options.cold_are_limited = bounds_.cold_ratio > 0;
   ZoneCoordinatorHandlers handlers;
   handlers.on_crash = [this](uint64_t fingerprint,
                              const std::string& upstream_incarnation) {
@@ -294,6 +300,9 @@
                                      const Frame& frame) {
     relay_->OnMessage(connection, frame);
   };
+  handlers.on_room_loan = [this](const RoomLoan& loan) {
+    if (room_ != nullptr) room_->OnLoan(loan);
+  };
   handlers.may_hold_leases = [this] { return MayHoldLeases(); };
   handlers.on_disconnected = [this](ConnectionId connection) {
     relay_->OnDisconnected(connection);
@@ -307,6 +316,22 @@
   return outcome::success();
 }
 
+void EntryNode::Impl::MakeRoomBorrower() {
+  RoomBorrowerHandlers handlers;
+  handlers.send_demand = [this](const RoomDemand& demand) {
+    coordinator_->ReportRoomDemand(demand);
+  };
+  handlers.on_loans_changed = [this](const std::string& service) {
+    forwarder_->OnRoomChanged(service);
+  };
+  room_ = std::make_unique<RoomBorrower>(
+      loop_, *view_, *pool_, log_,
+      RoomBorrowerOptions{settings_.host_id, process_, settings_.zone,
+                          settings_.inner_address},
+      std::move(handlers));
+  forwarder_->SetRoom(*room_);
+}
+
 bool EntryNode::Impl::MayHoldLeases() const {
   if (view_->routes() == nullptr) return true;
   const auto& services = view_->routes()->services;
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -64,7 +64,7 @@
       random_(SystemSeed()),
       suspects_(options_.crash_policy) {}
 
-RequestForwarder::~RequestForwarder() = default;
+RequestForwarder::~RequestForwarder() { loop_.timers().Cancel(room_timer_); }
 
 void RequestForwarder::OnRequest(ExchangeId exchange, HttpRequest&& request) {
   auto created = std::make_unique<PendingRequest>();
@@ -129,6 +129,7 @@
   pending.give_up_at =
       std::min(pending.deadline, pending.received + pending.route->timeout);
   ArmGiveUp(pending);
+  NoteRoomArrival(pending);
   if (pending.service->keyed && pending.request.key.has_value()) {
     const auto seconds = route_seconds_.find(pending.route->name);
     handlers_.on_load(pending.service->name, *pending.request.key,
@@ -202,6 +203,15 @@
                    load.connect_backoff_until - now);
       return;
     }
+  } else if (UsesRoom(pending)) {
+    RoomSearch search;
+    upstream = FindPermitted(pending);
+    if (upstream == nullptr) upstream = FindInRoom(pending, search);
+    if (search.alone) metrics_.ObserveRoom("alone");
+    if (upstream == nullptr) {
+      WaitForRoom(pending, search);
+      return;
+    }
   } else {
     NextChance next;
     upstream = FindPermitted(pending);
@@ -391,6 +401,7 @@
 void RequestForwarder::Finish(PendingRequest& pending) {
   loop_.timers().Cancel(pending.give_up_timer);
   loop_.timers().Cancel(pending.wait_timer);
+  LeaveRoomQueue(pending);
   pending_.erase(pending.exchange);
 }
 
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -7,11 +7,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "balance/crash_suspects.h"
 #include "balance/retry_budget.h"
+#include "balance/room_queue.h"
 #include "common/ids.h"
 #include "entry/upstream_pool.h"
 #include "forwarding/deployment_protocol.h"
@@ -26,12 +28,14 @@
 class EventLoop;
 class ExchangeRelay;
 class PathMonitor;
+class RoomBorrower;
 struct ChoiceCandidate;
 struct KeyRange;
 struct ListedUpstream;
 struct NextChance;
 struct PermitDecision;
 struct RegistrationLapse;
+struct RoomSearch;
 struct UpstreamLimit;
 
 struct RequestForwarderOptions {
@@ -109,6 +113,12 @@
   // a request has crashed.
   void CheckForCrash(uint64_t fingerprint, const UpstreamRecord& upstream);
 
+  // From now on, requests of services without keys are sent within this host's
+  // room only; see RoomBorrower.
+  void SetRoom(RoomBorrower& room) { room_ = &room; }
+  // The room of a service changed, or some of it became free.
+  void OnRoomChanged(const std::string& service);
+
   size_t pending() const { return pending_.size(); }
 
  private:
@@ -138,6 +148,44 @@
   // Returns at most kMaxCandidates upstreams, spread evenly over `serving`.
   std::vector<const ListedUpstream*> SampleUpstreams(
       const std::vector<const ListedUpstream*>& serving);
+  // Whether the request is sent within this host's room.
+  bool UsesRoom(const PendingRequest& pending) const;
+  void NoteRoomArrival(const PendingRequest& pending);
+  // Returns the upstream within this host's room that is expected to respond
+  // soonest, or null.
+  const ListedUpstream* FindInRoom(const PendingRequest& pending,
+                                   RoomSearch& search);
+  // As FindInRoom, of the room that is lent; of the room that a host without
+  // loans uses; of upstreams with a limit.
+  const ListedUpstream* FindLent(const PendingRequest& pending,
+                                 RoomSearch& search);
+  const ListedUpstream* FindAlone(const PendingRequest& pending,
+                                  RoomSearch& search);
+  const ListedUpstream* FindLimited(const PendingRequest& pending,
+                                    RoomSearch& search);
+  // Returns the best of `upstreams` that has fewer of this host's requests than
+  // `room` returns for it.
+  const ListedUpstream* ChooseWithin(
+      const PendingRequest& pending,
+      const std::vector<const ListedUpstream*>& upstreams,
+      const std::function<int(const UpstreamRecord&)>& room,
+      RoomSearch& search);
+  // Keeps the request until there is room for it, or refuses it at once if that
+  // would be too late.
+  void WaitForRoom(PendingRequest& pending, const RoomSearch& search);
+  void RefuseForRoom(PendingRequest& pending, RefusalReason reason,
+                     Duration retry_after, size_t ahead);
+  // Refuses those that wait for room and would be sent too late.
+  void RefuseLateWaiters(const std::string& service);
+  // Requests per second that this host's room takes when it is full, or that
+  // it may send without loans.
+  double RoomRate(const std::string& service);
+  // Sends those that wait for room, as far as there is some.
+  void ServeRoom(const std::string& service);
+  // A call of the request ended.
+  void NoteRoomFreed(const PendingRequest& pending);
+  void LeaveRoomQueue(PendingRequest& pending);
+  void ArmRoomCheck();
   // Refuses the request because every upstream that could serve it rests or is
   // at its limit.
   void RefuseUntil(PendingRequest& pending, const NextChance& next);
@@ -239,6 +287,10 @@
   // `preferred_version_`.
   std::map<std::string, std::vector<const ListedUpstream*>> preferred_;
   uint64_t preferred_version_ = 0;
+  RoomBorrower* room_ = nullptr;                  // Null unless room is scarce.
+  std::map<std::string, RoomQueue> room_queues_;  // By service.
+  std::set<std::string> room_posted_;  // Services that ServeRoom runs for soon.
+  uint64_t room_timer_ = 0;
   // See BeginStop; kForever while no stop is planned.
   MonotonicTime refuse_from_ = kForever;
   MonotonicTime respond_by_ = kForever;
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -10,6 +10,7 @@
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_forwarder_state.h"
+#include "entry/room_borrower.h"
 #include "net/event_loop.h"
 #include "net/tcp_stream.h"
 
@@ -39,6 +40,7 @@
   PendingRequest& pending = *found->second;
   pending.call = 0;
   const bool relayed = std::exchange(pending.relay_call, 0) != 0;
+  NoteRoomFreed(pending);
   if (result.failure != ClientFailure::kNone) {
     OnFailure(pending, upstream, result, relayed);
     return;
@@ -61,6 +63,8 @@
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
       if (pending.service->keyed)
         NoteServiceTime(pending, upstream, now - pending.sent_at);
+      if (UsesRoom(pending))
+        room_->NoteServed(pending.service->name, now - pending.sent_at);
       Deliver(pending, answer.response);
       return;
     case ResponseKind::kNotRun:
@@ -153,6 +157,8 @@
     }
     // That an idle connection was closed does not show that the upstream
     // failed.
+    if (result.reused && UsesRoom(pending) && pending.newly_tried)
+      std::erase(pending.tried, pending.called);
     if (pending.service->keyed && !result.reused) {
       WaitForOwner(pending, RefusalReason::kNoOwner, kOwnerRecheckDelay);
     } else {
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -27,6 +27,14 @@
   RefusalReason reason = RefusalReason::kNone;
 };
 
+// The result of a search for room.
+struct RoomSearch {
+  // Whether an upstream may be used, though it may be full.
+  bool any_usable = false;
+  bool alone = false;  // What was found is not lent.
+  NextChance next;
+};
+
 // Allows one request to one incarnation of an upstream.
 struct SendPermit {
   std::string upstream;
@@ -59,6 +67,8 @@
   // Upstream that a permit is asked for; empty while none is.
   std::string permit_asked_for;
   std::optional<SendPermit> permit;
+  bool room_waiting = false;   // In the queue of its service.
+  bool room_turn = false;      // It came out of that queue.
   PoolCallId call = 0;         // 0 while none is in flight.
   RelayCallId relay_call = 0;  // As `call`, through another host.
   std::string called;          // Upstream of the last call.
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -116,8 +116,10 @@
   self->feed_timer_ =
       loop.timers().Every(kHelloInterval, [self] { self->UpdateFeedState(); });
   view.Subscribe([self] { self->OnViewChanged(); });
-  self->timer_ =
-      loop.timers().Every(kLoadInterval, [self] { self->ShareLoad(); });
+  self->timer_ = loop.timers().Every(kLoadInterval, [self] {
+    self->ShareLoad();
+    self->LendRoom();
+  });
   return coordinator;
 }
 
@@ -167,9 +169,13 @@
     if (self->home) AnnounceLease();
     self->ranges->OnLeaseGained(continued);
     if (self->home) AddOtherZones();
+    // The first term of a lease has no predecessor.
+    if (self->lender != nullptr)
+      self->lender->OnLeaseGained(self->lease->lease().term <= 1);
   };
   handlers.on_lost = [this, self] {
     self->ranges->OnLeaseLost();
+    if (self->lender != nullptr) self->lender->OnLeaseLost();
     if (self->home) AnnounceLoss();
     if (self->home) DropOtherZones();
   };
@@ -194,6 +200,7 @@
       });
   self->ranges->SetTableHandler(
       [this](const RangeTable& written) { AnnounceTable(written); });
+  if (options_.scarce_room) MakeRoomLender(*self);
   zones_[name] = std::move(zone);
   self->lease->Start();
 }
@@ -279,6 +286,12 @@
     case MessageType::kPermitReply:
       decode_and_handle(PermitReply{}, &ZoneCoordinator::OnPermitReply);
       return;
+    case MessageType::kRoomDemand:
+      decode_and_handle(RoomDemand{}, &ZoneCoordinator::OnRoomDemand);
+      return;
+    case MessageType::kRoomLoan:
+      decode_and_handle(RoomLoan{}, &ZoneCoordinator::OnRoomLoan);
+      return;
     case MessageType::kLoadReport:
       decode_and_handle(LoadReport{}, &ZoneCoordinator::OnLoadReport);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -41,6 +41,9 @@
   Duration longest_hold{};
   double cpu_share = 1;     // Cores of this host.
   double link_mbps = 1000;  // Of this host's link.
+  // See RoomLender. Hosts lend and borrow no room unless it is scarce.
+  bool scarce_room = false;
+  bool cold_are_limited = false;
 };
 
 struct ZoneCoordinatorHandlers {
@@ -49,6 +52,8 @@
   // A message of the relay's types; see ExchangeRelay::OnMessage.
   std::function<void(ConnectionId, const Frame&)> on_relay_message;
   std::function<void(ConnectionId)> on_disconnected;
+  // Room that was lent to this host.
+  std::function<void(const RoomLoan&)> on_room_loan;
   // See LeaseManagerHandlers::may_hold.
   std::function<bool()> may_hold_leases;
 };
@@ -120,6 +125,8 @@
   // PermitBroker::Ask.
   void AskForPermit(const ListedUpstream& upstream, int rank, Duration wait,
                     PermitBroker::Callback callback);
+  // Sends this host's demand for room to the holder of its zone's lease.
+  void ReportRoomDemand(const RoomDemand& demand);
   InnerTransport& transport() { return *transport_; }
   // Inner addresses of the zone's other hosts, and of the hosts that hold other
   // zones' leases, as far as they are known.
@@ -202,6 +209,13 @@
   // Returns the host that gives permits for the upstreams of the zone.
   PermitGiver FindPermitGiver(const std::string& zone) const;
   void MakePermitBroker();
+  void MakeRoomLender(Zone& zone);
+  // `address` may be this host's.
+  void SendRoomDemand(const std::string& address, const RoomDemand& demand);
+  void OnRoomDemand(const RoomDemand& demand);
+  void OnRoomLoan(const RoomLoan& loan);
+  // Lends the room of the zones whose leases this host holds.
+  void LendRoom();
   void OnLoadReport(const LoadReport& report);
   void ShareLoad();
   void ApplySpeeds();
--- a/source/core/entry/zone_coordinator_state.h
+++ b/source/core/entry/zone_coordinator_state.h
@@ -7,6 +7,7 @@
 
 #include "entry/lease_manager.h"
 #include "entry/range_manager.h"
+#include "entry/room_lender.h"
 #include "entry/zone_coordinator.h"
 
 namespace mimosadeal {
@@ -20,6 +21,7 @@
   bool home = false;
   std::unique_ptr<LeaseManager> lease;
   std::unique_ptr<RangeManager> ranges;
+  std::unique_ptr<RoomLender> lender;  // Null unless room is scarce.
 };
 
 }  // namespace mimosadeal
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -41,9 +41,11 @@
   kRelayRequest = 29,
   kRelayReply = 30,
   kRelayCancel = 31,
+  kRoomDemand = 40,
+  kRoomLoan = 41,
 };
 
-inline constexpr EnumNames<MessageType, 31> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 33> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -75,6 +77,8 @@
     {MessageType::kRelayRequest, "relay-request"},
     {MessageType::kRelayReply, "relay-reply"},
     {MessageType::kRelayCancel, "relay-cancel"},
+    {MessageType::kRoomDemand, "room-demand"},
+    {MessageType::kRoomLoan, "room-loan"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -75,6 +75,10 @@
       return Check<RelayReply>(body);
     case MessageType::kRelayCancel:
       return Check<RelayCancel>(body);
+    case MessageType::kRoomDemand:
+      return Check<RoomDemand>(body);
+    case MessageType::kRoomLoan:
+      return Check<RoomLoan>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/messages.h
+++ b/source/core/inner/messages.h
@@ -8,6 +8,7 @@
 #include "inner/control_messages.h"
 #include "inner/relay_messages.h"
 #include "inner/request_messages.h"
+#include "inner/room_messages.h"
 #include "inner/zone_messages.h"
 
 namespace mimosadeal {
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -341,6 +341,8 @@
     case MessageType::kRelayRequest:
     case MessageType::kRelayReply:
     case MessageType::kRelayCancel:
+    case MessageType::kRoomDemand:
+    case MessageType::kRoomLoan:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -62,6 +62,7 @@
   DeploymentUpstream& AddUpstream(const std::string& id,
                                   const std::string& service,
                                   const std::string& zone, int index);
+  DeploymentUpstream& AddUpstream(DeploymentUpstreamOptions options, int index);
   // Stops an upstream without notice, so that its address refuses connections.
   void CrashUpstream(const std::string& id);
   EntryProcess& AddHost(const std::string& name, const std::string& zone);
@@ -114,6 +115,9 @@
   // Gives each host that is added from now on links to the upstreams that there
   // are, so that it can be partitioned from them.
   bool link_upstreams = false;
+  // Appended to the deployment's bounds in the settings of hosts that are added
+  // from now on.
+  std::string extra_bounds;
   // Appended to the settings file of a host, by the host's name.
   std::map<std::string, std::string> extra_settings;
 
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -24,6 +24,7 @@
   std::string zone;
   SocketAddress address;
   int slots = 2;
+  size_t max_queued = 8;  // Requests that wait for a slot.
   bool keyed = true;
   Duration work = std::chrono::milliseconds(20);  // Time to run a request.
 };
@@ -52,6 +53,9 @@
 };
 
 struct UpstreamFaults {
+  // Resets the connection of a request that finds slots and queue full, instead
+  // of refusing it.
+  bool reset_when_full = false;
   // Runs requests and closes the connection without a response.
   bool lose_responses = false;
   // Neither applies grants nor responds to them.
@@ -94,6 +98,10 @@
   int running() const { return running_; }
   // Number of requests refused because of UpstreamFaults::rest_seconds.
   int refused_requests() const { return refused_requests_; }
+  // Number of requests that found slots and queue full.
+  int overruns() const { return overruns_; }
+  // Most requests that were in slots and queue at once.
+  size_t most_held() const { return most_held_; }
   // Sets all upstreams of the test, among which each checks that no other holds
   // its keys at the same time.
   static void SetPeers(std::vector<DeploymentUpstream*> peers);
@@ -147,6 +155,8 @@
   std::shared_ptr<char> alive_ = std::make_shared<char>();
   int running_ = 0;
   int refused_requests_ = 0;
+  int overruns_ = 0;
+  size_t most_held_ = 0;
   std::map<int, Hold> holds_;  // By first key.
   // By key, of grants and releases.
   std::map<int, uint64_t> highest_generations_;
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -65,6 +65,13 @@
   relay_reply.headers = {{"content-type", "text/plain"}};
   ViewUpdate view;
   view.objects = {{"u1", 7, false, "{}"}};
+  RoomDemand room_demand;
+  room_demand.borrower = "host-1";
+  room_demand.loans = {{"u1", 1, 2, 5000}};
+  room_demand.times = {{"u1", 200000}};
+  RoomLoan room_loan;
+  room_loan.borrower = "host-1";
+  room_loan.loans = {{"u1", 1, 2, 5000}};
   return {
       MakeSample(hello),
       MakeSample(status),
@@ -81,6 +88,8 @@
       MakeSample(relayed),
       MakeSample(relay_reply),
       MakeSample(RelayCancel{7}),
+      MakeSample(room_demand),
+      MakeSample(room_loan),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
       MakeSample(Hello{"h"}),
