--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -108,7 +108,12 @@
                     .Name("mimosadeal_caller_pressure_total")
                     .Help("Callers refused or closed because bytes or "
                           "connections ran short, by action")
-                    .Register(*registry_)) {
+                    .Register(*registry_)),
+      room_(prometheus::BuildCounter()
+                .Name("mimosadeal_room_total")
+                .Help("Requests to services whose room is lent that had no "
+                      "free loan, by what was done")
+                .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -182,6 +187,10 @@
   pressure_.Add({{"action", std::string(action)}}).Increment();
 }
 
+void EntryMetrics::ObserveRoom(std::string_view outcome) {
+  room_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -81,6 +81,8 @@
   // This host refused or closed a caller because bytes or connections ran
   // short; see PressureAction.
   void ObservePressure(std::string_view action);
+  // A request met scarce room; see RequestForwarder::FindInRoom.
+  void ObserveRoom(std::string_view outcome);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -103,6 +105,7 @@
   prometheus::Family<prometheus::Counter>& hedges_;
   prometheus::Family<prometheus::Counter>& hedge_refusals_;
   prometheus::Family<prometheus::Counter>& pressure_;
+  prometheus::Family<prometheus::Counter>& room_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/request_forwarder_hedging.cc
+++ b/source/core/entry/request_forwarder_hedging.cc
@@ -134,7 +134,7 @@
                   load->connect_backoff_until <= now &&
                   load->rest_until <= now && !UsesRelay(*upstream);
   target.cold = record.warmup_left > now - upstream->availability_since;
-  target.limited = upstream->limit.per_second.has_value();
+  target.limited = view_.RateLimitOf(*upstream).has_value();
   return target;
 }
 
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -27,6 +27,14 @@
   RefusalReason reason = RefusalReason::kNone;
 };
 
+// The result of a search for room.
+struct RoomSearch {
+  // Whether an upstream may be used, though it may be full.
+  bool any_usable = false;
+  bool alone = false;  // What was found is not lent.
+  NextChance next;
+};
+
 // Allows one request to one incarnation of an upstream.
 struct SendPermit {
   std::string upstream;
@@ -80,6 +88,8 @@
   std::optional<SendPermit> permit;
   int tries = 0;               // Number of calls that were begun.
   int try_number = 0;          // Of the last call, counted from 1.
+  bool room_waiting = false;   // In the queue of its service.
+  bool room_turn = false;      // It came out of that queue.
   PoolCallId call = 0;         // 0 while none is in flight.
   RelayCallId relay_call = 0;  // As `call`, through another host.
   std::string called;          // Upstream of the last call.
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -43,9 +43,11 @@
   kRelayCancel = 31,
   kColdReport = 40,
   kColdPermitRequest = 41,
+  kRoomDemand = 42,
+  kRoomLoan = 43,
 };
 
-inline constexpr EnumNames<MessageType, 33> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 35> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -79,6 +81,8 @@
     {MessageType::kRelayCancel, "relay-cancel"},
     {MessageType::kColdReport, "cold-report"},
     {MessageType::kColdPermitRequest, "cold-permit-request"},
+    {MessageType::kRoomDemand, "room-demand"},
+    {MessageType::kRoomLoan, "room-loan"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -343,6 +343,8 @@
     case MessageType::kRelayCancel:
     case MessageType::kColdReport:
     case MessageType::kColdPermitRequest:
+    case MessageType::kRoomDemand:
+    case MessageType::kRoomLoan:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -135,10 +135,16 @@
   options.id = id;
   options.service = service;
   options.zone = zone;
-  options.address = {Address(kUpstreamNetwork, index), kUpstreamPort};
-  options.keyed = service == "yard";
   options.cold_time = cold_time;
   options.report_delay = report_delay;
+  return AddUpstream(std::move(options), index);
+}
+
+DeploymentUpstream& EntryFixture::AddUpstream(DeploymentUpstreamOptions options,
+                                              int index) {
+  const std::string id = options.id;
+  options.address = {Address(kUpstreamNetwork, index), kUpstreamPort};
+  options.keyed = options.service == "yard";
   if (cold_rate > 0)
     options.cold_allowed = cold_rate * kColdRatio + kColdAllowance;
   auto made = DeploymentUpstream::Start(loop, *store, record, options);
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -68,6 +68,7 @@
                                       const std::string& service,
                                       const std::string& zone, int index,
                                       Duration report_delay);
+  DeploymentUpstream& AddUpstream(DeploymentUpstreamOptions options, int index);
   // Stops an upstream without notice, so that its address refuses connections.
   void CrashUpstream(const std::string& id);
   EntryProcess& AddHost(const std::string& name, const std::string& zone);
--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -33,11 +33,11 @@
 // The same for evacuations of a zone.
 constexpr Duration kMaxEvacuationInterval = seconds(10);
 constexpr uint64_t kEvacuationSeedOffset = 4'000'000;
-constexpr uint64_t kFirstSeedWithEvacuations = 400;
+constexpr uint64_t kFirstSeedWithEvacuations = 500;
 // The same for the reports of upstreams that are cold after their start.
 constexpr Duration kMaxReportDelay = seconds(1);
 constexpr uint64_t kColdSeedOffset = 5'000'000;
-constexpr uint64_t kFirstSeedWithColdUpstreams = 300;
+constexpr uint64_t kFirstSeedWithColdUpstreams = 500;
 constexpr double kColdRate = 4.5;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
