A response whose status is none is no answer

Cause: the parser takes any three digits for a status, and nothing looked again. 000 and 099 counted as interim, or as the answer when the connection ended; 600 to 999 and what follows an unasked 101 were answers.

Change: outside 100 to 599, or 101, a response is malformed when its head is complete: 502, or another upstream if idempotent. Relayed responses and the native deployment's client are checked too (the latter without a test).

EntryFaulty.AStatusThatIsNone... was not run yet.

--- a/source/core/net/http_client_connection.cc
+++ b/source/core/net/http_client_connection.cc
@@ -13,6 +13,8 @@
 namespace mimosadeal {
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr EnumNames<ClientFailure, 7> kClientFailureNames = {{
     {ClientFailure::kNone, "none"},
     {ClientFailure::kNotConnected, "not connected"},
@@ -288,7 +290,9 @@
       !FindHeader(response_.headers, "content-length").empty() ||
       !FindHeader(response_.headers, "transfer-encoding").empty() ||
       response_.status == 204 || response_.status == 304;
-  if (delimited) return 0;
+  const bool is_answer =
+      response_.status >= kFirstFinalStatus && response_.status <= kLastStatus;
+  if (delimited && is_answer) return 0;
   lws_set_opaque_user_data(wsi, nullptr);
   wsi_ = nullptr;
   Finish(ClientFailure::kMalformed);
--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -30,6 +30,11 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// The parser takes any three digits for a status.
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
+// Only a request that asks for it may get it, and none does.
+constexpr unsigned kSwitchingProtocols = 101;
 
 std::string Lower(std::string_view text) {
   std::string lower(text);
@@ -154,6 +159,14 @@
 struct HttpResponseParser::Impl {
   http::response_parser<http::string_body> parser;
   size_t max_header_bytes = 0;
+
+  // Whether the header, once it is complete, has a status that a response may
+  // have.
+  bool has_status() const {
+    const unsigned status = parser.get().result_int();
+    return status >= kLowestStatus && status <= kHighestStatus &&
+           status != kSwitchingProtocols;
+  }
 };
 
 HttpResponseParser::HttpResponseParser(HttpMessageLimits limits,
@@ -171,11 +184,15 @@
 ParseState HttpResponseParser::Feed(std::string& input) {
   if (!input.empty()) started_ = true;
   boost::beast::error_code error;
-  return FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
+  const ParseState state =
+      FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
+  const bool is_none = impl_->parser.is_header_done() && !impl_->has_status();
+  return is_none ? ParseState::kMalformed : state;
 }
 
 ParseState HttpResponseParser::FeedEnd() {
-  if (!impl_->parser.is_header_done()) return ParseState::kMalformed;
+  if (!impl_->parser.is_header_done() || !impl_->has_status())
+    return ParseState::kMalformed;
   boost::beast::error_code error;
   impl_->parser.put_eof(error);
   if (error || !impl_->parser.is_done()) return ParseState::kMalformed;
--- a/source/integration_tests/entry_faulty_upstreams_test.cc
+++ b/source/integration_tests/entry_faulty_upstreams_test.cc
@@ -90,6 +90,69 @@
   int responses_ = 0;
 };
 
+// An upstream that responds with a status line of the test, and then closes the
+// connection.
+class OddUpstream {
+ public:
+  OddUpstream(EventLoop& loop, const SocketAddress& address) : loop_(loop) {
+    listener_ = std::make_unique<FdWatch>(
+        loop_, ListenTcp(address).value(),
+        FdWatch::Callbacks{[this] { OnAcceptable(); }, nullptr});
+  }
+
+  void Answer(std::string status_line, std::string framing) {
+    status_line_ = std::move(status_line);
+    framing_ = std::move(framing);
+  }
+  int requests() const { return requests_; }
+
+ private:
+  struct Connection {
+    std::unique_ptr<TcpStream> stream;
+    std::string received;
+  };
+
+  void OnAcceptable() {
+    const int fd = accept4(listener_->fd(), nullptr, nullptr,
+                           SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    Connection& connection = connections_.emplace_back();
+    connection.stream = std::make_unique<TcpStream>(
+        loop_, fd,
+        TcpStreamHandlers{nullptr,
+                          [this, &connection](std::string_view bytes) {
+                            connection.received += bytes;
+                            Respond(connection);
+                          },
+                          [](StreamEnd) {}});
+  }
+
+  void Respond(Connection& connection) {
+    constexpr std::string_view name = "x-request-id: ";
+    const size_t begin = connection.received.find(name);
+    if (!connection.received.ends_with("\r\n\r\none") ||
+        begin == std::string::npos) {
+      return;
+    }
+    const size_t end = connection.received.find("\r\n", begin);
+    const std::string id_line =
+        connection.received.substr(begin, end - begin) + "\r\n";
+    connection.received.clear();
+    ++requests_;
+    connection.stream->Write(status_line_ + "\r\n" + id_line +
+                             "x-response-signature: s\r\n" + framing_ +
+                             "\r\nran");
+    connection.stream->FinishWriting();
+  }
+
+  EventLoop& loop_;
+  std::string status_line_;
+  std::string framing_;
+  std::unique_ptr<FdWatch> listener_;
+  std::list<Connection> connections_;
+  int requests_ = 0;
+};
+
 class EntryFaultyTest : public EntryTest {
  public:
   // The peak of the host's memory in use.
@@ -198,5 +261,44 @@
                    900 * 1024);
 }
 
+// Guards against a status that is none, which callers got as an answer. The
+// upstream may have run the request.
+TEST(EntryFaulty, AStatusThatIsNoneIsNotHandedToCallers) {
+  fixture.StartDefaultDeployment(2);
+  fixture.CrashUpstream("desk-1");
+  fixture.CrashUpstream("desk-2");
+  fixture.store->Remove("servers", "desk-1");
+  fixture.store->Remove("servers", "desk-2");
+  SocketAddress address = fixture.upstreams.at("yard-1")->options().address;
+  ++address.port;
+  OddUpstream odd(fixture.loop, address);
+  fixture.store->Put("servers", "odd-1",
+                     {{"service", "desk"},
+                      {"address", address.ToString()},
+                      {"zone", "north"},
+                      {"version", "v1"},
+                      {"slots", 4},
+                      {"state", "ready"},
+                      {"warmupLeft", "0ms"},
+                      {"seq", 1},
+                      {"born", 1}});
+  fixture.RunFor(kChangeDeadline);
+  for (const char* status_line :
+       {"HTTP/1.1 000 None", "HTTP/1.1 099 Low", "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+        "HTTP/1.1 abc OK", "HTTP/1.1", "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 103 Early Hints"}) {
+    for (const char* framing : {"content-length: 3\r\n", ""}) {
+      odd.Answer(status_line, framing);
+      const int before = odd.requests();
+      const CallerResponse response =
+          fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, "one");
+      CHECK_TEXT(odd.requests() > before, status_line);
+      LONGS_EQUAL_TEXT(502, response.status, status_line);
+    }
+  }
+  CheckHostsRun();
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/net/faulty_upstream_test.cc
+++ b/source/unit_tests/net/faulty_upstream_test.cc
@@ -165,5 +165,43 @@
   }
 }
 
+// Guards against a status that is none, handed to a caller as an answer: with a
+// length, and with a body that its connection ends.
+TEST(FaultyUpstream, AStatusThatIsNoneIsNoResponse) {
+  for (const char* status_line :
+       {"HTTP/1.1 000 None", "HTTP/1.1 000", "HTTP/1.1 099 Low",
+        "HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 abc OK", "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -20 OK", "HTTP/1.1  OK", "HTTP/1.1 ", "HTTP/1.1",
+        "HTTP/1.1 101 Switching Protocols"}) {
+    for (const char* framing : {"content-length: 3\r\n", ""}) {
+      ExchangeClient client(loop, kAddress, kLimits);
+      SendRequest(client, "a");
+      Respond(std::string(status_line) +
+              "\r\nx-request-id: a\r\nx-response-signature: s\r\n" + framing +
+              "\r\nran");
+      CloseConnection();
+      WaitForResult();
+      CHECK_TEXT(got.failure == ClientFailure::kMalformed, status_line);
+      CHECK(got.request_written);
+      CHECK_FALSE(client.reusable());
+    }
+  }
+}
+
+// An interim response is not the answer, whatever it says.
+TEST(FaultyUpstream, AnInterimResponseAloneIsNoResponse) {
+  for (const char* status : {"100", "102", "103", "199"}) {
+    ExchangeClient client(loop, kAddress, kLimits);
+    SendRequest(client, "a");
+    Respond("HTTP/1.1 " + std::string(status) +
+            " Wait\r\nx-request-id: a\r\n\r\n");
+    CloseConnection();
+    WaitForResult();
+    CHECK_TEXT(got.failure == ClientFailure::kClosed, status);
+    CHECK(got.request_written);
+  }
+}
+
 }  // namespace
 }  // namespace mimosadeal
