--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -134,6 +134,12 @@
   CHECK_FALSE(ReadBounds("evac=soon").has_value());
 }
 
+// The settings template passed values only, so that no bound took effect.
+TEST(PlatformConfiguration, ABoundWithoutANameIsAnError) {
+  CHECK_FALSE(ReadBounds("3s,2s,3000ms").has_value());
+  CHECK(ReadBounds("").has_value());
+}
+
 // No host started: one of the rules is named like a bound.
 TEST(PlatformConfiguration, ARuleInForceThatIsNamedLikeABoundIsNoBound) {
   const auto read = ReadBounds("drain=2500ms,drain=in-force,config=in-force");
