--- a/source/core/forwarding/refusal.h
+++ b/source/core/forwarding/refusal.h
@@ -37,7 +37,7 @@
   kLostAnswer,  // The request was sent, but its response was lost.
 };
 
-inline constexpr EnumNames<RefusalReason, 16> kRefusalReasonNames = {{
+inline constexpr EnumNames<RefusalReason, 17> kRefusalReasonNames = {{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kNoConfiguration, "no-configuration"},
     {RefusalReason::kRouteUnconfirmed, "route-unconfirmed"},
