--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -60,7 +60,9 @@
       if (load != nullptr)
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
       if (pending.service->keyed)
-        NoteServiceTime(pending, upstream, now - pending.sent_at);
+        NoteServiceTime(
+            pending, upstream, now - pending.sent_at,
+            answer.load.has_value() ? answer.load->work_time_factor : 1);
       Deliver(pending, answer.response);
       return;
     case ResponseKind::kNotRun:
@@ -109,6 +111,7 @@
       {{"id", pending.request.id},
        {"upstream", pending.tried.back()},
        {"misdirected", misdirected},
+       {"key", pending.request.key.value_or(-1)},
        {"waiting", answer.load.has_value() ? answer.load->waiting : -1},
        {"sends", pending.sends}});
   if (pending.service->keyed) {
