Take a zone's upstreams for cold when an evacuation ends

Cause: a zone's upstreams may become cold while the zone is evacuated, and their registrations tell it up to 2 s later. Until then they would get requests as warm ones (FAILBACK).

--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -203,6 +203,9 @@
   // Sets the watcher of the next kind of ViewKind.
   void AddWatcher(ViewKind kind, const std::string& stored_kind,
                   KindWatcherTiming timing, KindWatcherHandlers handlers);
+  // The zone's upstreams may have become cold while the zone was evacuated,
+  // which their registrations show later than this host learns of its end.
+  void AssumeZoneCold(const std::string& zone);
   void OnEvacuation(const StoredObject& object, const ChangeBound& bound);
   void OnEvacuationsSynced();
   void AdvanceEvacuations();
--- a/source/core/entry/deployment_view_evacuations.cc
+++ b/source/core/entry/deployment_view_evacuations.cc
@@ -99,6 +99,7 @@
     log_.LogStateChange(
         ended ? "zone.taken-back" : "zone.evacuation-kept",
         {{"zone", zone}, {"revision", revision}, {"restored", restored}});
+    if (ended) AssumeZoneCold(zone);
   }
 }
 
@@ -109,6 +110,7 @@
     log_.LogStateChange("zone.taken-back", {{"zone", zone},
                                             {"revision", evacuations_revision_},
                                             {"restored", true}});
+    AssumeZoneCold(zone);
     Notify();
   });
   const MonotonicTime registry = current_at(ViewKind::kRegistry);
--- a/source/core/entry/deployment_view_limits.cc
+++ b/source/core/entry/deployment_view_limits.cc
@@ -98,6 +98,16 @@
   return true;
 }
 
+void DeploymentView::AssumeZoneCold(const std::string& zone) {
+  for (const auto& [id, listed] : directory_.all()) {
+    const ServiceConfig* service = ServiceOf(listed);
+    if (listed.record.zone == zone && service != nullptr &&
+        ColdRate(*service, cold_bound_).has_value()) {
+      NoteAssumedCold(id, AssumedColdTime(*service), "zone-taken-back");
+    }
+  }
+}
+
 void DeploymentView::LogColdness(const ListedUpstream& listed,
                                  MonotonicTime stated_before) {
   const MonotonicTime now = loop_.timers().now();
--- a/source/integration_tests/entry_evacuation_test.cc
+++ b/source/integration_tests/entry_evacuation_test.cc
@@ -18,6 +18,12 @@
 constexpr Duration kEvacuationBound = seconds(3);
 // In which ownership has returned to a zone that was taken back.
 constexpr Duration kReturnTime = seconds(6);
+// Requests per second that cold upstreams take, and what they tolerate in one
+// second by the fixture's bounds, 1.5 times that and 8.
+constexpr double kColdRate = 4.5;
+constexpr double kMostColdRequests = 1.5 * kColdRate + 8;
+// After a zone was taken back; a part of the time of coldness.
+constexpr Duration kFirstSeconds = seconds(2);
 constexpr char kEvacuations[] = "evacuations";
 
 class EntryEvacuationTest : public EntryTest {
@@ -154,6 +160,27 @@
   fixture.CheckRecord();
 }
 
+// The zone's upstreams may have become cold shortly before, and their
+// registrations tell it late.
+TEST(EntryEvacuation, AZoneThatIsTakenBackGetsTheRateOfColdUpstreamsFirst) {
+  fixture.cold_rate = kColdRate;
+  StartDeployment(4);
+  Evacuate("north");
+  SendFor(kEvacuationBound);
+  const MonotonicTime taken_back = Now();
+  TakeBack("north");
+  SendFor(kFirstSeconds);
+  const auto cold =
+      std::count_if(fixture.upstreams.begin(), fixture.upstreams.end(),
+                    [](const auto& entry) {
+                      return entry.second->options().zone == "north";
+                    });
+  CHECK(RunsIn("north", taken_back, Now()) <=
+        static_cast<long>(static_cast<double>(cold) * ToSeconds(kFirstSeconds) *
+                          kMostColdRequests));
+  fixture.CheckRecord();
+}
+
 // The holder of the evacuated zone's lease moves its ranges.
 TEST(EntryEvacuation, AnEvacuationOutlastsTheLossOfTheLeaseHolder) {
   StartDeployment(6);
