Read all that the kernel keeps of a connection before others have their turn

Cause: a connection was read 256 kB at a time since the limit of reads; libwebsockets closes a descriptor that was hung up after one reading, so a reset upstream's larger response could have been cut that had arrived.

Change: 512 reads, 8 MB, which is more than the kernel keeps.

--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -23,8 +23,9 @@
 }};
 
 constexpr size_t kReadBytes = 16 * 1024;
-// A peer that sends without a pause must not keep the loop from others.
-constexpr int kMaxReadsPerIteration = 16;
+// A peer that sends without a pause must not keep the loop from others. 8 MB:
+// more than the kernel keeps, so all that came before a hang-up is read.
+constexpr int kMaxReadsPerIteration = 512;
 // The user timeout also ends an idle connection whose probes are unanswered,
 // whatever their number: here after the first one, about 2 s after the last
 // byte. That is within the 3 s after which the platform requires a host to keep
