Room for the connections of eight hosts in the entry fixture

Cause: EntryRoom.HostsThatChooseAlone... ended once with "no space for new conn" beside a load of 40: eight hosts keep more than the fixture's 512 descriptors to its stand-ins. Change: 1,024.

--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -26,6 +26,8 @@
 constexpr uint16_t kUpstreamPort = 18401;
 // Checking every 64th key is enough to find a range that is not held.
 constexpr int kKeyStep = 64;
+// Eight hosts keep up to six connections to each of ten upstreams.
+constexpr unsigned kMaxDescriptors = 1024;
 constexpr int kKeys = 65536;
 constexpr Duration kStartLimit = std::chrono::seconds(15);
 
@@ -60,7 +62,7 @@
 }  // namespace
 
 EntryFixture::EntryFixture()
-    : loop({512, 64, 8192}),
+    : loop({kMaxDescriptors, 64, 8192}),
       directory_(MakeDirectory()),
       store_address_{Address(kStoreNetwork, 1), kStorePort} {
   auto made = DeploymentStore::Start(loop, store_address_);
