--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -134,6 +134,14 @@
   CHECK_FALSE(ReadBounds("evac=soon").has_value());
 }
 
+// A host did not start, as it read the rule for the bound.
+TEST(PlatformConfiguration, ARuleInForceMayHaveTheNameOfABound) {
+  const auto read = ReadBounds("drain=2500ms,drain=in-force,pool=in-force");
+  CHECK(read.has_value());
+  CHECK(read.value().drain == Duration(milliseconds(2500)));
+  CHECK(read.value().scarce_room);
+}
+
 TEST(PlatformConfiguration, AColdRateThatIsNoNumberIsNone) {
   nlohmann::json content = nlohmann::json::parse(kConfiguration);
   content["services"][0]["warmupPerS"] = "many";
