Use the bounds that now take effect as far as hosts did before

Cause: passes the deployment's bounds by their names; before, hosts ran on defaults. With the stated ones the constant rate of retries of 295 hosts would exceed the allowance of all (2,300 of 630 in 10 s), and leaving upstreams would be used longer.

Test: RetryBudget.ManyIdleHostsStayWithinALargeAllowance.

--- a/source/core/balance/retry_budget.cc
+++ b/source/core/balance/retry_budget.cc
@@ -2,9 +2,19 @@
 
 #include <algorithm>
 
+#include "forwarding/deployment_bounds.h"
+
 namespace mimosadeal {
 namespace {
 
+// Each host uses half of the ratio for its own requests, and a constant rate
+// that keeps the sum of some hundred hosts below the fixed allowance: a larger
+// allowance belongs to a deployment of more hosts.
+constexpr double kRetryRatioShare = 0.5;
+constexpr double kExpectedHosts = 40;
+constexpr double kLargestUsedAllowance = 100;
+// Limits how many retries all hosts together can send at once.
+constexpr double kMaxRetryTokens = 3;
 // Fraction of the bucket that second tries of requests that have not failed
 // leave for retries.
 constexpr double kReserveForRetries = 1.0 / 3;
@@ -24,6 +34,16 @@
 
 }  // namespace
 
+RetryBudgetPolicy MakeRetryBudgetPolicy(const DeploymentBounds& bounds) {
+  RetryBudgetPolicy policy;
+  policy.earned_per_request = bounds.retry_ratio * kRetryRatioShare;
+  policy.earned_per_second =
+      std::min(bounds.retry_allowance, kLargestUsedAllowance) / kExpectedHosts /
+      ToSeconds(bounds.retry_window) / 2;
+  policy.max_tokens = kMaxRetryTokens;
+  return policy;
+}
+
 void EarnForRequest(RetryBudget& budget, const RetryBudgetPolicy& policy,
                     MonotonicTime now) {
   Refill(budget, policy, now);
--- a/source/core/balance/retry_budget.h
+++ b/source/core/balance/retry_budget.h
@@ -9,12 +9,18 @@
 
 namespace mimosadeal {
 
+struct DeploymentBounds;
+
 struct RetryBudgetPolicy {
   double earned_per_request = 0;
   double earned_per_second = 0;
   double max_tokens = 0;  // Capacity of the bucket.
 };
 
+// Returns the policy by which all hosts together stay within the retries that
+// the deployment allows.
+RetryBudgetPolicy MakeRetryBudgetPolicy(const DeploymentBounds& bounds);
+
 struct RetryBudget {
   double tokens = 0;  // Invariant: between 0 and the policy's max_tokens.
   MonotonicTime updated_at = kNever;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -49,13 +49,9 @@
 // See UpstreamPoolLimits. Upstreams keep idle connections for some seconds.
 constexpr double kUsableIdleShare = 0.75;
 constexpr Duration kAssumedIdleTimeout = std::chrono::seconds(5);
-// All hosts share one retry budget without coordination. Each host uses half of
-// the ratio for its own requests, and a constant rate that keeps the sum of a
-// few dozen hosts below the fixed allowance.
-constexpr double kRetryRatioShare = 0.5;
-constexpr double kExpectedHosts = 40;
-// Limits how many retries all hosts together can send at once.
-constexpr double kMaxRetryTokens = 3;
+// Hosts use no more of a longer bound: the rest is for delays of their own, and
+// moves of keys take half a second.
+constexpr Duration kLongestUsedBound = std::chrono::seconds(2);
 // The platform allows a request to crash three upstreams. Its callers retry
 // such a request for less than a minute.
 constexpr CrashSuspectPolicy kCrashPolicy = {3, std::chrono::seconds(60), 4096};
@@ -78,15 +74,6 @@
   return options;
 }
 
-RetryBudgetPolicy RetryPolicy(const DeploymentBounds& bounds) {
-  RetryBudgetPolicy policy;
-  policy.earned_per_request = bounds.retry_ratio * kRetryRatioShare;
-  policy.earned_per_second = bounds.retry_allowance / kExpectedHosts /
-                             ToSeconds(bounds.retry_window) / 2;
-  policy.max_tokens = kMaxRetryTokens;
-  return policy;
-}
-
 }  // namespace
 
 class EntryNode::Impl {
@@ -198,11 +185,12 @@
   RequestForwarderOptions options;
   options.host = settings_.host_id;
   options.zone = settings_.zone;
-  options.retry_policy = RetryPolicy(bounds_);
+  options.retry_policy = MakeRetryBudgetPolicy(bounds_);
   options.crash_policy = kCrashPolicy;
   options.hedge_share = settings_.hedge_share;
-  options.drain = bounds_.drain;
-  options.configuration_apply = bounds_.configuration_apply;
+  options.drain = std::min(bounds_.drain, kLongestUsedBound);
+  options.configuration_apply =
+      std::min(bounds_.configuration_apply, kLongestUsedBound);
   RequestForwarderHandlers handlers;
   handlers.respond = [this](ExchangeId id, HttpResponse&& response) {
     callers_->Respond(id, std::move(response));
--- a/source/unit_tests/balance/balance_test.cc
+++ b/source/unit_tests/balance/balance_test.cc
@@ -10,6 +10,7 @@
 #include "balance/upstream_choice.h"
 #include "balance/upstream_load.h"
 #include "common/ids.h"
+#include "forwarding/deployment_bounds.h"
 
 namespace mimosadeal {
 namespace {
@@ -148,6 +149,15 @@
   CHECK(retries >= 0.1 * hosts * requests_per_host);
 }
 
+// 295 hosts earn the constant rate without knowing how many they are.
+TEST(RetryBudget, ManyIdleHostsStayWithinALargeAllowance) {
+  DeploymentBounds bounds;
+  bounds.retry_allowance = 630;
+  const RetryBudgetPolicy large = MakeRetryBudgetPolicy(bounds);
+  CHECK(295 * large.earned_per_second * ToSeconds(bounds.retry_window) <=
+        bounds.retry_allowance);
+}
+
 TEST(RetryBudget, AHostWithoutTrafficMayRetryAtOnce) {
   CHECK(SpendOnRetry(budget, policy, now));
   CHECK(SpendOnRetry(budget, policy, now));
