--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "balance/service_time.h"
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
@@ -163,27 +162,20 @@
 
 void RequestForwarder::NoteServiceTime(const PendingRequest& pending,
                                        const UpstreamRecord& upstream,
-                                       Duration taken,
-                                       double work_time_factor) {
-  const double seconds =
-      SlotSeconds(taken, pending.waiting_ahead, upstream.slots);
+                                       Duration taken) {
+  const int slots = std::max(1, upstream.slots);
+  const double rounds =
+      1 + std::max(0.0, static_cast<double>(pending.waiting_ahead)) / slots;
+  const double seconds = ToSeconds(taken) / rounds;
   const auto known = route_seconds_.find(pending.route->name);
   const double mean = known == route_seconds_.end() ? seconds : known->second;
   const auto as_duration = [](double value) {
     return Duration(static_cast<int64_t>(value * kNanosecondsPerSecond));
   };
+  handlers_.on_service_time(pending.service->name, upstream.id,
+                            as_duration(mean), as_duration(seconds));
   route_seconds_[pending.route->name] =
       mean + kServiceTimeWeight * (seconds - mean);
-  // What an upstream's machine does at the moment says nothing of its speed.
-  const double usual_seconds = UsualSeconds(seconds, work_time_factor);
-  const auto usual = usual_seconds_.find(pending.route->name);
-  const double usual_mean =
-      usual == usual_seconds_.end() ? usual_seconds : usual->second;
-  handlers_.on_service_time(pending.service->name, upstream.id,
-                            as_duration(usual_mean),
-                            as_duration(usual_seconds));
-  usual_seconds_[pending.route->name] =
-      usual_mean + kServiceTimeWeight * (usual_seconds - usual_mean);
 }
 
 void RequestForwarder::TrySend(PendingRequest& pending) {
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -82,8 +82,7 @@
   std::function<void(const std::string& service, int key, Duration slot_time)>
       on_load;
   // An upstream served a request for a key in `taken`, not counting the wait
-  // for a slot; the mean on the request's route is `expected`. Both are for
-  // machines that take the usual time for their work.
+  // for a slot; the mean on the request's route is `expected`.
   std::function<void(const std::string& service, const std::string& upstream,
                      Duration expected, Duration taken)>
       on_service_time;
@@ -316,8 +315,7 @@
               Duration retry_after = Duration::zero());
   void Finish(PendingRequest& pending);
   void NoteServiceTime(const PendingRequest& pending,
-                       const UpstreamRecord& upstream, Duration taken,
-                       double work_time_factor);
+                       const UpstreamRecord& upstream, Duration taken);
   // Makes the request end by the end of its time, and by that of this process.
   void ArmGiveUp(PendingRequest& pending);
   // Returns `delay` with random jitter, so that callers that were refused
@@ -346,9 +344,6 @@
   std::map<std::string, MonotonicTime> short_until_;
   // Mean time in seconds that a request occupies a slot, by route name.
   std::map<std::string, double> route_seconds_;
-  // The same for an upstream whose machine takes the usual time for its work;
-  // see UpstreamLoadReport::work_time_factor.
-  std::map<std::string, double> usual_seconds_;
   // By route name; valid for configuration version `round_robin_version_`.
   std::map<std::string, RoundRobinState> round_robin_states_;
   uint64_t round_robin_version_ = 0;
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -75,9 +75,7 @@
       if (load != nullptr)
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
       if (pending.service->keyed)
-        NoteServiceTime(
-            pending, upstream, now - pending.sent_at,
-            answer.load.has_value() ? answer.load->work_time_factor : 1);
+        NoteServiceTime(pending, upstream, now - pending.sent_at);
       if (UsesRoom(pending))
         room_->NoteServed(pending.service->name, now - pending.sent_at);
       Deliver(pending, std::move(answer.response));
@@ -128,7 +126,6 @@
       {{"id", pending.request.id},
        {"upstream", pending.called},
        {"misdirected", misdirected},
-       {"key", pending.request.key.value_or(-1)},
        {"waiting", answer.load.has_value() ? answer.load->waiting : -1},
        {"sends", pending.sends}});
   if (pending.service->keyed) {
--- a/source/core/entry/zone_coordinator_reports.cc
+++ b/source/core/entry/zone_coordinator_reports.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "balance/service_time.h"
 #include "entry/deployment_view.h"
 #include "entry/lease_manager.h"
 #include "entry/range_manager.h"
@@ -25,11 +24,17 @@
 // One in this many load reports to other zones includes speeds, which are most
 // of its size and change slowly.
 constexpr int kRoundsPerSpeedReport = 4;
+// Added to the expected and the measured time of each upstream, so that a few
+// responses have little effect on its speed.
+constexpr double kSpeedPriorMs = 400;
+// kMinSpeed and kMaxSpeed limit a measured speed, relative to the mean.
+constexpr double kMinSpeed = 0.1;
 // Longer than any call to the store or an upstream. The longest is a release,
 // which may take as long as the longest hold of 10 s.
 constexpr Duration kRetiredZoneLifetime = std::chrono::seconds(15);
 // A follower that has sent no hello for this time receives no more reports.
 constexpr Duration kFollowerTimeout = std::chrono::seconds(5);
+constexpr double kMaxSpeed = 2.5;
 
 }  // namespace
 
@@ -116,7 +121,9 @@
     for (auto& [upstream, speed] : upstreams) {
       speed.expected_ms *= kSpeedDecayFactor;
       speed.taken_ms *= kSpeedDecayFactor;
-      factors[upstream] = SpeedFromTimes(speed.expected_ms, speed.taken_ms);
+      factors[upstream] = std::clamp((speed.expected_ms + kSpeedPriorMs) /
+                                         (speed.taken_ms + kSpeedPriorMs),
+                                     kMinSpeed, kMaxSpeed);
     }
     for (auto& [name, zone] : zones_) zone->ranges->SetSpeeds(service, factors);
   }
