--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -419,12 +419,15 @@
 int EntryTest::CountFailures(const std::string& method,
                              const std::string& prefix) {
   std::vector<std::shared_ptr<CallerResponse>> caller_responses;
+  std::vector<std::string> requests;
   int key = 500;
   for (const auto& [name, host] : fixture.hosts) {
     for (int i = 0; i < 6; ++i) {
       key = (key + 11003) % 65536;
       caller_responses.push_back(
           fixture.Start(*host, method, prefix + "x", key));
+      requests.push_back(fixture.last_request_id + " at " + name + ", key " +
+                         std::to_string(key));
     }
   }
   fixture.RunUntil(
@@ -435,11 +438,21 @@
       std::chrono::seconds(4));
   // Keeps the load low, so that no key moves to balance it.
   fixture.RunFor(std::chrono::milliseconds(200));
-  return static_cast<int>(std::count_if(caller_responses.begin(),
-                                        caller_responses.end(),
-                                        [](const auto& caller_response) {
-                                          return caller_response->status != 200;
-                                        }));
+  int failures = 0;
+  for (size_t i = 0; i < caller_responses.size(); ++i) {
+    if (caller_responses[i]->status == 200) continue;
+    NoteFailure(method + " " + prefix + "x, " + requests[i],
+                *caller_responses[i]);
+    ++failures;
+  }
+  return failures;
+}
+
+void EntryTest::NoteFailure(const std::string& request,
+                            const CallerResponse& caller_response) {
+  failed_requests.push_back(request + ": " +
+                            std::to_string(caller_response.status) + " " +
+                            caller_response.body);
 }
 
 }  // namespace mimosadeal
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -174,6 +174,11 @@
   // Sends requests for keys from the whole key space to every host. Returns the
   // number of requests that failed.
   int CountFailures(const std::string& method, const std::string& prefix);
+  void NoteFailure(const std::string& request,
+                   const CallerResponse& caller_response);
+
+  // A line for each request that CountFailures and NoteFailure counted.
+  std::vector<std::string> failed_requests;
 };
 
 }  // namespace mimosadeal
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -34,7 +34,7 @@
     for (auto& [id, upstream] : fixture.upstreams)
       upstream->SetWork(milliseconds(5));
     fixture.StartHosts(hosts);
-    LONGS_EQUAL(0, FailuresFor(seconds(1)));
+    CheckServedFor(seconds(1));
   }
 
   void Cut(const std::vector<std::string>& names, UpstreamCut cut) {
@@ -66,13 +66,26 @@
       failures += CountFailures("GET", "/lookup/");
       failures += CountFailures("POST", "/hold/");
       for (const auto& [name, host] : fixture.hosts) {
-        if (fixture.SendAndWait(*host, "POST", "/charge/x", -1).status != 200)
-          ++failures;
+        const CallerResponse response =
+            fixture.SendAndWait(*host, "POST", "/charge/x", -1);
+        if (response.status == 200) continue;
+        NoteFailure(
+            "POST /charge/x, " + fixture.last_request_id + " at " + name,
+            response);
+        ++failures;
       }
     }
     return failures;
   }
 
+  // Sends requests for `time`, all of which must be served.
+  void CheckServedFor(Duration time) {
+    failed_requests.clear();
+    const int failures = FailuresFor(time);
+    for (const std::string& failed : failed_requests) UT_PRINT(failed.c_str());
+    LONGS_EQUAL(0, failures);
+  }
+
   size_t CountInLogs(const std::string& part) {
     size_t count = 0;
     for (const auto& [name, host] : fixture.hosts)
@@ -84,10 +97,10 @@
                              UpstreamCut cut) {
     Cut(names, cut);
     FailuresFor(kNoticeTime);
-    LONGS_EQUAL(0, FailuresFor(seconds(8)));
+    CheckServedFor(seconds(8));
     Cut(names, UpstreamCut::kNone);
     FailuresFor(kNoticeTime);
-    LONGS_EQUAL(0, FailuresFor(seconds(2)));
+    CheckServedFor(seconds(2));
     CHECK(fixture.EveryKeyIsHeld());
     fixture.CheckRecord();
   }
@@ -114,7 +127,7 @@
   CheckCallersAreServed({host}, UpstreamCut::kNewOnly);
   Cut({host}, UpstreamCut::kNewOnly);
   fixture.RunFor(kIdleTime);
-  LONGS_EQUAL(0, FailuresFor(seconds(4)));
+  CheckServedFor(seconds(4));
   fixture.CheckRecord();
 }
 
@@ -143,7 +156,7 @@
   Cut(holders, UpstreamCut::kNone);
   fixture.RunFor(kNoticeTime);
   const size_t moves = CountInLogs("\"event\":\"range.moving\"");
-  LONGS_EQUAL(0, FailuresFor(seconds(4)));
+  CheckServedFor(seconds(4));
   LONGS_EQUAL(moves, CountInLogs("\"event\":\"range.moving\""));
   CHECK(fixture.EveryKeyIsHeld());
   fixture.CheckRecord();
