mimosactl check: a configuration is checked before it is sent

Cause: operators learned of a fault in a configuration only after they had sent it. Hosts stop at the first field that is missing and say nothing about values that they ignore, routes that no request reaches, or limits that contradict each other.

The reason for a rejected configuration names the JSON Pointer.

--- a/source/core/common/json_text.cc
+++ b/source/core/common/json_text.cc
@@ -12,4 +12,18 @@
   return nlohmann::json::parse(JsonText(text)) == text;
 }
 
+std::string PointerToken(const std::string& name) {
+  std::string token;
+  for (const char c : name) {
+    if (c == '~') {
+      token += "~0";
+    } else if (c == '/') {
+      token += "~1";
+    } else {
+      token += c;
+    }
+  }
+  return token;
+}
+
 }  // namespace mimosadeal
--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -285,11 +285,20 @@
     return;
   }
   routes_ = std::make_shared<const RouteTable>(std::move(read.value()));
+  routes_revision_ = object.revision;
   log_.LogStateChange("configuration.in-force", {{"version", routes_->version},
                                                  {"revision", object.revision},
                                                  {"before", current}});
 }
 
+const nlohmann::json* DeploymentView::ConfigurationDocument() const {
+  const auto& objects = watcher(ViewKind::kConfiguration).objects();
+  const auto found = objects.find(protocol_.configuration_name);
+  const bool in_force = routes_ != nullptr && found != objects.end() &&
+                        found->second.revision == routes_revision_;
+  return in_force ? &found->second.content : nullptr;
+}
+
 void DeploymentView::RouteUpstream(UpstreamRecord& record) const {
   const auto route = address_routes_.find(record.address.ToString());
   if (route == address_routes_.end()) return;
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -128,6 +128,9 @@
   size_t evacuated_zones() const;
   // Null until a configuration was read.
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  // Returns the document of the configuration in force; null if there is none,
+  // or if the store has another one since, which this host does not take up.
+  const nlohmann::json* ConfigurationDocument() const;
   const UpstreamDirectory& directory() const { return directory_; }
   // Returns the newest table that this host knows, or null when the service has
   // none yet. After the store was restored from a copy it may be newer than the
@@ -228,6 +231,7 @@
   bool fed_ = true;
   size_t fed_kinds_ = kViewKinds;  // Valid while `fed_`.
   std::shared_ptr<const RouteTable> routes_;
+  uint64_t routes_revision_ = 0;  // Of the object that `routes_` was read from.
   UpstreamDirectory directory_;
   ColdBound cold_bound_;
   uint64_t unreadable_registrations_ = 0;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -357,12 +357,9 @@
           loop_, operators_address,
           ProbeLimits(settings_, view_->routes().get()),
           ProbeHandlers([this](ExchangeId id, const HttpRequest& request) {
-            if (request.path == "/metrics") {
-              UpdateGauges();
-              operators_->Respond(id, PlainResponse(kOk, metrics_.Serialize()));
-            } else {
-              operators_->Respond(id, PlainResponse(kNotFound, ""));
-            }
+            UpdateGauges();
+            operators_->Respond(id,
+                                OperatorsResponse(request, metrics_, *view_));
           })));
   operators_ = std::move(operators);
   return outcome::success();
--- a/source/core/entry/entry_servers.cc
+++ b/source/core/entry/entry_servers.cc
@@ -4,7 +4,10 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "common/json_text.h"
+#include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "routing/configuration_size.h"
 #include "settings/settings.h"
 
 namespace mimosadeal {
@@ -22,8 +25,40 @@
                                                        0};
 // What this host keeps for other callers is gone, or evicted, about that soon.
 constexpr Duration kRetryAfterOutOfRoom = std::chrono::milliseconds(1000);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+HttpResponse JsonResponse(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+HttpResponse ConfigurationProblem(const std::string& detail) {
+  return JsonResponse(kUnavailable,
+                      JsonText({{"title", "No configuration to show"},
+                                {"status", kUnavailable},
+                                {"detail", detail}}));
+}
+
+HttpResponse ConfigurationResponse(const DeploymentView& view) {
+  if (view.routes() == nullptr)
+    return ConfigurationProblem("no configuration was read yet");
+  const nlohmann::json* document = view.ConfigurationDocument();
+  if (document == nullptr) {
+    return ConfigurationProblem(
+        "the store has another configuration than the one in force here");
+  }
+  const std::string text = JsonText(*document);
+  if (text.size() > kMaxConfigurationBytes)
+    return ConfigurationProblem("the configuration is too large to be sent");
+  return JsonResponse(kOk,
+                      "{\"version\":" + std::to_string(view.routes()->version) +
+                          ",\"configuration\":" + text + "}");
+}
+
 }  // namespace
 
 ExchangeServerLimits CallerLimits(const Settings& settings,
@@ -81,6 +116,16 @@
   return protocol.write_refusal(refusal);
 }
 
+HttpResponse OperatorsResponse(const HttpRequest& request,
+                               EntryMetrics& metrics,
+                               const DeploymentView& view) {
+  if (request.path == "/metrics")
+    return PlainResponse(kOk, metrics.Serialize());
+  if (request.path == "/configuration" && request.method == "GET")
+    return ConfigurationResponse(view);
+  return PlainResponse(kNotFound, "");
+}
+
 void NotePressure(const PressureEvent& event, EntryMetrics& metrics,
                   EventLog& log) {
   const std::string_view action = PressureActionName(event.action);
--- a/source/core/entry/entry_servers.h
+++ b/source/core/entry/entry_servers.h
@@ -10,6 +10,7 @@
 
 namespace mimosadeal {
 
+class DeploymentView;
 class EntryMetrics;
 class EventLog;
 struct Settings;
@@ -29,6 +30,13 @@
 HttpResponse MakeServerRefusal(const DeploymentProtocol& protocol, int status,
                                const std::string& detail);
 
+// The response to a request of operators. /metrics: `metrics` as text.
+// /configuration: the version and the document of the configuration in force;
+// 503 while this host has none, or has no document of it.
+HttpResponse OperatorsResponse(const HttpRequest& request,
+                               EntryMetrics& metrics,
+                               const DeploymentView& view);
+
 // Logs and counts what a server did because bytes or connections ran short.
 void NotePressure(const PressureEvent& event, EntryMetrics& metrics,
                   EventLog& log);
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -12,8 +12,6 @@
 
 namespace mimosadeal {
 
-// A request with less time left is not sent: no upstream could respond in time.
-inline constexpr Duration kMinTimeToSend = std::chrono::milliseconds(5);
 // A planned move of a key takes 0.2 to 0.5 s.
 inline constexpr Duration kRetryAfterNoOwner = std::chrono::milliseconds(400);
 // Delay before a request for a key is retried whose owner does not hold the key
--- a/source/core/operator_client/operator_commands.h
+++ b/source/core/operator_client/operator_commands.h
@@ -17,6 +17,9 @@
   kUsage = 2,
   // The host refused: stale version, invalid configuration or unknown service.
   kRefused = 3,
+  // Of check: it found something, or cannot read one of the configurations.
+  kFindings = 1,
+  kUnreadable = 2,
   // A patch may have been applied. Run the command again with the same
   // --patch_id.
   kUnknown = 4,
--- a/source/core/routing/route_table.h
+++ b/source/core/routing/route_table.h
@@ -11,6 +11,9 @@
 
 namespace mimosadeal {
 
+// A request with less time left is not sent: no upstream could respond in time.
+inline constexpr Duration kMinTimeToSend = std::chrono::milliseconds(5);
+
 enum class Idempotency : uint8_t { kIdempotent, kNonIdempotent };
 
 // A target service of a route and its weight in the traffic split.
--- a/source/core/routing/weighted_round_robin.cc
+++ b/source/core/routing/weighted_round_robin.cc
@@ -12,7 +12,7 @@
     double& current_weight = state.current_weights[share.service];
     current_weight += share.weight;
     total_weight += share.weight;
-    if (share.weight > 0 && current_weight > max_weight) {
+    if (GetsRequests(share) && current_weight > max_weight) {
       max_weight = current_weight;
       chosen = &share;
     }
--- a/source/core/routing/weighted_round_robin.h
+++ b/source/core/routing/weighted_round_robin.h
@@ -17,6 +17,12 @@
   std::map<std::string, double> current_weights;
 };
 
+// Whether the service of a split gets requests at all, provided that one of the
+// split's services does.
+inline bool GetsRequests(const WeightedService& share) {
+  return share.weight > 0;
+}
+
 // Returns the service for the next request. Smooth weighted round robin follows
 // the weights even over short sequences of requests.
 const std::string& ChooseService(
--- a/source/integration_tests/command_line_test.cc
+++ b/source/integration_tests/command_line_test.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 
 #include "child_process.h"
+#include "entry_fixture.h"
 #include "test_fixture.h"
 
 namespace mimosadeal {
@@ -39,6 +40,34 @@
   return RunCommand(MIMOSADEAL_CONTROL, arguments);
 }
 
+// A file with a configuration, removed with this object.
+class ConfigurationFile {
+ public:
+  explicit ConfigurationFile(const std::string& text)
+      : path_("/tmp/mimosadeal-check-XXXXXX") {
+    const int fd = mkstemp(path_.data());
+    if (fd >= 0) close(fd);
+    std::ofstream(path_) << text;
+  }
+  explicit ConfigurationFile(const nlohmann::json& content)
+      : ConfigurationFile(content.dump(1)) {}
+  ~ConfigurationFile() { std::filesystem::remove(path_); }
+  ConfigurationFile(const ConfigurationFile&) = delete;
+  ConfigurationFile& operator=(const ConfigurationFile&) = delete;
+
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+CommandOutput RunCheck(const ConfigurationFile& file,
+                       std::vector<std::string> options = {}) {
+  std::vector<std::string> arguments = {"check", file.path()};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  return RunCommand(MIMOSADEAL_CONTROL, arguments);
+}
+
 TEST_GROUP(CommandLine){};
 
 TEST(CommandLine, TheDaemonPrintsHelpAndChecksSettings) {
@@ -113,8 +142,97 @@
     const CommandOutput output = RunMimosactl(
         host, {"patch", path, "--base_version=" + std::to_string(version++)});
     LONGS_EQUAL_TEXT(0, output.exit_code, output.text.c_str());
+    LONGS_EQUAL(0, RunCommand(MIMOSADEAL_CONTROL, {"check", path}).exit_code);
   }
 }
 
+TEST(CommandLine, CheckReturnsExitCodesAndComparesWithAFile) {
+  EntryFixture fixture;
+  nlohmann::json content = fixture.Configuration(3);
+  const ConfigurationFile valid(content);
+  const CommandOutput nothing = RunCheck(valid);
+  LONGS_EQUAL_TEXT(0, nothing.exit_code, nothing.text.c_str());
+  STRCMP_CONTAINS(": no findings", nothing.text.c_str());
+
+  nlohmann::json& route = content["virtualHosts"][0]["paths"][1];
+  route["service"] = "nowhere";
+  const CommandOutput faulty = RunCheck(ConfigurationFile(content));
+  LONGS_EQUAL(1, faulty.exit_code);
+  STRCMP_CONTAINS("error: /virtualHosts/0/paths/1/service: no service is",
+                  faulty.text.c_str());
+  const CommandOutput json = RunCheck(ConfigurationFile(content), {"--json"});
+  LONGS_EQUAL(1, json.exit_code);
+  const nlohmann::json report = nlohmann::json::parse(json.text);
+  STRCMP_EQUAL("error",
+               report["findings"][0]["severity"].get<std::string>().c_str());
+  CHECK(report["findings"][0]["line"].get<int>() > 1);
+
+  for (const std::string& text :
+       {std::string("{"), std::string("[]"), std::string(2000000, ' ')})
+    LONGS_EQUAL(2, RunCheck(ConfigurationFile(text)).exit_code);
+  LONGS_EQUAL(2,
+              RunCommand(MIMOSADEAL_CONTROL, {"check", "/nowhere"}).exit_code);
+  LONGS_EQUAL(2, RunCommand(MIMOSADEAL_CONTROL, {"check", "/tmp"}).exit_code);
+  LONGS_EQUAL(2, RunCommand(MIMOSADEAL_CONTROL, {"check"}).exit_code);
+
+  const ConfigurationFile newer(fixture.Configuration(4));
+  const CommandOutput compared = RunCheck(newer, {"--against=" + valid.path()});
+  LONGS_EQUAL_TEXT(0, compared.exit_code, compared.text.c_str());
+  STRCMP_CONTAINS("difference: /version: 4, was 3", compared.text.c_str());
+  const CommandOutput older = RunCheck(valid, {"--against=" + newer.path()});
+  LONGS_EQUAL(1, older.exit_code);
+  STRCMP_CONTAINS("not above the version in force", older.text.c_str());
+  LONGS_EQUAL(2, RunCheck(valid, {"--against=/nowhere"}).exit_code);
+}
+
+TEST(CommandLine, CheckComparesWithTheConfigurationInForceAtAHost) {
+  EntryFixture fixture;
+  fixture.StartDefaultDeployment(1);
+  const EntryProcess& host = *fixture.hosts.at("host-1");
+  const std::string against = "--against=" + host.operators.ToString();
+  const CommandOutput same =
+      RunCheck(ConfigurationFile(fixture.Configuration(1)), {against});
+  LONGS_EQUAL_TEXT(0, same.exit_code, same.text.c_str());
+  STRCMP_CONTAINS(": no findings", same.text.c_str());
+
+  nlohmann::json content = fixture.Configuration(2);
+  content["virtualHosts"][0]["paths"][0]["timeout"] = "1200ms";
+  const ConfigurationFile changed(content);
+  const CommandOutput output = RunCheck(changed, {against});
+  LONGS_EQUAL_TEXT(0, output.exit_code, output.text.c_str());
+  STRCMP_CONTAINS("1200ms, was 1500ms", output.text.c_str());
+
+  // The host does not take it up, so it is not the one in force.
+  content.erase("virtualHosts");
+  fixture.store->Put("config", "main", content);
+  CHECK(fixture.RunUntil(
+      [&] {
+        return fixture.HostLog("host-1").find("configuration.rejected") !=
+               std::string::npos;
+      },
+      std::chrono::seconds(5)));
+  const CommandOutput rejected = RunCheck(changed, {against});
+  LONGS_EQUAL(2, rejected.exit_code);
+  STRCMP_CONTAINS("another configuration than the one in force",
+                  rejected.text.c_str());
+  LONGS_EQUAL(2, RunCheck(changed, {"--against=127.0.0.1:1"}).exit_code);
+}
+
+TEST(CommandLine, CheckComparesWithAHostOfTheProductsOwnInterface) {
+  TestFixture fixture(YardLayout({"a"}, 1, 1));
+  fixture.Start();
+  const EntryHost& host = fixture.deployment().hosts()[0];
+  const CommandOutput shown = RunMimosactl(host, {"show", "--json"});
+  nlohmann::json content = nlohmann::json::parse(shown.text)["configuration"];
+  const std::string against = "--against=" + host.operators;
+  const CommandOutput same = RunCheck(ConfigurationFile(content), {against});
+  LONGS_EQUAL_TEXT(0, same.exit_code, same.text.c_str());
+  content["services"]["yard"]["slots"] = 3;
+  STRCMP_CONTAINS("difference: /services/yard/slots",
+                  RunCheck(ConfigurationFile(content), {against}).text.c_str());
+  content["services"]["yard"]["slots"] = 0;
+  LONGS_EQUAL(1, RunCheck(ConfigurationFile(content), {against}).exit_code);
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/mimosactl/main.cc
+++ b/source/mimosactl/main.cc
@@ -8,16 +8,15 @@
 
 #include <cstdint>
 #include <cstdio>
-#include <fstream>
-#include <iostream>
-#include <iterator>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "common/ids.h"
 #include "common/version.h"
+#include "operator_client/check_command.h"
+#include "operator_client/file_text.h"
 #include "operator_client/operator_commands.h"
+#include "platform/deployment.h"
 
 ABSL_FLAG(std::string, host, "127.0.0.1:8081",
           "Operators' address (ip:port) of any entry host.");
@@ -27,6 +26,9 @@
 ABSL_FLAG(std::string, patch_id, "",
           "For patch and drain: the id that identifies a repeated patch. A new "
           "one is generated when it is empty.");
+ABSL_FLAG(std::string, against, "",
+          "For check: the configuration in force, as the operators' address "
+          "(ip:port) of a host or as a file.");
 ABSL_FLAG(bool, undo, false, "For drain: put the upstream back into service.");
 ABSL_FLAG(int64_t, timeout_ms, 10000, "Longest wait for the host's response.");
 
@@ -45,27 +47,25 @@
     "  mimosactl patch FILE --base_version N     apply a JSON merge patch made "
     "against version N (- reads stdin)\n"
     "  mimosactl drain UPSTREAM [--undo]    take a server out of service "
-    "gracefully, or put it back\n\n"
-    "Exit codes: 0 done; 1 the host cannot be reached or the store is down, "
+    "gracefully, or put it back\n"
+    "  mimosactl check FILE [--against HOST|FILE]     check a configuration "
+    "before it is sent, and show what differs from the one in force\n\n"
+    "Exit codes of check: 0 no errors or warnings; 1 some; 2 a configuration "
+    "cannot be read.\n"
+    "Exit codes of the others: 0 done; 1 the host cannot be reached or the "
+    "store is down, "
     "nothing was done;\n"
     "2 faults in the command line; 3 refused (stale version, invalid "
     "configuration, unknown name);\n"
     "4 a patch may have been applied: run it again with the same --patch_id.";
 
+// Hosts accept no larger patches.
+constexpr size_t kMaxPatchBytes = 1024 * 1024;
+
 CommandResult UsageError(const std::string& message) {
   return {CommandExit::kUsage, "", message + "; see --help"};
 }
 
-// Returns the content of a file, or of standard input for "-"; nullopt if it
-// cannot be read.
-std::optional<std::string> ReadAll(const std::string& path) {
-  if (path == "-")
-    return std::string(std::istreambuf_iterator<char>(std::cin), {});
-  std::ifstream file(path);
-  if (!file) return std::nullopt;
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 CommandResult RunPatch(mimosadeal::OperatorClient& client,
                        const std::string& path, const std::string& patch_id) {
   const int64_t version = absl::GetFlag(FLAGS_base_version);
@@ -73,9 +73,9 @@
     return UsageError(
         "patch needs --base_version, so that nobody's change is overwritten "
         "unseen");
-  const auto patch = ReadAll(path);
-  if (!patch.has_value()) return UsageError("cannot read " + path);
-  return mimosadeal::PatchConfiguration(client, *patch, patch_id,
+  const auto patch = mimosadeal::ReadFileText(path, kMaxPatchBytes);
+  if (!patch.has_value()) return UsageError(patch.error().message);
+  return mimosadeal::PatchConfiguration(client, patch.value(), patch_id,
                                         static_cast<uint64_t>(version),
                                         absl::GetFlag(FLAGS_json));
 }
@@ -119,14 +119,18 @@
   CommandResult result;
   std::string patch_id = absl::GetFlag(FLAGS_patch_id);
   if (patch_id.empty()) patch_id = mimosadeal::NewUniqueId();
+  const std::chrono::milliseconds timeout(absl::GetFlag(FLAGS_timeout_ms));
   if (words.empty()) {
     result = UsageError("a command is required");
+  } else if (words[0] == "check" && words.size() == 2) {
+    result = mimosadeal::CheckFile(
+        {words[1], absl::GetFlag(FLAGS_against), timeout,
+         absl::GetFlag(FLAGS_json)},
+        mimosadeal::platform::MakeConfigurationSpelling());
   } else if (!address.has_value()) {
     result = UsageError("--host: " + address.error().message);
   } else {
-    mimosadeal::OperatorClient client(
-        address.value(),
-        std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms)));
+    mimosadeal::OperatorClient client(address.value(), timeout);
     result = RunCommand(client, words, patch_id);
   }
   std::fputs(result.output.c_str(), stdout);
