Configuration codec: cheaper reading for hosts; the codec of bounds stands apart

Change: the place of an entry is a chain on the stack that is written out only for problems and for the check; each member is looked up once. Linter findings mended.

--- a/source/core/configuration_check/finding.cc
+++ b/source/core/configuration_check/finding.cc
@@ -17,6 +17,7 @@
 }};
 
 constexpr char kDelete = 0x7f;
+constexpr double kMillisecondsPerSecond = 1e3;
 
 // Escapes control characters, which could move a terminal's cursor. Other bytes
 // are kept.
@@ -64,7 +65,6 @@
 }
 
 std::string MillisecondsText(Duration time) {
-  constexpr double kMillisecondsPerSecond = 1e3;
   char text[32];
   std::snprintf(text, sizeof(text), "%.10gms",
                 ToSeconds(time) * kMillisecondsPerSecond);
--- a/source/core/routing/route_document.h
+++ b/source/core/routing/route_document.h
@@ -61,12 +61,12 @@
 };
 
 struct DocumentService {
-  std::string pointer;
+  std::string pointer;  // Empty in what hosts read.
   ServiceConfig service;
 };
 
 struct DocumentRoute {
-  std::string pointer;
+  std::string pointer;  // Empty in what hosts read.
   std::string host;
   Route route;
   bool is_split = false;  // Whether its services are members of a split.
--- a/source/integration_tests/command_line_test.cc
+++ b/source/integration_tests/command_line_test.cc
@@ -195,6 +195,13 @@
   LONGS_EQUAL_TEXT(0, same.exit_code, same.text.c_str());
   STRCMP_CONTAINS(": no findings", same.text.c_str());
 
+  const std::string operators = "--host=" + host.operators.ToString();
+  const CommandOutput shown =
+      RunCommand(MIMOSADEAL_CONTROL, {operators, "show", "--json"});
+  LONGS_EQUAL_TEXT(0, shown.exit_code, shown.text.c_str());
+  CHECK(nlohmann::json::parse(shown.text)["configuration"] ==
+        fixture.Configuration(1));
+
   nlohmann::json content = fixture.Configuration(2);
   content["virtualHosts"][0]["paths"][0]["timeout"] = "1200ms";
   const ConfigurationFile changed(content);
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "common/ids.h"
+#include "platform/bounds_codec.h"
 #include "platform/caller_codec.h"
 #include "platform/configuration_codec.h"
 #include "platform/deployment.h"
@@ -102,6 +103,21 @@
         Idempotency::kNonIdempotent);
 }
 
+// They were cast: 0 attempts refused every request, -1 allowed any number.
+TEST(PlatformConfiguration, WholeNumbersOutOfRangeAreIgnored) {
+  nlohmann::json content = nlohmann::json::parse(kConfiguration);
+  for (const nlohmann::json& number :
+       nlohmann::json::array({-1, 0, 4294967299, 18446744073709551615ULL})) {
+    content["virtualHosts"][0]["paths"][0]["maxAttempts"] = number;
+    const auto read = ReadConfiguration(content);
+    LONGS_EQUAL(1,
+                FindRoute(read.value(), "lots.example", "/a/1")->max_upstreams);
+  }
+  content["limits"]["maxBodyBytes"] = -1;
+  LONGS_EQUAL(1024 * 1024,
+              ReadConfiguration(content).value().limits.max_body_bytes);
+}
+
 TEST(PlatformConfiguration, TheErrorNamesTheMissingField) {
   nlohmann::json content = nlohmann::json::parse(kConfiguration);
   content["virtualHosts"][0]["paths"][0].erase("timeout");
