Take a success without its proof for no answer

Cause: nothing on the way asked for X-Response-Signature.

The stand-ins stated the proof already; no check was loosened. OddUpstream of EntryFaulty now takes the signature's line from the test; its former test is unchanged but for a shared start.

--- a/source/integration_tests/entry_faulty_upstreams_test.cc
+++ b/source/integration_tests/entry_faulty_upstreams_test.cc
@@ -100,9 +100,11 @@
         FdWatch::Callbacks{[this] { OnAcceptable(); }, nullptr});
   }
 
-  void Answer(std::string status_line, std::string framing) {
+  void Answer(std::string status_line, std::string framing,
+              std::string signature_line = "x-response-signature: s\r\n") {
     status_line_ = std::move(status_line);
     framing_ = std::move(framing);
+    signature_line_ = std::move(signature_line);
   }
   int requests() const { return requests_; }
 
@@ -139,15 +141,15 @@
         connection.received.substr(begin, end - begin) + "\r\n";
     connection.received.clear();
     ++requests_;
-    connection.stream->Write(status_line_ + "\r\n" + id_line +
-                             "x-response-signature: s\r\n" + framing_ +
-                             "\r\nran");
+    connection.stream->Write(status_line_ + "\r\n" + id_line + signature_line_ +
+                             framing_ + "\r\nran");
     connection.stream->FinishWriting();
   }
 
   EventLoop& loop_;
   std::string status_line_;
   std::string framing_;
+  std::string signature_line_;
   std::unique_ptr<FdWatch> listener_;
   std::list<Connection> connections_;
   int requests_ = 0;
@@ -176,6 +178,31 @@
     }
   }
 
+  // Starts the default deployment with an OddUpstream as the only one of the
+  // service without keys.
+  std::unique_ptr<OddUpstream> StartWithOddUpstream() {
+    fixture.StartDefaultDeployment(2);
+    fixture.CrashUpstream("desk-1");
+    fixture.CrashUpstream("desk-2");
+    fixture.store->Remove("servers", "desk-1");
+    fixture.store->Remove("servers", "desk-2");
+    SocketAddress address = fixture.upstreams.at("yard-1")->options().address;
+    ++address.port;
+    auto odd = std::make_unique<OddUpstream>(fixture.loop, address);
+    fixture.store->Put("servers", "odd-1",
+                       {{"service", "desk"},
+                        {"address", address.ToString()},
+                        {"zone", "north"},
+                        {"version", "v1"},
+                        {"slots", 4},
+                        {"state", "ready"},
+                        {"warmupLeft", "0ms"},
+                        {"seq", 1},
+                        {"born", 1}});
+    fixture.RunFor(kChangeDeadline);
+    return odd;
+  }
+
   // Sends requests in parallel to a service with an upstream that responds
   // without end, for two deadlines. The host must stay within the memory of the
   // smallest hosts and serve other requests meanwhile.
@@ -264,41 +291,50 @@
 // Guards against a status that is none, which callers got as an answer. The
 // upstream may have run the request.
 TEST(EntryFaulty, AStatusThatIsNoneIsNotHandedToCallers) {
-  fixture.StartDefaultDeployment(2);
-  fixture.CrashUpstream("desk-1");
-  fixture.CrashUpstream("desk-2");
-  fixture.store->Remove("servers", "desk-1");
-  fixture.store->Remove("servers", "desk-2");
-  SocketAddress address = fixture.upstreams.at("yard-1")->options().address;
-  ++address.port;
-  OddUpstream odd(fixture.loop, address);
-  fixture.store->Put("servers", "odd-1",
-                     {{"service", "desk"},
-                      {"address", address.ToString()},
-                      {"zone", "north"},
-                      {"version", "v1"},
-                      {"slots", 4},
-                      {"state", "ready"},
-                      {"warmupLeft", "0ms"},
-                      {"seq", 1},
-                      {"born", 1}});
-  fixture.RunFor(kChangeDeadline);
+  const auto odd = StartWithOddUpstream();
   for (const char* status_line :
        {"HTTP/1.1 000 None", "HTTP/1.1 099 Low", "HTTP/1.1 600 High",
         "HTTP/1.1 999 High", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
         "HTTP/1.1 abc OK", "HTTP/1.1", "HTTP/1.1 101 Switching Protocols",
         "HTTP/1.1 103 Early Hints"}) {
     for (const char* framing : {"content-length: 3\r\n", ""}) {
-      odd.Answer(status_line, framing);
-      const int before = odd.requests();
+      odd->Answer(status_line, framing);
+      const int before = odd->requests();
       const CallerResponse response =
           fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, "one");
-      CHECK_TEXT(odd.requests() > before, status_line);
+      CHECK_TEXT(odd->requests() > before, status_line);
       LONGS_EQUAL_TEXT(502, response.status, status_line);
     }
   }
   CheckHostsRun();
 }
 
+// Guards against a success without its proof, which callers got as an answer.
+// The upstream may have run the request, so one that is not idempotent is sent
+// once and the caller is not told that it has not run.
+TEST(EntryFaulty, ASuccessWithoutItsProofIsNotHandedToCallers) {
+  const auto odd = StartWithOddUpstream();
+  const auto check = [&](const char* status_line, const char* signature_line,
+                         int expected) {
+    odd->Answer(status_line, "content-length: 3\r\n", signature_line);
+    const int before = odd->requests();
+    const CallerResponse response =
+        fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, "one");
+    LONGS_EQUAL_TEXT(before + 1, odd->requests(), signature_line);
+    LONGS_EQUAL_TEXT(expected, response.status, status_line);
+  };
+  for (const char* signature_line :
+       {"", "x-response-signature: \r\n", "x-resqonse-signature: s\r\n",
+        "x-response-signature: s\r\nx-response-signature: t\r\n",
+        "x-response-signature: s\r\nx-not-executed: 1\r\n"}) {
+    check("HTTP/1.1 200 OK", signature_line, 502);
+    check("HTTP/1.1 201 Created", signature_line, 502);
+  }
+  check("HTTP/1.1 200 OK", "x-response-signature: s\r\n", 200);
+  check("HTTP/1.1 500 Internal Server Error", "", 500);
+  check("HTTP/1.1 404 Not Found", "", 404);
+  CheckHostsRun();
+}
+
 }  // namespace
 }  // namespace mimosadeal
