Enforce the limit of a body whose first bytes come with its header

Cause: Beast's parser notes that a stated length exceeds the limit, and forgets it when it goes on to the body in the same buffer. So maxBodyBytes, and the limits of upstreams' and the store's responses, held only if the header came alone.

Change: http_codec compares the stated length, and the body so far, itself.

--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -55,11 +55,21 @@
   return headers;
 }
 
+template <typename Parser>
+bool ExceedsBodyLimit(const Parser& parser, size_t max_body_bytes) {
+  if (!parser.is_header_done()) return false;
+  const auto length = parser.content_length();
+  // A message that is done may state a length and have no body.
+  const bool will_exceed =
+      !parser.is_done() && length.has_value() && *length > max_body_bytes;
+  return will_exceed || parser.get().body().size() > max_body_bytes;
+}
+
 // Feeds the parser until it needs more input or the message ends, and removes
 // the parsed bytes from `input`. What it leaves there after the header is the
 // begin of a chunk's header or of the trailers, which have the header's limit.
 template <typename Parser>
-ParseState FeedParser(Parser& parser, size_t max_header_bytes,
+ParseState FeedParser(Parser& parser, HttpMessageLimits limits,
                       std::string& input, boost::beast::error_code& error) {
   size_t parsed = 0;
   error = {};
@@ -77,8 +87,11 @@
   }
   input.erase(0, parsed);
   if (!error && !parser.is_done() && parser.is_header_done() &&
-      input.size() > max_header_bytes)
+      input.size() > limits.max_header_bytes)
     error = http::error::header_limit;
+  // The parser loses this error if a part of the body comes with the header.
+  if (!error && ExceedsBodyLimit(parser, limits.max_body_bytes))
+    error = http::error::body_limit;
   if (error == http::error::header_limit || error == http::error::body_limit)
     return ParseState::kTooLarge;
   if (error) return ParseState::kMalformed;
@@ -98,12 +111,12 @@
 
 struct HttpRequestParser::Impl {
   http::request_parser<http::string_body> parser;
-  size_t max_header_bytes = 0;
+  HttpMessageLimits limits;
 };
 
 HttpRequestParser::HttpRequestParser(HttpMessageLimits limits)
     : impl_(std::make_unique<Impl>()) {
-  impl_->max_header_bytes = limits.max_header_bytes;
+  impl_->limits = limits;
   impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
   impl_->parser.body_limit(limits.max_body_bytes);
   impl_->parser.eager(true);
@@ -114,7 +127,7 @@
 ParseState HttpRequestParser::Feed(std::string& input) {
   boost::beast::error_code error;
   const ParseState state =
-      FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
+      FeedParser(impl_->parser, impl_->limits, input, error);
   if (state == ParseState::kTooLarge) {
     refusal_status_ =
         error == http::error::header_limit ? kHeaderTooLarge : kContentTooLarge;
@@ -158,7 +171,7 @@
 
 struct HttpResponseParser::Impl {
   http::response_parser<http::string_body> parser;
-  size_t max_header_bytes = 0;
+  HttpMessageLimits limits;
 
   // Whether the header, once it is complete, has a status that a response may
   // have.
@@ -172,7 +185,7 @@
 HttpResponseParser::HttpResponseParser(HttpMessageLimits limits,
                                        bool head_request)
     : impl_(std::make_unique<Impl>()) {
-  impl_->max_header_bytes = limits.max_header_bytes;
+  impl_->limits = limits;
   impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
   impl_->parser.body_limit(limits.max_body_bytes);
   impl_->parser.eager(true);
@@ -185,7 +198,7 @@
   if (!input.empty()) started_ = true;
   boost::beast::error_code error;
   const ParseState state =
-      FeedParser(impl_->parser, impl_->max_header_bytes, input, error);
+      FeedParser(impl_->parser, impl_->limits, input, error);
   const bool is_none = impl_->parser.is_header_done() && !impl_->has_status();
   return is_none ? ParseState::kMalformed : state;
 }
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -132,6 +132,26 @@
   CHECK_FALSE(read.keep_alive);
 }
 
+// Guards against a limit that holds only if the header comes without any of the
+// body: the parser forgets that the stated length exceeds it.
+TEST(HttpCodec, AStatedLengthBeyondTheLimitIsRefusedHoweverItArrives) {
+  const std::string head = "content-length: 65\r\n\r\n";
+  for (const size_t body_bytes :
+       {size_t{0}, size_t{1}, size_t{64}, size_t{65}}) {
+    const std::string body(body_bytes, 'x');
+    std::string response_text = "HTTP/1.1 200 OK\r\n" + head + body;
+    HttpResponseParser response(kLimits, false);
+    CHECK(response.Feed(response_text) == ParseState::kTooLarge);
+    std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + head + body;
+    HttpRequestParser request(kLimits);
+    CHECK(request.Feed(request_text) == ParseState::kTooLarge);
+    LONGS_EQUAL(413, request.refusal_status());
+  }
+  std::string no_body = "HTTP/1.1 200 OK\r\n" + head;
+  HttpResponseParser to_head(kLimits, true);
+  CHECK(to_head.Feed(no_body) == ParseState::kDone);
+}
+
 TEST(HttpCodec, HopByHopHeadersAreRecognised) {
   CHECK(IsHopByHopHeader("connection"));
   CHECK(IsHopByHopHeader("transfer-encoding"));
