Let a stored object that cannot be read cost itself only

Cause: a page of a list, or a watch's response, was decoded as one text.

An object with name and revision stays in copies and feeds as null, others are left out and counted. Registrations beyond 16 KiB, fields of another type, NUL in addresses and names that no header can carry name no upstream. Changes that are together too long are replaced by a list.

Tests: read_page and read_changes take the limit of an object's content, so their calls in codec_test and odd_input_test pass SIZE_MAX; their checks are as before. The stand-in store sends "(unreadable)" as half of a surrogate pair.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -55,6 +55,9 @@
 constexpr Duration kForgetMissingAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
+// Registrations have about 300 bytes.
+constexpr size_t kMaxRegistrationBytes = 16 * 1024;
+
 // Responses of a watch with fewer changes make no line.
 constexpr size_t kMinLoggedChanges = 50;
 
@@ -116,6 +119,7 @@
               [this](const StoredObject& object, const ChangeBound&) {
                 OnConfiguration(object);
               });
+  store.LimitContent(protocol.registry_kind, kMaxRegistrationBytes);
   add_watcher(ViewKind::kRegistry, protocol.registry_kind,
               [this](const StoredObject& object, const ChangeBound& bound) {
                 OnRegistration(object, bound);
@@ -139,6 +143,11 @@
   handlers.on_watched = [this, kind](const WatchedChanges& changes) {
     OnWatched(kind, changes);
   };
+  handlers.on_left_out = [this, kind](size_t count) {
+    unreadable_objects_ += count;
+    log_.LogRequest("view.left-out", {{"watch", NameOf(kViewKindNames, kind)},
+                                      {"objects", uint64_t{count}}});
+  };
   // While the store is unreachable, only the registry's watch retries.
   if (kind != ViewKind::kRegistry)
     handlers.may_retry = [this] { return store_reachable(); };
@@ -194,10 +203,12 @@
   KindUpdate update = watcher(kind).Snapshot();
   if (kind != ViewKind::kRangeTables) return update;
   // A copy that came from a feed holds only the latest table steps, so they are
-  // replaced by the whole tables.
+  // replaced by the whole tables. So are tables that could not be read.
   for (StoredObject& object : update.objects) {
     const RangeTable* existing = table(object.name);
-    if (existing == nullptr || !StepBase(object.content).has_value()) continue;
+    const bool replace =
+        object.content.is_null() || StepBase(object.content).has_value();
+    if (existing == nullptr || !replace) continue;
     object.revision = existing->revision;
     object.content = EncodeRangeTable(*existing);
   }
@@ -222,6 +233,11 @@
                   revision_clock_.Before(watcher(kind).revision() + 1));
 }
 
+MonotonicTime DeploymentView::routes_current_at() const {
+  return newest_configuration_read_ ? current_at(ViewKind::kConfiguration)
+                                    : kNever;
+}
+
 void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
   watcher(kind).NoteCurrent(current_at);
 }
@@ -271,7 +287,9 @@
 void DeploymentView::OnConfiguration(const StoredObject& object) {
   if (object.deleted || object.name != protocol_.configuration_name) return;
   Result<RouteTable> read = protocol_.read_configuration(object.content);
+  newest_configuration_read_ = read.has_value();
   if (!read.has_value()) {
+    ++unreadable_objects_;
     log_.LogStateChange(
         "configuration.rejected",
         {{"revision", object.revision}, {"reason", read.error().message}});
@@ -324,9 +342,13 @@
   const Result<UpstreamRecord> read = protocol_.read_registration(object);
   if (!read.has_value()) {
     ++unreadable_registrations_;
+    // No outage explains it, so the upstream gets no grace time.
+    const bool gone = directory_.Remove(object.name, now, changed_after, kNever,
+                                        /*store_reachable=*/true);
     log_.LogStateChange("upstream.unreadable",
                         {{"upstream", object.name},
                          {"revision", object.revision},
+                         {"gone", gone},
                          {"reason", read.error().message}});
     return;
   }
@@ -371,6 +393,7 @@
     return;
   auto read = ReadTable(object);
   if (!read.has_value()) {
+    ++unreadable_objects_;
     log_.LogStateChange("range-table.unreadable",
                         {{"service", object.name},
                          {"revision", object.revision},
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -100,6 +100,9 @@
   // A time at which this host's copy of the kind was certainly up to date;
   // kNever if there was none.
   MonotonicTime current_at(ViewKind kind) const;
+  // A time at which routes() was certainly the newest configuration; kNever if
+  // unknown, or if the newest one could not be read.
+  MonotonicTime routes_current_at() const;
   // The host that feeds this one has the same copy and reported that it was up
   // to date at `current_at`.
   void NoteCurrent(ViewKind kind, MonotonicTime current_at);
@@ -181,6 +184,10 @@
     return unreadable_registrations_;
   }
 
+  // Number of configurations, tables and objects without a readable name or
+  // revision that could not be read.
+  uint64_t unreadable_objects() const { return unreadable_objects_; }
+
   // Replaces the service's table with one that this or another host wrote to
   // the store, unless it is older, or a copy's that was restored.
   void ApplyTable(RangeTable table);
@@ -231,6 +238,8 @@
   UpstreamDirectory directory_;
   ColdBound cold_bound_;
   uint64_t unreadable_registrations_ = 0;
+  uint64_t unreadable_objects_ = 0;
+  bool newest_configuration_read_ = false;
   RevisionClock revision_clock_;
   std::map<std::string, RangeTable> range_tables_;
   // By service; see the functions of these names.
--- a/source/core/entry/deployment_view_evacuations.cc
+++ b/source/core/entry/deployment_view_evacuations.cc
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "net/event_loop.h"
+#include "store/object_store.h"
 #include "store/store_revision.h"
 
 namespace mimosadeal {
@@ -17,6 +18,8 @@
 constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(900);
+// The content is not used.
+constexpr size_t kMaxContentBytes = 4 * 1024;
 
 }  // namespace
 
@@ -31,6 +34,7 @@
     OnEvacuationsSynced();
     Notify();
   };
+  store_.LimitContent(protocol_.evacuation_kind, kMaxContentBytes);
   AddWatcher(ViewKind::kEvacuations, protocol_.evacuation_kind,
              {kWatchWait, Duration::zero(), kFirstRetryDelay, kMaxRetryDelay},
              std::move(handlers));
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -11,7 +11,7 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<EntryGauge, 16> kEntryGaugeNames = {{
+constexpr EnumNames<EntryGauge, 17> kEntryGaugeNames = {{
     {EntryGauge::kConfigurationVersion, "mimosadeal_configuration_version"},
     {EntryGauge::kOpenRequests, "mimosadeal_open_requests"},
     {EntryGauge::kCallerConnections, "mimosadeal_caller_connections"},
@@ -28,6 +28,7 @@
     {EntryGauge::kColdUpstreams, "mimosadeal_cold_upstreams"},
     {EntryGauge::kUnreadableRegistrations,
      "mimosadeal_unreadable_registrations"},
+    {EntryGauge::kUnreadableObjects, "mimosadeal_unreadable_objects"},
     {EntryGauge::kLogLinesDropped, "mimosadeal_log_lines_dropped"},
     {EntryGauge::kHedgePercent, "mimosadeal_hedge_extra_work_percent"},
 }};
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -37,6 +37,7 @@
   kZonesEvacuated,
   kColdUpstreams,
   kUnreadableRegistrations,
+  kUnreadableObjects,
   kLogLinesDropped,
   kHedgePercent,
 };
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -470,6 +470,7 @@
       {EntryGauge::kZonesEvacuated, view_->evacuated_zones()},
       {EntryGauge::kColdUpstreams, view_->cold_upstreams()},
       {EntryGauge::kUnreadableRegistrations, view_->unreadable_registrations()},
+      {EntryGauge::kUnreadableObjects, view_->unreadable_objects()},
       {EntryGauge::kLogLinesDropped, log_.dropped()},
   };
   for (const auto& [gauge, value] : values)
--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -322,12 +322,11 @@
       DecodeZoneLease(options_.zone, object.revision, object.content);
   ObserveLease(observation_, object.revision, loop_.timers().now());
   if (!decoded.has_value()) {
-    log_.LogStateChange(
-        "lease.unreadable",
-        {{"zone", options_.zone}, {"reason", decoded.error().message}});
-    lease_ = {};
-    lease_.zone = options_.zone;
-    lease_.revision = object.revision;
+    log_.LogStateChange("lease.unreadable",
+                        {{"zone", options_.zone},
+                         {"revision", object.revision},
+                         {"reason", decoded.error().message}});
+    SetUnreadableLease(object.revision);
     return;
   }
   if (IsRestoredCopy(decoded.value())) {
@@ -344,6 +343,23 @@
   SetLease(decoded.value());
 }
 
+// Some process wrote it and may hold the lease by it, until it has not changed
+// for the lease's duration. What was known of an earlier holder does not apply.
+void LeaseManager::SetUnreadableLease(uint64_t revision) {
+  if (revision == lease_.revision && lease_.process.empty()) return;
+  const uint64_t term = lease_.term;
+  lease_ = {};
+  lease_.zone = options_.zone;
+  lease_.revision = revision;
+  lease_.term = term;
+  other_held_ = true;
+  reacquiring_ = false;
+  holder_ended_ = false;
+  stopped_at_revision_ = 0;
+  last_status_at_ = loop_.timers().now();
+  holder_known_at_ = last_status_at_;
+}
+
 bool LeaseManager::IsRestoredCopy(const ZoneLease& stored) const {
   return lease_.revision != 0 &&
          EraOfRevision(stored.revision) > EraOfRevision(lease_.revision) &&
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -115,6 +115,7 @@
   void RetryAfterReadFailures();
   void OnRead(Result<StoredObject> read);
   void ApplyStoredLease(const StoredObject& object);
+  void SetUnreadableLease(uint64_t revision);
   // Whether the store's lease is that of a copy from which the store was
   // restored, and a later one is known.
   bool IsRestoredCopy(const ZoneLease& stored) const;
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -98,7 +98,7 @@
   pending.route =
       FindRoute(*pending.routes, pending.request.host, pending.request.path);
   if (pending.route == nullptr) {
-    if (MayReportNoRoute(view_.current_at(ViewKind::kConfiguration),
+    if (MayReportNoRoute(view_.routes_current_at(),
                          options_.configuration_apply, pending.received)) {
       Refuse(pending, RefusalReason::kNoRoute);
     } else {
--- a/source/core/fleet/upstream_directory.cc
+++ b/source/core/fleet/upstream_directory.cc
@@ -185,6 +185,7 @@
     lapses_.try_emplace(id, lapse);
     return false;
   }
+  lapses_.erase(id);
   if (found->second.availability == UpstreamAvailability::kMissing)
     return false;
   found->second.availability = UpstreamAvailability::kMissing;
--- a/source/core/net/socket_address.cc
+++ b/source/core/net/socket_address.cc
@@ -55,6 +55,8 @@
   const std::string_view port_text = text.substr(colon + 1);
   if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
     ip = ip.substr(1, ip.size() - 2);
+  // The system's functions would read up to it.
+  if (ip.find('\0') != std::string_view::npos) return malformed;
   SocketAddress address{std::string(ip), 0};
   const auto parsed = std::from_chars(
       port_text.data(), port_text.data() + port_text.size(), address.port);
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -125,6 +125,7 @@
   NoteCurrent(call_sent_at_);
   listed_at_ = loop_.timers().now();
   history_lost_ = false;
+  NoteLeftOut(page.value().unreadable);
   ReplaceAll(page.value().objects, after);
   revision_ = std::max<uint64_t>({1, revision_, page.value().store_revision});
   content_revision_ = revision_;
@@ -184,11 +185,14 @@
   }
   const MonotonicTime after = current_at_;
   OnSuccess();
-  const bool part = changes.value().changes.size() >= kMinPartChanges;
+  const size_t left_out = changes.value().unreadable;
+  NoteLeftOut(left_out);
+  const bool part =
+      changes.value().changes.size() + left_out >= kMinPartChanges;
   if (!part) {
     // Not the time of arrival: this process may have read the response late.
     const bool store_waited =
-        !any && answered_at_ - call_sent_at_ >= call_wait_;
+        !any && left_out == 0 && answered_at_ - call_sent_at_ >= call_wait_;
     NoteCurrent(call_sent_at_ + (store_waited ? call_wait_ : Duration::zero()));
   }
   KindUpdate update;
@@ -219,6 +223,10 @@
   if (handlers_.on_change) handlers_.on_change(object, bound);
 }
 
+void KindWatcher::NoteLeftOut(size_t count) {
+  if (count > 0 && handlers_.on_left_out) handlers_.on_left_out(count);
+}
+
 void KindWatcher::OnSuccess() {
   retry_delay_ = timing_.first_retry;
   answered_at_ = loop_.timers().now();
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -59,6 +59,9 @@
   std::function<bool()> may_retry;
   // A watch's response had changes. Runs before they are applied.
   std::function<void(const WatchedChanges&)> on_watched;
+  // A response had objects without a readable name or revision, which were left
+  // out.
+  std::function<void(size_t count)> on_left_out;
 };
 
 struct KindWatcherTiming {
@@ -131,6 +134,7 @@
                     MonotonicTime after);
   void OnChanges(Result<ObjectChanges> changes);
   void Apply(const StoredObject& object, const ChangeBound& bound);
+  void NoteLeftOut(size_t count);
   void OnFailure(const Error& error);
   void Retry();
   void OnSuccess();
--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -139,7 +139,7 @@
       return;
     }
     Result<ObjectPage> page =
-        ReadPage(result.response, collected.store_revision);
+        ReadPage(kind, result.response, collected.store_revision);
     if (!page.has_value()) {
       callback(page.error());
       return;
@@ -150,6 +150,7 @@
       collected.store_revision = page.value().store_revision;
     for (StoredObject& object : page.value().objects)
       collected.objects.push_back(std::move(object));
+    collected.unreadable += page.value().unreadable;
     collected.next = page.value().next;
     if (collected.next.empty()) {
       callback(std::move(collected));
@@ -160,9 +161,15 @@
   Start(std::move(request), false, std::move(done));
 }
 
-Result<ObjectPage> ObjectStore::ReadPage(const HttpResponse& response,
+size_t ObjectStore::MaxContentBytes(const std::string& kind) const {
+  const auto found = max_content_bytes_.find(kind);
+  return found == max_content_bytes_.end() ? kMaxBodyBytes : found->second;
+}
+
+Result<ObjectPage> ObjectStore::ReadPage(const std::string& kind,
+                                         const HttpResponse& response,
                                          uint64_t list_revision) const {
-  BOOST_OUTCOME_TRY(page, protocol_.read_page(response));
+  BOOST_OUTCOME_TRY(page, protocol_.read_page(response, MaxContentBytes(kind)));
   BOOST_OUTCOME_TRY(era, ResponseEra(response));
   if (list_revision != 0 && EraOfRevision(list_revision) != era) {
     return MakeError(ErrorCode::kUnavailable,
@@ -238,19 +245,25 @@
       protocol_.watch(kind, CounterOfRevision(revision), wait);
   request.timeout = wait + kWatchTimeoutMargin;
   Start(std::move(request), true,
-        [this, revision,
+        [this, kind, revision,
          callback = std::move(callback)](const ExchangeResult& result) {
-          if (result.failure != ClientFailure::kNone) {
+          if (result.failure == ClientFailure::kTooLarge) {
+            // The same watch would fail again. Pages of a list are limited.
+            callback(MakeError(ErrorCode::kNotFound,
+                               "the changes since that revision are too long"));
+          } else if (result.failure != ClientFailure::kNone) {
             callback(MakeFailure(result, false));
           } else {
-            callback(ReadChanges(result.response, revision));
+            callback(ReadChanges(kind, result.response, revision));
           }
         });
 }
 
-Result<ObjectChanges> ObjectStore::ReadChanges(const HttpResponse& response,
+Result<ObjectChanges> ObjectStore::ReadChanges(const std::string& kind,
+                                               const HttpResponse& response,
                                                uint64_t from) const {
-  BOOST_OUTCOME_TRY(changes, protocol_.read_changes(response));
+  BOOST_OUTCOME_TRY(changes,
+                    protocol_.read_changes(response, MaxContentBytes(kind)));
   BOOST_OUTCOME_TRY(era, ResponseEra(response));
   if (era != EraOfRevision(from)) {
     return MakeError(ErrorCode::kNotFound,
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -46,6 +47,11 @@
   ObjectStore(const ObjectStore&) = delete;
   ObjectStore& operator=(const ObjectStore&) = delete;
 
+  // Objects of the kind with a longer content are listed and watched as
+  // unreadable, so that another writer's do not take this host's memory.
+  void LimitContent(const std::string& kind, size_t max_bytes) {
+    max_content_bytes_[kind] = max_bytes;
+  }
   // Lists all objects of a kind, over as many pages as needed.
   void List(const std::string& kind, Callback<ObjectPage> callback);
   void Get(const std::string& kind, const std::string& name,
@@ -56,7 +62,8 @@
   // may have taken effect or may still do so.
   void Write(ObjectWrite write, Callback<StoredObject> callback);
   // Waits up to `wait` for changes after `revision`. Errors: kNotFound when the
-  // store no longer has the changes after `revision`, or was restored since.
+  // store no longer has the changes after `revision`, was restored since, or
+  // sends more of them than this host takes.
   void Watch(const std::string& kind, uint64_t revision, Duration wait,
              Callback<ObjectChanges> callback);
   // Aborts the waiting watches; their callbacks get kUnavailable.
@@ -84,12 +91,15 @@
   // earlier than the newest known.
   Result<uint64_t> ResponseEra(const HttpResponse& response) const;
   // `list_revision`: of the list's first page; 0 if this is the first.
-  Result<ObjectPage> ReadPage(const HttpResponse& response,
+  Result<ObjectPage> ReadPage(const std::string& kind,
+                              const HttpResponse& response,
                               uint64_t list_revision) const;
   Result<StoredObject> ReadObject(const HttpResponse& response) const;
   // `from`: the revision of the watch.
-  Result<ObjectChanges> ReadChanges(const HttpResponse& response,
+  Result<ObjectChanges> ReadChanges(const std::string& kind,
+                                    const HttpResponse& response,
                                     uint64_t from) const;
+  size_t MaxContentBytes(const std::string& kind) const;
   // Returns a reusable idle connection, or a new one.
   std::unique_ptr<ExchangeClient> TakeConnection();
 
@@ -98,6 +108,7 @@
   StoreProtocol protocol_;
   Duration call_timeout_;
   StoreCounts counts_;
+  std::map<std::string, size_t> max_content_bytes_;  // By kind.
   uint64_t era_ = 0;  // Invariant: never decreases.
   bool era_error_reported_ = false;
   std::function<void(const EraObservation&)> on_era_;
--- a/source/core/store/store_protocol.h
+++ b/source/core/store/store_protocol.h
@@ -2,6 +2,7 @@
 // platform's protocol (folder platform).
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -31,9 +32,13 @@
 
   // Errors: kNotFound, kConflict, kUnavailable (refused, nothing was done),
   // kMalformed. read_changes returns kNotFound when the store no longer has the
-  // history that the watch needs.
-  Result<ObjectPage> (*read_page)(const HttpResponse& response);
-  Result<ObjectChanges> (*read_changes)(const HttpResponse& response);
+  // history that the watch needs. An object that cannot be read does not make a
+  // page or the changes malformed. `max_content_bytes`: the content of longer
+  // objects counts as unreadable.
+  Result<ObjectPage> (*read_page)(const HttpResponse& response,
+                                  size_t max_content_bytes);
+  Result<ObjectChanges> (*read_changes)(const HttpResponse& response,
+                                        size_t max_content_bytes);
   Result<StoredObject> (*read_object)(const HttpResponse& response);
   // Reads how often the store was restored from a copy, from any response.
   // Errors: kNotFound when the response does not state it; kMalformed when it
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -149,6 +149,28 @@
   fixture.CheckRecord();
 }
 
+// Guards against one entry of another writer that hides the whole registry: no
+// host that started anew became ready, and none heard of later changes. The
+// stand-in sends "(unreadable)" as a string that cannot be decoded.
+TEST(EntryLosses, AnEntryThatCannotBeReadHidesNoOthers) {
+  fixture.StartDefaultDeployment(2);
+  for (const char* kind : {"servers", "range-tables", "config"})
+    fixture.store->Put(kind, "other-1", {{"service", "(unreadable)"}});
+  fixture.upstreams.at("desk-1")->Report("draining");
+  fixture.RunFor(kChangeDeadline);
+  for (int i = 0; i < 20; ++i)
+    CheckServed(fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, "one"));
+  for (const UpstreamRun& run : fixture.record.runs)
+    CHECK(run.upstream != "desk-1");
+  for (const auto& [name, host] : fixture.hosts) host->process.Kill();
+  fixture.RunFor(milliseconds(1000));
+  for (const auto& [name, host] : fixture.hosts)
+    fixture.AddHost(name, host->zone);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         seconds(8)));
+  fixture.CheckRecord();
+}
+
 // Guards against use after free: calls to the store and to upstreams for
 // another zone are still pending when the host loses that zone's lease.
 // Sanitizers report the fault reliably; without them it shows only by chance.
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -11,6 +11,18 @@
 constexpr HttpMessageLimits kTextLimits = {16 * 1024, 2 * 1024 * 1024};
 constexpr Duration kTimeout = std::chrono::seconds(60);
 constexpr Duration kWatchCheckInterval = std::chrono::milliseconds(50);
+// A string of a stored object with this text is sent as one that no reader can
+// decode: JSON for half of a surrogate pair.
+constexpr std::string_view kUnreadableText = "(unreadable)";
+constexpr char kHalfOfAPair[] = "\\ud800";
+
+void SpoilUnreadableText(std::string& json) {
+  size_t at = json.find(kUnreadableText);
+  while (at != std::string::npos) {
+    json.replace(at, kUnreadableText.size(), kHalfOfAPair);
+    at = json.find(kUnreadableText, at);
+  }
+}
 
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> values;
@@ -63,6 +75,7 @@
   response.status = status;
   response.headers = {{"Store-Era", std::to_string(era_)}};
   response.body = body.dump();
+  SpoilUnreadableText(response.body);
   server_->Respond(id, response);
 }
 
--- a/source/unit_tests/entry/lease_manager_test.cc
+++ b/source/unit_tests/entry/lease_manager_test.cc
@@ -154,6 +154,27 @@
   LONGS_EQUAL(0, other_zone_rival.gained);
 }
 
+// Guards against two lease holders: a lease that cannot be read may be a later
+// build's, whose holder is not known to have stopped. It is replaced by a later
+// one, and only when it has expired.
+TEST(LeaseManager, AnUnreadableLeaseIsTakenOverOnlyWhenItHasExpired) {
+  Begin();
+  other_zone_rival.may_hold = false;
+  const uint64_t term = holder.manager->lease().term;
+  holder.manager->Resign();
+  store->Put(kZoneLeaseKind, kZone, {{"holder", 7}});
+  ZoneStatus ended;
+  ended.zone = kZone;
+  ended.process = "another process at the holder's address";
+  ended.hello_sent_at_ms =
+      ToMilliseconds(loop.timers().now().time_since_epoch()) + 1;
+  rival.manager->OnStatus(ended);
+  const MonotonicTime written_at = loop.timers().now();
+  CHECK(RunUntil([this] { return rival.gained > 0; }, std::chrono::seconds(4)));
+  CHECK(loop.timers().now() - written_at >= kTiming.duration + kTiming.margin);
+  CHECK(rival.manager->lease().term > term);
+}
+
 // A host that stopped must still be replaced at once.
 TEST(LeaseManager, AHolderThatReportsItsStopIsReplacedBeforeItsLeaseExpires) {
   Begin();
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -422,20 +422,21 @@
 TEST_GROUP(PlatformStore) { StoreProtocol store = MakeStoreProtocol(); };
 
 TEST(PlatformStore, ReadsPagesAndChanges) {
-  const auto page = store.read_page(Response(200, kList));
+  const auto page = store.read_page(Response(200, kList), SIZE_MAX);
   LONGS_EQUAL(2, page.value().objects.size());
   STRCMP_EQUAL("b", page.value().next.c_str());
   LONGS_EQUAL(9, page.value().store_revision);
-  const auto changes = store.read_changes(Response(200, kChanges));
+  const auto changes = store.read_changes(Response(200, kChanges), SIZE_MAX);
   CHECK(changes.value().changes[0].deleted);
 }
 
 TEST(PlatformStore, MapsStatusesToErrors) {
-  CHECK(store.read_changes(Response(410)).error().code == ErrorCode::kNotFound);
+  CHECK(store.read_changes(Response(410), SIZE_MAX).error().code ==
+        ErrorCode::kNotFound);
   CHECK(store.read_object(Response(409)).error().code == ErrorCode::kConflict);
   CHECK(store.read_object(Response(429)).error().code ==
         ErrorCode::kUnavailable);
-  CHECK(store.read_page(Response(200, "{")).error().code ==
+  CHECK(store.read_page(Response(200, "{"), SIZE_MAX).error().code ==
         ErrorCode::kMalformed);
 }
 
@@ -510,10 +511,11 @@
       const auto read = ReadRegistration(object);
       if (read.has_value()) CHECK(read.value().slots >= 1);
     }
-    const auto page = store.read_page(Response(200, Mutate(kList, random)));
+    const auto page =
+        store.read_page(Response(200, Mutate(kList, random)), SIZE_MAX);
     if (page.has_value()) CHECK(page.value().objects.size() <= 3);
     const auto changes =
-        store.read_changes(Response(200, Mutate(kChanges, random)));
+        store.read_changes(Response(200, Mutate(kChanges, random)), SIZE_MAX);
     if (changes.has_value()) CHECK(changes.value().changes.size() <= 2);
     HttpResponse answer = Response(random.Below(2) == 0 ? 503 : 200);
     for (const char* header :
--- a/source/unit_tests/platform/odd_input_test.cc
+++ b/source/unit_tests/platform/odd_input_test.cc
@@ -25,13 +25,17 @@
 // Guards against a list that seems complete after a page without a readable
 // object: all objects on later pages would count as removed.
 TEST(PlatformOddInput, APageOfUnreadableObjectsIsNotTheLastOne) {
-  const auto page = store.read_page(Response(
-      200,
-      R"({"items":[{"metadata":{"name":"a","rev":"x"}}],"more":true,"asOf":9})"));
+  const auto page = store.read_page(
+      Response(
+          200,
+          R"({"items":[{"metadata":{"name":"a","rev":"x"}}],"more":true,"asOf":9})"),
+      SIZE_MAX);
   CHECK(page.has_value());
   CHECK(page.value().objects.empty());
   STRCMP_EQUAL("a", page.value().next.c_str());
-  CHECK(store.read_page(Response(200, R"({"items":[{}],"more":true,"asOf":9})"))
+  CHECK(store
+            .read_page(Response(200, R"({"items":[{}],"more":true,"asOf":9})"),
+                       SIZE_MAX)
             .error()
             .code == ErrorCode::kMalformed);
 }
@@ -49,8 +53,10 @@
         R"({"metadata":{"name":"odd","rev":5},"spec":)" + odd + "}";
     const std::string other = R"({"metadata":{"name":"b","rev":6},"spec":)" +
                               std::string(kRegistration) + "}";
-    const auto page = store.read_page(Response(
-        200, R"({"items":[)" + object + "," + other + R"(],"asOf":9})"));
+    const auto page =
+        store.read_page(Response(200, R"({"items":[)" + object + "," + other +
+                                          R"(],"asOf":9})"),
+                        SIZE_MAX);
     CHECK(page.has_value());
     LONGS_EQUAL(2, page.value().objects.size());
     StoredObject copy = page.value().objects[0];
@@ -59,7 +65,8 @@
     CHECK(ReadRegistration(page.value().objects[1]).has_value());
     const auto changes = store.read_changes(
         Response(200, R"({"events":[{"object":)" + object + R"(},{"object":)" +
-                          other + R"(}],"asOf":9})"));
+                          other + R"(}],"asOf":9})"),
+        SIZE_MAX);
     CHECK(changes.has_value());
     LONGS_EQUAL(2, changes.value().changes.size());
   }
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -30,7 +30,7 @@
          last_bound = bound;
          if (object.deleted) removed.push_back(object.name);
        },
-       nullptr, nullptr, nullptr, nullptr, nullptr}};
+       nullptr, nullptr, nullptr, nullptr, nullptr, nullptr}};
 
   StoredObject Object(const std::string& name, uint64_t revision,
                       bool deleted = false) {
@@ -182,5 +182,113 @@
   CHECK(watcher.current_at() == kNever);
 }
 
+// A store whose responses are the test's texts, for each call in turn. After
+// the last one it does not respond.
+class TextStore {
+ public:
+  TextStore(EventLoop& loop, const SocketAddress& address) {
+    HttpServerHandlers handlers;
+    handlers.on_request = [this](ExchangeId id, HttpRequest&& request) {
+      queries.push_back(request.query);
+      if (queries.size() > bodies.size()) return;
+      HttpResponse response;
+      response.status = 200;
+      response.body = bodies[queries.size() - 1];
+      server_->Respond(id, response);
+    };
+    handlers.on_abandoned = [](ExchangeId) {};
+    handlers.make_refusal = [](int, const std::string&) {
+      return HttpResponse{};
+    };
+    auto made = ExchangeServer::Listen(
+        loop, address,
+        {{16384, 65536}, std::chrono::seconds(9), std::chrono::seconds(9), 9},
+        std::move(handlers));
+    CHECK(made.has_value());
+    server_ = std::move(made.value());
+  }
+
+  std::vector<std::string> bodies;
+  std::vector<std::string> queries;
+
+ private:
+  std::unique_ptr<ExchangeServer> server_;
+};
+
+TEST_GROUP(UnreadableChanges) {
+  EventLoop loop{{32, 8, 65536}};
+  SocketAddress address{"127.0.4.2", 18498};
+  TextStore texts{loop, address};
+  ObjectStore store{loop, address, platform::MakeStoreProtocol(),
+                    std::chrono::seconds(1)};
+  int lost = 0;
+  size_t left_out = 0;
+  KindWatcher watcher{
+      loop,
+      store,
+      "things",
+      {std::chrono::seconds(5), Duration::zero(), std::chrono::seconds(9),
+       std::chrono::seconds(9)},
+      {nullptr, nullptr, nullptr,
+       [this](bool reachable, const std::string&) {
+         if (!reachable) ++lost;
+       },
+       nullptr, nullptr, [this](size_t count) { left_out += count; }}};
+
+  // Runs the loop until the store has got that many calls, for at most a
+  // second.
+  void RunUntilCalls(size_t calls) {
+    const MonotonicTime end = loop.timers().now() + std::chrono::seconds(1);
+    const TimerId tick =
+        loop.timers().Every(std::chrono::milliseconds(10), [] {});
+    while (texts.queries.size() < calls && loop.timers().now() < end)
+      loop.RunOnce();
+    loop.timers().Cancel(tick);
+    LONGS_EQUAL(calls, texts.queries.size());
+  }
+};
+
+// Guards against a watch that asks for the same changes again without end.
+TEST(UnreadableChanges, AWatchGoesOnAfterAnObjectThatCannotBeRead) {
+  texts.bodies = {
+      R"({"items":[{"metadata":{"name":"a","rev":2},"spec":"\ud800"},)"
+      R"({"metadata":{"name":"b","rev":3},"spec":{}}],"asOf":3})",
+      R"({"events":[{"object":{"metadata":{"name":"b","rev":4},)"
+      R"("spec":"\ud800"}}],"asOf":4})",
+      R"({"events":[{"object":{"metadata":{"name":"\ud800","rev":5}}}],)"
+      R"("asOf":5})",
+      R"({"events":[{"object":{"metadata":{"name":"c","rev":6},"spec":1}}],)"
+      R"("asOf":6})"};
+  watcher.Start();
+  RunUntilCalls(5);
+  STRCMP_EQUAL("watch=3&waitMs=5000", texts.queries[1].c_str());
+  STRCMP_EQUAL("watch=4&waitMs=5000", texts.queries[2].c_str());
+  STRCMP_EQUAL("watch=5&waitMs=5000", texts.queries[3].c_str());
+  STRCMP_EQUAL("watch=6&waitMs=5000", texts.queries[4].c_str());
+  LONGS_EQUAL(0, lost);
+  LONGS_EQUAL(1, left_out);
+  LONGS_EQUAL(6, watcher.content_revision());
+  LONGS_EQUAL(3, watcher.objects().size());
+  LONGS_EQUAL(4, watcher.objects().at("b").revision);
+  CHECK(watcher.objects().at("b").content.is_null());
+}
+
+// Guards against the same with changes that are together longer than this host
+// takes: it lists the objects, whose pages are limited.
+TEST(UnreadableChanges, ChangesThatAreTooLongAreReplacedByAList) {
+  texts.bodies = {R"({"items":[],"asOf":3})",
+                  std::string(size_t{9} * 1024 * 1024, ' '),
+                  R"({"items":[{"metadata":{"name":"a","rev":7}}],"asOf":7})"};
+  watcher.ApplyFed({true, 0, 2, {}}, kNever);
+  texts.queries = {"no list"};
+  watcher.Start();
+  RunUntilCalls(4);
+  STRCMP_EQUAL("watch=2&waitMs=5000", texts.queries[1].c_str());
+  STRCMP_EQUAL("", texts.queries[2].c_str());
+  STRCMP_EQUAL("watch=7&waitMs=5000", texts.queries[3].c_str());
+  LONGS_EQUAL(0, lost);
+  LONGS_EQUAL(1, watcher.objects().size());
+}
+
 }  // namespace
 }  // namespace mimosadeal
