Refuse a page that does not tell whether more follow

Cause: by reading; a `more` that is no boolean counted as false, so a page would have ended its list, and all objects on later pages counted as removed.

--- a/source/unit_tests/platform/unreadable_entry_test.cc
+++ b/source/unit_tests/platform/unreadable_entry_test.cc
@@ -162,6 +162,19 @@
   CHECK(ReadRegistration(odd[0]).has_value());
 }
 
+// Guards against a list that seems complete: all objects on later pages would
+// count as removed.
+TEST(PlatformUnreadable, APageThatDoesNotTellWhetherMoreFollowIsMalformed) {
+  for (const char* more : {"7", "\"yes\"", "\"\\ud800\"", "\xff", "null"}) {
+    CHECK_TEXT(store.read_page(Response(R"({"items":[],"asOf":9,"more":)" +
+                                        std::string(more) + "}"),
+                               SIZE_MAX)
+                       .error()
+                       .code == ErrorCode::kMalformed,
+               more);
+  }
+}
+
 // As with most libraries, the last one counts.
 TEST(PlatformUnreadable, OfMembersWithOneNameTheLastCounts) {
   const auto odd = ReadBetweenOthers(
