Room of contended owners of keys: places given at one place

Cause: each host guessed the room of an owner from old load reports; many hosts together overran it, and a full owner resets what may run once.

Change (off by default, requests.owner_room): while an owner is contended, a request to it needs a permit with a place from the giver of its zone. balance/owner_places decides as plain functions; limits, coldness and places are one queue. Three datagrams (45 to 47), no message or record changed. A host that hears nothing of a giver goes on as before. Settings may be true or false.

--- a/source/core/balance/permit_queue.cc
+++ b/source/core/balance/permit_queue.cc
@@ -40,7 +40,7 @@
   queue.refilled_at = now;
 }
 
-double CostOf(int rank) { return std::pow(1 / kRankShare, rank); }
+double CostOf(int rank) { return 1 / WeightOf(rank); }
 
 // Returns the waiters in the order of service.
 std::vector<PermitWaiter> InServiceOrder(const PermitQueue& queue) {
@@ -82,16 +82,32 @@
   progress += CostOf(rank);
 }
 
-PermitOutcome MakeRefusal(PermitQueue& queue, uint64_t ticket,
+PermitOutcome MakeRefusal(PermitQueue& queue, uint64_t ticket, double rate,
                           MonotonicTime next_free, MonotonicTime now) {
   queue.return_at =
-      std::min(std::max(queue.return_at, next_free) + PermitTime(1, queue.rate),
+      std::min(std::max(queue.return_at, next_free) + PermitTime(1, rate),
                now + kMaxReturnDelay);
-  return {ticket, false, queue.return_at - now};
+  return {ticket, false, queue.return_at - now, Duration::zero()};
+}
+
+// Returns when the waiter at this place in the order gets a permit, by the rate
+// and by the room.
+MonotonicTime ServedAt(const PermitQueue& queue, const PermitRoom& room,
+                       const PermitWaiter& waiter, double place,
+                       MonotonicTime now) {
+  const auto free = static_cast<double>(room.free);
+  const auto left = room.left_by_urgent.find(waiter.rank);
+  const bool overtaken = !waiter.kept && left != room.left_by_urgent.end();
+  const double per_second = room.per_second * (overtaken ? left->second : 1);
+  return now + std::max(PermitTime(std::max(0.0, place - queue.available),
+                                   queue.rate),
+                        PermitTime(std::max(0.0, place - free), per_second));
 }
 
 }  // namespace
 
+double WeightOf(int rank) { return std::pow(kRankShare, rank); }
+
 double MaxAvailable(double rate) {
   return std::max(std::clamp(rate * kFewSavedSeconds, 1.0, kFewSaved),
                   rate * kSavedSeconds);
@@ -109,32 +125,41 @@
   queue.waiters.back().rank = std::clamp(waiter.rank, 0, kLowestRank);
 }
 
-std::vector<PermitOutcome> TakeOutcomes(PermitQueue& queue, MonotonicTime now) {
+std::vector<PermitOutcome> TakeOutcomes(PermitQueue& queue, MonotonicTime now,
+                                        const PermitRoom& room) {
   std::vector<PermitOutcome> outcomes;
   Refill(queue, now);
+  PermitRoom left = room;
   const std::vector<PermitWaiter> ordered = InServiceOrder(queue);
   size_t remaining = 0;
   for (const PermitWaiter& waiter : ordered) {
-    if (remaining == 0 && queue.available >= 1) {
+    if (remaining == 0 && queue.available >= 1 && left.free > 0) {
       queue.available -= 1;
+      --left.free;
       CountServed(queue, waiter.rank);
       Remove(queue, waiter.ticket);
-      outcomes.push_back({waiter.ticket, true, Duration::zero()});
+      outcomes.push_back({waiter.ticket, true, Duration::zero(), waiter.hold});
       continue;
     }
-    const auto place = static_cast<double>(remaining + 1);
     const MonotonicTime served_at =
-        now + PermitTime(std::max(0.0, place - queue.available), queue.rate);
-    if (served_at <= waiter.until && remaining < kMaxWaiters) {
+        ServedAt(queue, left, waiter, static_cast<double>(remaining + 1), now);
+    if (served_at <= LatestServiceOf(waiter) && remaining < kMaxWaiters) {
       ++remaining;
       continue;
     }
     Remove(queue, waiter.ticket);
-    outcomes.push_back(MakeRefusal(queue, waiter.ticket, served_at, now));
+    outcomes.push_back(MakeRefusal(queue, waiter.ticket,
+                                   std::min(queue.rate, room.per_second),
+                                   served_at, now));
   }
+  for (PermitWaiter& waiter : queue.waiters) waiter.kept = true;
   return outcomes;
 }
 
+MonotonicTime LatestServiceOf(const PermitWaiter& waiter) {
+  return waiter.kept ? std::max(waiter.until, waiter.keep_until) : waiter.until;
+}
+
 MonotonicTime NextPermitAt(const PermitQueue& queue) {
   if (queue.waiters.empty()) return kForever;
   const double missing = std::max(0.0, 1 - queue.available);
--- a/source/core/balance/permit_queue.h
+++ b/source/core/balance/permit_queue.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -22,6 +23,11 @@
   uint64_t ticket = 0;  // Identifies the waiter to the caller of the queue.
   int rank = 0;         // 0 is the most urgent.
   MonotonicTime until = kNever;  // When the waiter needs its permit at last.
+  // Until when a waiter that was kept goes on waiting, if that is later.
+  MonotonicTime keep_until = kNever;
+  // How long it may use a place at the upstream; see OwnerPlaces.
+  Duration hold{};
+  bool kept = false;  // It has waited since an earlier call of TakeOutcomes.
 };
 
 struct PermitOutcome {
@@ -30,6 +36,17 @@
   // If not granted, when it is worth asking again. Waiters that are refused
   // together get times that are one permit apart.
   Duration retry_after{};
+  Duration hold{};  // Of the waiter.
+};
+
+// What the upstream has room for, besides its limit.
+struct PermitRoom {
+  size_t free = std::numeric_limits<size_t>::max();  // Permits for now.
+  // How many become free per second.
+  double per_second = std::numeric_limits<double>::infinity();
+  // By rank, the part of these that more urgent waiters will leave. Reckoned
+  // with before a waiter is kept; ranks that are missing get all.
+  std::map<int, double> left_by_urgent;
 };
 
 struct PermitQueue {
@@ -45,6 +62,9 @@
   MonotonicTime return_at = kNever;
 };
 
+// Returns the weight of a rank among those that wait.
+double WeightOf(int rank);
+
 // Returns how many permits may be saved up at a rate.
 double MaxAvailable(double rate);
 
@@ -57,9 +77,13 @@
 // Adds a waiter. A full queue refuses the last waiter in the order of service.
 void AddWaiter(PermitQueue& queue, const PermitWaiter& waiter);
 
-// Gives the permits that are available, and refuses the waiters that cannot be
-// served in time.
-std::vector<PermitOutcome> TakeOutcomes(PermitQueue& queue, MonotonicTime now);
+// Gives the permits that are available and that there is room for, and refuses
+// the waiters that cannot be served in time.
+std::vector<PermitOutcome> TakeOutcomes(PermitQueue& queue, MonotonicTime now,
+                                        const PermitRoom& room = {});
+
+// Returns when the waiter is refused at last.
+MonotonicTime LatestServiceOf(const PermitWaiter& waiter);
 
 // Returns when the next permit is available for a waiter; kForever if there is
 // none.
--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -113,7 +113,12 @@
                 .Name("mimosadeal_room_total")
                 .Help("Requests to services whose room is lent that had no "
                       "free loan, by what was done")
-                .Register(*registry_)) {
+                .Register(*registry_)),
+      owner_room_(prometheus::BuildCounter()
+                      .Name("mimosadeal_owner_room_total")
+                      .Help("Signs that owners of keys are contended, and "
+                            "decisions about places at them, by outcome")
+                      .Register(*registry_)) {
   for (const EnumName<EntryGauge>& entry : kEntryGaugeNames) {
     auto& family = prometheus::BuildGauge()
                        .Name(std::string(entry.name))
@@ -191,6 +196,10 @@
   room_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObserveOwnerRoom(std::string_view outcome) {
+  owner_room_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::Set(EntryGauge gauge, double value) {
   gauges_.at(gauge)->Set(value);
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -83,6 +83,9 @@
   void ObservePressure(std::string_view action);
   // A request met scarce room; see RequestForwarder::FindInRoom.
   void ObserveRoom(std::string_view outcome);
+  // A decision about a contended owner of keys; see docs/OPERATIONS.md for the
+  // outcomes.
+  void ObserveOwnerRoom(std::string_view outcome);
   void Set(EntryGauge gauge, double value);
 
   // Returns all metrics in the Prometheus text format.
@@ -106,6 +109,7 @@
   prometheus::Family<prometheus::Counter>& hedge_refusals_;
   prometheus::Family<prometheus::Counter>& pressure_;
   prometheus::Family<prometheus::Counter>& room_;
+  prometheus::Family<prometheus::Counter>& owner_room_;
   // Metrics by label values, so that each is looked up in its family only once.
   std::map<AnswerKey, prometheus::Counter*> answer_cache_;
   std::map<std::pair<std::string, int>, prometheus::Histogram*>
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -16,6 +16,7 @@
 #include "entry/entry_metrics.h"
 #include "entry/entry_servers.h"
 #include "entry/exchange_relay.h"
+#include "entry/owner_room.h"
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/room_borrower.h"
@@ -154,6 +155,7 @@
   MakeForwarder();
   BOOST_OUTCOME_TRY(MakeCoordinator());
   if (bounds_.scarce_room) MakeRoomBorrower();
+  ConnectOwnerRoom(*forwarder_, *coordinator_);
   BOOST_OUTCOME_TRY(Listen());
   view_->Subscribe([this] { OnViewChanged(); });
   view_->Start();
@@ -262,6 +264,7 @@
   options.cpu_share = settings_.cpu_share;
   options.link_mbps = settings_.link_mbps;
   options.scarce_room = bounds_.scarce_room;
+  options.owner_room = settings_.owner_room;
   ZoneCoordinatorHandlers handlers;
   handlers.on_crash = [this](uint64_t fingerprint,
                              const std::string& upstream_incarnation) {
--- a/source/core/entry/permit_broker.cc
+++ b/source/core/entry/permit_broker.cc
@@ -50,7 +50,8 @@
 }
 
 void PermitBroker::Ask(const ListedUpstream& upstream, int rank, Duration wait,
-                       Callback callback) {
+                       Callback callback,
+                       const std::optional<PlaceAsk>& place) {
   const MonotonicTime now = loop_.timers().now();
   const uint64_t id = next_id_++;
   PendingAsk& ask = asks_[id];
@@ -63,6 +64,9 @@
   ask.limit = upstream.limit;
   ask.give_up_at = now + wait + kReplyTime;
   ask.callback = std::move(callback);
+  ask.place = place;
+  ask.asked_at = now;
+  ask.heard_at = now;
   loop_.Post([this, id] { SendAsk(id); });
 }
 
@@ -73,7 +77,11 @@
   const MonotonicTime now = loop_.timers().now();
   const PermitGiver giver = handlers_.find_giver(ask.request.zone);
   if (now >= ask.give_up_at || (!giver.is_self && giver.address.empty())) {
-    Complete(id, {false, false, kRetryWithoutGiver});
+    Complete(id, {false, WasHeard(ask), kRetryWithoutGiver});
+    return;
+  }
+  if (ask.place.has_value()) {
+    SendPlaceAsk(ask, giver);
     return;
   }
   PermitRequest request = ask.request;
@@ -110,8 +118,10 @@
   const auto limit = FromStatement(reply.limit, loop_.timers().now());
   if (limit.has_value())
     handlers_.on_limit(request.upstream, request.incarnation, *limit);
+  const bool with_place = reply.granted && found->second.place.has_value();
   Complete(reply.id, {reply.granted, true,
-                      std::chrono::milliseconds(reply.retry_after_ms)});
+                      std::chrono::milliseconds(reply.retry_after_ms),
+                      with_place ? reply.id : 0});
 }
 
 void PermitBroker::OnRequest(const ColdPermitRequest& message) {
@@ -150,13 +160,8 @@
     return;
   }
   const MonotonicTime now = loop_.timers().now();
-  GiverState& state = StateFor(request, giver, *limit);
-  const bool waits = std::any_of(
-      state.askers.begin(), state.askers.end(), [&asker](const auto& entry) {
-        return entry.second.address == asker.address &&
-               entry.second.id == asker.id;
-      });
-  if (!waits) {
+  GiverState& state = StateFor(request, giver, limit);
+  if (FindTicket(state.askers, asker) == 0) {
     const uint64_t ticket = next_ticket_++;
     state.askers[ticket] = asker;
     const Duration wait = std::min<Duration>(
@@ -168,19 +173,22 @@
 
 PermitBroker::GiverState& PermitBroker::StateFor(const PermitRequest& request,
                                                  const PermitGiver& giver,
-                                                 double limit) {
+                                                 std::optional<double> limit) {
   const UpstreamKey upstream{request.upstream, request.incarnation};
   const auto found = given_.find(upstream);
   if (found != given_.end() && found->second.term == giver.term)
     return found->second;
   if (found != given_.end()) StopGiving(upstream);
   RemoveUnlimited();
-  log_.LogStateChange("permits.giver", {{"upstream", request.upstream},
-                                        {"incarnation", request.incarnation},
-                                        {"zone", request.zone},
-                                        {"term", giver.term},
-                                        {"per_second", limit},
-                                        {"share", giver.share}});
+  // Owners become contended often; see NoteContended for the line about them.
+  if (limit.has_value()) {
+    log_.LogStateChange("permits.giver", {{"upstream", request.upstream},
+                                          {"incarnation", request.incarnation},
+                                          {"zone", request.zone},
+                                          {"term", giver.term},
+                                          {"per_second", *limit},
+                                          {"share", giver.share}});
+  }
   GiverState& state = given_[upstream];
   state.zone = request.zone;
   state.term = giver.term;
@@ -197,20 +205,21 @@
     return;
   }
   const std::optional<double> limit = view_.RateLimitOf(*listed);
-  if (!limit.has_value()) {
+  GiverState& state = found->second;
+  if (!limit.has_value() && !IsContended(state)) {
     EndLimit(upstream);
     return;
   }
-  GiverState& state = found->second;
   const MonotonicTime now = loop_.timers().now();
-  SetRate(state.queue, *limit, giver.share, now);
-  for (const PermitOutcome& outcome : TakeOutcomes(state.queue, now)) {
+  SetStateRate(state, limit, giver.share);
+  for (const PermitOutcome& outcome : TakeFrom(state, giver.share)) {
     const auto asker = state.askers.extract(outcome.ticket);
     Reply(upstream, asker.mapped(), outcome.granted, outcome.retry_after);
   }
   loop_.timers().Cancel(state.timer);
   state.timer = 0;
-  const MonotonicTime next = NextPermitAt(state.queue);
+  KeepContended(upstream, state, giver.share);
+  const MonotonicTime next = NextServiceOf(state, giver.share);
   if (next != kForever) {
     state.timer = loop_.timers().After(std::max(Duration::zero(), next - now),
                                        [this, upstream] { Serve(upstream); });
@@ -226,19 +235,23 @@
       {{"upstream", upstream.first},
        {"incarnation", upstream.second},
        {"waiting", static_cast<uint64_t>(node.mapped().askers.size())}});
-  for (const auto& [ticket, asker] : node.mapped().askers)
-    Reply(upstream, asker, false, kRetryWithoutGiver);
+  for (const auto& [ticket, asker] : node.mapped().askers) {
+    // Those that wait for a place ask the next giver.
+    if (!asker.for_place) Reply(upstream, asker, false, kRetryWithoutGiver);
+  }
 }
 
 void PermitBroker::EndLimit(const UpstreamKey& upstream) {
   auto node = given_.extract(upstream);
   if (node.empty()) return;
   loop_.timers().Cancel(node.mapped().timer);
-  log_.LogStateChange(
-      "permits.unlimited",
-      {{"upstream", upstream.first},
-       {"incarnation", upstream.second},
-       {"waiting", static_cast<uint64_t>(node.mapped().askers.size())}});
+  if (node.mapped().limited) {
+    log_.LogStateChange(
+        "permits.unlimited",
+        {{"upstream", upstream.first},
+         {"incarnation", upstream.second},
+         {"waiting", static_cast<uint64_t>(node.mapped().askers.size())}});
+  }
   for (const auto& [ticket, asker] : node.mapped().askers)
     Reply(upstream, asker, true, Duration::zero());
 }
@@ -250,7 +263,7 @@
     const ListedUpstream* listed = Find(upstream);
     if (listed == nullptr) {
       gone.push_back(upstream);
-    } else if (!view_.RateLimitOf(*listed).has_value()) {
+    } else if (!view_.RateLimitOf(*listed).has_value() && !IsContended(state)) {
       unlimited.push_back(upstream);
     }
   }
--- a/source/core/entry/permit_broker.h
+++ b/source/core/entry/permit_broker.h
@@ -6,14 +6,21 @@
 // lease, it goes on with a part of the limit, which together with the limit of
 // a successor stays within what upstreams tolerate. A successor begins without
 // saved permits. A host that gets no permit sends nothing.
+//
+// For contended owners of keys a permit comes with a place, of which there are
+// as many as the owner has room for; see OwnerPlaces. A host that hears nothing
+// of a giver sends without one.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "balance/owner_places.h"
 #include "balance/permit_queue.h"
 #include "common/boot_clock.h"
 #include "common/ids.h"
@@ -26,6 +33,8 @@
 class EventLog;
 class EventLoop;
 struct ListedUpstream;
+struct OwnerPlaceNotice;
+struct OwnerPlaceRequest;
 
 // The host that gives permits for the upstreams of a zone.
 struct PermitGiver {
@@ -40,6 +49,16 @@
   bool granted = false;
   bool answered = false;  // Whether a giver decided.
   Duration retry_after{};
+  // If granted, the number of the place that came with the permit, which is to
+  // be returned; 0 if none was asked for.
+  uint64_t place = 0;
+};
+
+// A request for a place at a contended owner, from now on.
+struct PlaceAsk {
+  Duration in_time{};  // See PlaceWait.
+  Duration hold{};     // Until the end of the request's time.
+  Duration work{};     // Mean time of a request in a slot; zero if unknown.
 };
 
 struct PermitBrokerHandlers {
@@ -55,6 +74,17 @@
       on_limit;
   // Another host takes an upstream for cold.
   std::function<void(const std::string& upstream, uint32_t cold_ms)> on_cold;
+  // The rest is for places only.
+  std::function<void(const std::string& address, const OwnerPlaceRequest&)>
+      send_place_request;
+  std::function<void(const std::string& address, const OwnerPlaceNotice&)>
+      send_notice;
+  // For how long this host still takes an owner for contended.
+  std::function<Duration(const std::string& upstream, int64_t incarnation)>
+      contended_left;
+  // Requests wait for places at an owner.
+  std::function<void(const std::string& upstream, int64_t incarnation)>
+      on_contended;
 };
 
 class PermitBroker {
@@ -67,12 +97,17 @@
   PermitBroker(const PermitBroker&) = delete;
   PermitBroker& operator=(const PermitBroker&) = delete;
 
-  // Asks for a permit to send one request to the upstream. `wait`: how long the
-  // request may wait for it. The callback runs once, later than this call.
+  // Asks for a permit to send one request to the upstream, and for a place if
+  // `place` is set. `wait`: how long the request may wait for it. The callback
+  // runs once, later than this call.
   void Ask(const ListedUpstream& upstream, int rank, Duration wait,
-           Callback callback);
+           Callback callback, const std::optional<PlaceAsk>& place = {});
+  // The place is needed no more. Fills in this host's address.
+  void ReturnPlace(OwnerPlaceNotice notice);
   void OnRequest(const ColdPermitRequest& message);
+  void OnPlaceRequest(const OwnerPlaceRequest& message);
   void OnReply(const PermitReply& reply);
+  void OnNotice(const OwnerPlaceNotice& notice);
 
  private:
   using UpstreamKey = std::pair<std::string, int64_t>;  // Id and incarnation.
@@ -83,11 +118,17 @@
     MonotonicTime give_up_at = kNever;
     uint64_t timer = 0;
     Callback callback;
+    std::optional<PlaceAsk> place;
+    MonotonicTime asked_at = kNever;
+    // When the giver said last that the request waits for a place; at first,
+    // `asked_at`.
+    MonotonicTime heard_at = kNever;
   };
   // Who waits for a permit, by ticket.
   struct Asker {
     std::string address;
     uint64_t id = 0;
+    bool for_place = false;
   };
   struct GiverState {
     std::string zone;
@@ -95,15 +136,21 @@
     PermitQueue queue;
     std::map<uint64_t, Asker> askers;
     uint64_t timer = 0;
+    bool limited = false;  // Whether a limit bounds the rate of the queue.
+    // While the upstream is contended. Invariant: `places` is set if
+    // `contended_until` is not kNever.
+    MonotonicTime contended_until = kNever;
+    std::optional<OwnerPlaces> places;
+    std::map<uint64_t, Asker> holders;  // Of places in use, by ticket.
   };
 
   void SendAsk(uint64_t id);
   void Complete(uint64_t id, const PermitDecision& decision);
   void Decide(const PermitRequest& request, const PermitGiver& giver);
   // Returns the state for the upstream, new if this host began to give permits
-  // for it.
+  // for it. `limit`: unset if only places bound its requests.
   GiverState& StateFor(const PermitRequest& request, const PermitGiver& giver,
-                       double limit);
+                       std::optional<double> limit);
   void Serve(const UpstreamKey& upstream);
   // Refuses all that wait for a permit for the upstream, and forgets it.
   void StopGiving(const UpstreamKey& upstream);
@@ -114,6 +161,28 @@
   void RemoveUnlimited();
   void Reply(const UpstreamKey& upstream, const Asker& asker, bool granted,
              Duration retry_after);
+  void SendPlaceAsk(PendingAsk& ask, const PermitGiver& giver);
+  // Whether the giver said lately that the request waits for a place.
+  bool WasHeard(const PendingAsk& ask) const;
+  void DecidePlace(const OwnerPlaceRequest& message, const PermitGiver& giver);
+  void NoteContended(GiverState& state, const ListedUpstream& upstream,
+                     const OwnerPlaceRequest& message);
+  // The owner stays contended while requests wait for it, or hardly any place
+  // is free.
+  void KeepContended(const UpstreamKey& upstream, GiverState& state,
+                     double share);
+  bool IsContended(const GiverState& state) const;
+  // Gives the permits of the moment, by the limit and the places.
+  std::vector<PermitOutcome> TakeFrom(GiverState& state, double share);
+  MonotonicTime NextServiceOf(const GiverState& state, double share) const;
+  void SetStateRate(GiverState& state, const std::optional<double>& limit,
+                    double share);
+  void TakeBack(const OwnerPlaceNotice& notice, PlaceOutcome outcome);
+  // The least target latency of the routes to the service.
+  Duration TargetOf(const std::string& service) const;
+  // Returns 0 if there is none.
+  static uint64_t FindTicket(const std::map<uint64_t, Asker>& askers,
+                             const Asker& asker);
   // Returns null if this host does not list that incarnation.
   const ListedUpstream* Find(const UpstreamKey& upstream) const;
 
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -6,6 +6,7 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
+#include "entry/owner_room.h"
 #include "entry/request_forwarder_state.h"
 #include "net/event_loop.h"
 #include "routing/no_route.h"
@@ -249,7 +250,8 @@
     return;
   }
   const Duration wait = ExpectedWait(pool_.LoadOf(upstream->record), now);
-  if (now + wait > pending.give_up_at) {
+  // For a contended owner the giver of places knows better.
+  if (now + wait > pending.give_up_at && !NeedsPlace(*upstream)) {
     Refuse(pending, RefusalReason::kOverloaded, wait);
     return;
   }
@@ -330,6 +332,7 @@
     return;
   }
   NoteLatency(pending);
+  NoteOwnerUnanswered(pending);
   if (CancelCall(pending)) {
     Refuse(pending, RefusalReason::kTimeout);
   } else {
@@ -420,6 +423,7 @@
   loop_.timers().Cancel(pending.wait_timer);
   loop_.timers().Cancel(pending.hedge.timer);
   LeaveRoomQueue(pending);
+  EndPlace(pending);
   pending_.erase(pending.exchange);
 }
 
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
 
 namespace mimosadeal {
 
+class ContendedOwners;
 class DeploymentView;
 class EntryMetrics;
 class EventLog;
@@ -32,11 +34,14 @@
 class PathMonitor;
 enum class HedgeRefusal : uint8_t;
 class RoomBorrower;
+enum class PlaceOutcome : uint8_t;
 struct ChoiceCandidate;
 struct HedgeTarget;
+struct HeldPlace;
 struct KeyRange;
 struct ListedUpstream;
 struct NextChance;
+struct OwnerRoomHandlers;
 struct PermitDecision;
 struct RegistrationLapse;
 struct RoomSearch;
@@ -125,6 +130,9 @@
   // From now on, requests of services without keys are sent within this host's
   // room only; see RoomBorrower.
   void SetRoom(RoomBorrower& room) { room_ = &room; }
+  // From now on, requests to contended owners of keys are sent with places
+  // only; see ContendedOwners.
+  void SetOwnerRoom(ContendedOwners& contended, OwnerRoomHandlers handlers);
   // The room of a service changed, or some of it became free.
   void OnRoomChanged(const std::string& service);
 
@@ -226,6 +234,33 @@
   void AskForPermit(PendingRequest& pending, const ListedUpstream& upstream);
   void OnPermit(ExchangeId exchange, const UpstreamRecord& upstream,
                 const PermitDecision& decision);
+  // Whether requests to the upstream, an owner of keys, need a place.
+  bool NeedsPlace(const ListedUpstream& upstream) const;
+  // Keeps the request until it has a place at the owner, for a bounded time.
+  void AskForPlace(PendingRequest& pending, const ListedUpstream& upstream);
+  void OnPlace(ExchangeId exchange, const UpstreamRecord& upstream,
+               const PermitDecision& decision);
+  // The request is being sent to the upstream.
+  void UsePlace(PendingRequest& pending, const UpstreamRecord& upstream);
+  // Does nothing for a request without a place. `held`: see PlaceReturn.
+  void ReturnPlace(PendingRequest& pending, PlaceOutcome outcome,
+                   std::optional<int> held);
+  void SendReturn(const HeldPlace& place, PlaceOutcome outcome,
+                  std::optional<int> held);
+  // The request ends.
+  void EndPlace(PendingRequest& pending);
+  // Mean time of a request in a slot of the upstream; zero if unknown.
+  Duration WorkOf(const PendingRequest& pending,
+                  const UpstreamRecord& upstream) const;
+  void NoteContended(const UpstreamRecord& upstream, std::string_view reason);
+  // Records what the end of a request's call shows of its key's owner, and
+  // returns its place.
+  void NoteOwnerAnswer(PendingRequest& pending, const UpstreamRecord& upstream,
+                       const UpstreamResponse& answer);
+  void NoteOwnerFailure(PendingRequest& pending, const UpstreamRecord& upstream,
+                        const ExchangeResult& result);
+  // The request's time is up while its key's owner has it.
+  void NoteOwnerUnanswered(const PendingRequest& pending);
   // A connection to the upstream failed, by what is known of its end.
   void NoteRefused(const UpstreamRecord& upstream, StreamEnd end);
   // Whether a change of the view may help the request: it waits for an owner of
@@ -351,6 +386,9 @@
   // `preferred_version_`.
   std::map<std::string, std::vector<const ListedUpstream*>> preferred_;
   uint64_t preferred_version_ = 0;
+  // Both null unless owners may count as contended.
+  ContendedOwners* contended_ = nullptr;
+  std::unique_ptr<OwnerRoomHandlers> owner_room_;
   RoomBorrower* room_ = nullptr;                  // Null unless room is scarce.
   std::map<std::string, RoomQueue> room_queues_;  // By service.
   std::set<std::string> room_posted_;  // Services that ServeRoom runs for soon.
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -46,6 +46,7 @@
   if (pending.permit.has_value())
     request.send_by = std::min(request.send_by, pending.permit->valid_until);
   pending.permit.reset();
+  UsePlace(pending, upstream.record);
   request.require_new_connection = tried_before && !pending.idempotent();
   if (view_.RateLimitOf(upstream).has_value())
     NoteSentToLimited(pending, upstream);
--- a/source/core/entry/request_forwarder_hedging.cc
+++ b/source/core/entry/request_forwarder_hedging.cc
@@ -134,7 +134,8 @@
                   load->connect_backoff_until <= now &&
                   load->rest_until <= now && !UsesRelay(*upstream);
   target.cold = record.warmup_left > now - upstream->availability_since;
-  target.limited = view_.RateLimitOf(*upstream).has_value();
+  target.limited =
+      view_.RateLimitOf(*upstream).has_value() || NeedsPlace(*upstream);
   return target;
 }
 
--- a/source/core/entry/request_forwarder_permits.cc
+++ b/source/core/entry/request_forwarder_permits.cc
@@ -27,7 +27,8 @@
 
 bool RequestForwarder::HasPermit(const PendingRequest& pending,
                                  const ListedUpstream& upstream) const {
-  if (!view_.RateLimitOf(upstream).has_value()) return true;
+  if (!view_.RateLimitOf(upstream).has_value() && !NeedsPlace(upstream))
+    return true;
   return pending.permit.has_value() &&
          pending.permit->upstream == upstream.record.id &&
          pending.permit->incarnation == upstream.record.incarnation &&
@@ -48,6 +49,10 @@
 
 void RequestForwarder::AskForPermit(PendingRequest& pending,
                                     const ListedUpstream& upstream) {
+  if (NeedsPlace(upstream)) {
+    AskForPlace(pending, upstream);
+    return;
+  }
   const MonotonicTime now = loop_.timers().now();
   if (pending.permit_wait_until == kNever) {
     pending.permit_wait_until =
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -47,6 +47,7 @@
   const bool relayed = std::exchange(pending.relay_call, 0) != 0;
   NoteRoomFreed(pending);
   if (result.failure != ClientFailure::kNone) {
+    NoteOwnerFailure(pending, upstream, result);
     if (ContinuesWithOtherTry(pending, upstream, result, nullptr)) return;
     OnFailure(pending, upstream, result, relayed);
     return;
@@ -62,6 +63,7 @@
                         {{"upstream", upstream.id}, {"rest_ms", *answer.rest}});
   }
   NoteStatedLimit(pending, upstream, answer);
+  NoteOwnerAnswer(pending, upstream, answer);
   if (answer.leaving) handlers_.on_leaving(upstream.id, upstream.incarnation);
   if (answer.kind == ResponseKind::kNotRun) NoteShort(upstream.service);
   if (answer.kind != ResponseKind::kUpstreamResponse &&
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -42,6 +42,15 @@
   MonotonicTime valid_until = kNever;
 };
 
+// A place that this host got for a request at a contended owner.
+struct HeldPlace {
+  uint64_t id = 0;  // See PermitDecision::place.
+  std::string upstream;
+  int64_t incarnation = 0;
+  std::string zone;
+  bool used = false;  // The request was sent.
+};
+
 // The second try of a request, or what is known before it is sent.
 struct HedgeState {
   uint64_t timer = 0;  // Fires when the response of the first try is late.
@@ -86,14 +95,15 @@
   // Upstream that a permit is asked for; empty while none is.
   std::string permit_asked_for;
   std::optional<SendPermit> permit;
-  int tries = 0;               // Number of calls that were begun.
-  int try_number = 0;          // Of the last call, counted from 1.
-  bool room_waiting = false;   // In the queue of its service.
-  bool room_turn = false;      // It came out of that queue.
-  PoolCallId call = 0;         // 0 while none is in flight.
-  RelayCallId relay_call = 0;  // As `call`, through another host.
-  std::string called;          // Upstream of the last call.
-  bool newly_tried = false;    // That call added it to `tried`.
+  std::optional<HeldPlace> place;  // Not returned yet.
+  int tries = 0;                   // Number of calls that were begun.
+  int try_number = 0;              // Of the last call, counted from 1.
+  bool room_waiting = false;       // In the queue of its service.
+  bool room_turn = false;          // It came out of that queue.
+  PoolCallId call = 0;             // 0 while none is in flight.
+  RelayCallId relay_call = 0;      // As `call`, through another host.
+  std::string called;              // Upstream of the last call.
+  bool newly_tried = false;        // That call added it to `tried`.
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -4,11 +4,13 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "entry/contended_owners.h"
 #include "entry/deployment_view.h"
 #include "entry/lease_manager.h"
 #include "entry/range_manager.h"
 #include "entry/zone_coordinator_state.h"
 #include "inner/load_reports.h"
+#include "inner/owner_room_messages.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
@@ -72,7 +74,10 @@
       paths_(paths),
       log_(log),
       options_(std::move(options)),
-      handlers_(std::move(handlers)) {}
+      handlers_(std::move(handlers)) {
+  if (options_.owner_room)
+    contended_ = std::make_unique<ContendedOwners>(loop_, log_);
+}
 
 ZoneCoordinator::~ZoneCoordinator() {
   loop_.timers().Cancel(timer_);
@@ -300,6 +305,17 @@
     case MessageType::kRoomLoan:
       decode_and_handle(RoomLoan{}, &ZoneCoordinator::OnRoomLoan);
       return;
+    case MessageType::kOwnerContention:
+      decode_and_handle(OwnerContention{}, &ZoneCoordinator::OnOwnerContention);
+      return;
+    case MessageType::kOwnerPlaceRequest:
+      decode_and_handle(OwnerPlaceRequest{},
+                        &ZoneCoordinator::OnOwnerPlaceRequest);
+      return;
+    case MessageType::kOwnerPlaceNotice:
+      decode_and_handle(OwnerPlaceNotice{},
+                        &ZoneCoordinator::OnOwnerPlaceNotice);
+      return;
     case MessageType::kLoadReport:
       decode_and_handle(LoadReport{}, &ZoneCoordinator::OnLoadReport);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -26,12 +26,16 @@
 
 namespace mimosadeal {
 
+class ContendedOwners;
 class EventLog;
 class EventLoop;
 class LeaseManager;
 class ObjectStore;
 class PathMonitor;
 class RangeManager;
+struct OwnerContention;
+struct OwnerPlaceNotice;
+struct OwnerPlaceRequest;
 
 struct ZoneCoordinatorOptions {
   std::string host;
@@ -43,6 +47,8 @@
   double link_mbps = 1000;  // Of this host's link.
   // See RoomLender. Hosts lend and borrow no room unless it is scarce.
   bool scarce_room = false;
+  // See ContendedOwners. Without it no owner counts as contended.
+  bool owner_room = false;
 };
 
 struct ZoneCoordinatorHandlers {
@@ -127,6 +133,15 @@
   // PermitBroker::Ask.
   void AskForPermit(const ListedUpstream& upstream, int rank, Duration wait,
                     PermitBroker::Callback callback);
+  // Null unless owners may count as contended; see options.
+  ContendedOwners* contended_owners() { return contended_.get(); }
+  // This host saw that an owner of keys is contended.
+  void ReportContended(const std::string& upstream, int64_t incarnation,
+                       std::string_view reason);
+  // Asks for a permit and a place for one request to a contended owner.
+  void AskForPlace(const ListedUpstream& upstream, int rank, Duration wait,
+                   const PlaceAsk& place, PermitBroker::Callback callback);
+  void ReturnPlace(const OwnerPlaceNotice& notice);
   // Sends this host's demand for room to the holder of its zone's lease.
   void ReportRoomDemand(const RoomDemand& demand);
   InnerTransport& transport() { return *transport_; }
@@ -221,6 +236,14 @@
   // As ForwardLimit and SendLimits, for the upstreams that may be cold.
   void ForwardCold(const std::string& upstream, ReportScope scope);
   void SendColdReports(const std::string& address);
+  void AddPlaceHandlers(PermitBrokerHandlers& handlers);
+  void OnOwnerContention(const OwnerContention& report);
+  OwnerContention MakeContention(const std::string& upstream,
+                                 int64_t incarnation, ReportScope scope) const;
+  void ForwardContention(const std::string& upstream, int64_t incarnation,
+                         ReportScope scope);
+  void OnOwnerPlaceRequest(const OwnerPlaceRequest& message);
+  void OnOwnerPlaceNotice(const OwnerPlaceNotice& notice);
   void MakeRoomLender(Zone& zone);
   // `address` may be this host's.
   void SendRoomDemand(const std::string& address, const RoomDemand& demand);
@@ -248,6 +271,7 @@
   ZoneCoordinatorHandlers handlers_;
   std::unique_ptr<InnerTransport> transport_;
   std::unique_ptr<PermitBroker> permits_;
+  std::unique_ptr<ContendedOwners> contended_;  // Null unless owner_room.
   std::map<std::string, std::unique_ptr<Zone>> zones_;
   // Inner addresses of the holders of zones that this host no longer monitors.
   std::map<std::string, std::string> former_holders_;
--- a/source/core/entry/zone_coordinator_limits.cc
+++ b/source/core/entry/zone_coordinator_limits.cc
@@ -45,6 +45,7 @@
   handlers.on_cold = [this](const std::string& upstream, uint32_t cold_ms) {
     NoteReportedCold(upstream, cold_ms);
   };
+  AddPlaceHandlers(handlers);
   permits_ = std::make_unique<PermitBroker>(
       loop_, view_, log_, options_.inner_address, std::move(handlers));
 }
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -45,9 +45,12 @@
   kColdPermitRequest = 41,
   kRoomDemand = 42,
   kRoomLoan = 43,
+  kOwnerContention = 45,
+  kOwnerPlaceRequest = 46,
+  kOwnerPlaceNotice = 47,
 };
 
-inline constexpr EnumNames<MessageType, 35> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 38> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -83,6 +86,9 @@
     {MessageType::kColdPermitRequest, "cold-permit-request"},
     {MessageType::kRoomDemand, "room-demand"},
     {MessageType::kRoomLoan, "room-loan"},
+    {MessageType::kOwnerContention, "owner-contention"},
+    {MessageType::kOwnerPlaceRequest, "owner-place-request"},
+    {MessageType::kOwnerPlaceNotice, "owner-place-notice"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -83,6 +83,12 @@
       return Check<RoomDemand>(body);
     case MessageType::kRoomLoan:
       return Check<RoomLoan>(body);
+    case MessageType::kOwnerContention:
+      return Check<OwnerContention>(body);
+    case MessageType::kOwnerPlaceRequest:
+      return Check<OwnerPlaceRequest>(body);
+    case MessageType::kOwnerPlaceNotice:
+      return Check<OwnerPlaceNotice>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/inner/messages.h
+++ b/source/core/inner/messages.h
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "inner/control_messages.h"
+#include "inner/owner_room_messages.h"
 #include "inner/relay_messages.h"
 #include "inner/request_messages.h"
 #include "inner/room_messages.h"
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -345,6 +345,9 @@
     case MessageType::kColdPermitRequest:
     case MessageType::kRoomDemand:
     case MessageType::kRoomLoan:
+    case MessageType::kOwnerContention:
+    case MessageType::kOwnerPlaceRequest:
+    case MessageType::kOwnerPlaceNotice:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -126,6 +126,11 @@
                 "Share of a service's requests that may be sent a second time "
                 "because their response is late; 0 sends none. With "
                 "platform.protocol = object-store."},
+    SettingSpec{"requests.owner_room", &Settings::owner_room, "false", 0, 0,
+                "Whether the lease holder of a zone decides how many requests "
+                "its contended owners of keys get from all hosts together. "
+                "With platform.protocol = object-store; the same at all "
+                "hosts."},
     SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0,
                 10000,
                 "Number of tenants with separate metrics; further tenants "
@@ -168,6 +173,8 @@
 std::string DescribeAllowed(const SettingSpec& spec) {
   if (std::holds_alternative<std::string Settings::*>(spec.target))
     return "a text";
+  if (std::holds_alternative<bool Settings::*>(spec.target))
+    return "true or false";
   const std::string range = " from " + FormatNumber(spec.minimum) + " to " +
                             FormatNumber(spec.maximum);
   if (std::holds_alternative<double Settings::*>(spec.target))
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -94,6 +94,16 @@
       MakeSample(RelayCancel{7}),
       MakeSample(room_demand),
       MakeSample(room_loan),
+      MakeSample(OwnerContention{"u1", 1, 900, 2}),
+      MakeSample(OwnerPlaceRequest{
+          {7, "10.1.0.10:7720", "u1", 1, "north", 2, 200, {false, 0, -1}, 1},
+          0,
+          900,
+          300,
+          1900,
+          150000}),
+      MakeSample(
+          OwnerPlaceNotice{7, "10.1.0.10:7720", "u1", 1, "north", 1, 2, 4, 0}),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
       MakeSample(Hello{"h"}),
--- a/source/unit_tests/settings/settings_loader_test.cc
+++ b/source/unit_tests/settings/settings_loader_test.cc
@@ -38,6 +38,23 @@
   LONGS_EQUAL(600, ToMilliseconds(loaded.settings.promise_ttl));
 }
 
+TEST(SettingsLoader, ABooleanIsTrueOrFalseAndNothingElse) {
+  CHECK_FALSE(ParseSettings(kGood, "f.toml", {}).settings.owner_room);
+  const LoadedSettings loaded =
+      ParseSettings(kGood + "[requests]\nowner_room = true\n", "f.toml", {});
+  LONGS_EQUAL(0, loaded.faults.size());
+  CHECK(loaded.settings.owner_room);
+  CHECK_FALSE(ParseSettings(kGood + "[requests]\nowner_room = true\n", "f.toml",
+                            {"requests.owner_room=false"})
+                  .settings.owner_room);
+  for (const char* wrong : {"1", "\"true\""}) {
+    CHECK_TRUE(HasFault(
+        ParseSettings(kGood + "[requests]\nowner_room = " + wrong + "\n",
+                      "f.toml", {}),
+        "f.toml:12: requests.owner_room: must be true or false"));
+  }
+}
+
 TEST(SettingsLoader, ReportsAllFaultsWithLineNameAndAllowedValues) {
   const LoadedSettings loaded = ParseSettings(
       kGood +
