--- a/source/integration_tests/entry_owner_room_test.cc
+++ b/source/integration_tests/entry_owner_room_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "common/ids.h"
 #include "entry_fixture.h"
@@ -94,7 +95,8 @@
   void SendOne() {
     do {
       next_host_ = next_host_ % kHosts + 1;
-    } while (!Host(next_host_).process.running());
+    } while (!Host(next_host_).process.running() ||
+             Host(next_host_).name == skipped_host_);
     sent_.push_back(
         {fixture.Start(Host(next_host_), "POST", "/hold/a", key_, "x"),
          fixture.loop.timers().now()});
@@ -152,6 +154,7 @@
 
   Random random_{kSeed};
   int next_host_ = 0;
+  std::string skipped_host_;  // Gets no requests.
   int key_ = -1;
   std::vector<Sent> sent_;
 };
@@ -240,6 +243,66 @@
   CHECK_TEXT(outcomes.served >= 0.85 * 6 * kCapacity, text.c_str());
 }
 
+// The giver is frozen for longer than its lease lasts, and goes on afterwards.
+TEST(EntryOwnerRoom, AGiverThatWasFrozenGivesNoMoreThanThereIs) {
+  StartDeployment();
+  SendFor(seconds(3), 1.5 * kCapacity);
+  TakeOutcomes();
+  const std::string giver = fixture.LeaseHolder("north");
+  fixture.hosts.at(giver)->process.Signal(SIGSTOP);
+  skipped_host_ = giver;
+  SendFor(seconds(5), 1.5 * kCapacity);
+  const Outcomes frozen = TakeOutcomes();
+  CHECK_TEXT(frozen.served >= 0.5 * 5 * kCapacity,
+             Describe(frozen, Overruns()).c_str());
+  CHECK(fixture.LeaseHolder("north") != giver);
+  fixture.hosts.at(giver)->process.Signal(SIGCONT);
+  skipped_host_.clear();
+  fixture.RunFor(seconds(2));
+  const int before = Overruns();
+  SendFor(seconds(5), 1.5 * kCapacity);
+  const Outcomes outcomes = TakeOutcomes();
+  const std::string text = Describe(outcomes, Overruns() - before);
+  fixture.CheckRecord();
+  CHECK_TEXT(Overruns() - before <= kOverrunsBeforeTheReport, text.c_str());
+  CHECK_TEXT(outcomes.served >= 0.85 * 5 * kCapacity, text.c_str());
+}
+
+// The store is down: the lease is not confirmed, and its holder gives half of
+// the places. The owner keeps its keys for 10 s.
+TEST(EntryOwnerRoom, AnOwnerIsNotOverrunWhileTheStoreIsDown) {
+  StartDeployment();
+  SendFor(seconds(2), 1.5 * kCapacity);
+  TakeOutcomes();
+  const int before = Overruns();
+  for (const auto& [name, host] : fixture.hosts)
+    fixture.SetStorePartition(name, true);
+  SendFor(seconds(6), 1.5 * kCapacity);
+  const Outcomes outcomes = TakeOutcomes();
+  const std::string text = Describe(outcomes, Overruns() - before);
+  fixture.CheckRecord();
+  CHECK_TEXT(Overruns() - before <= kOverrunsBeforeTheReport, text.c_str());
+  CHECK_TEXT(outcomes.served >= 0.5 * 6 * kCapacity, text.c_str());
+}
+
+// Coldness and places are one decision: the record checks the cold rate.
+TEST(EntryOwnerRoom, AContendedOwnerThatBecomesColdGetsItsColdRate) {
+  fixture.cold_rate = 4.5;
+  StartDeployment();
+  SendFor(seconds(3), 1.5 * kCapacity);
+  TakeOutcomes();
+  fixture.upstreams.at("yard-1")->BecomeCold(seconds(4));
+  SendFor(seconds(4), 1.5 * kCapacity);
+  const Outcomes cold = TakeOutcomes();
+  fixture.CheckRecord();
+  CHECK_TEXT(cold.served >= 4 * 2, Describe(cold, Overruns()).c_str());
+  SendFor(seconds(5), 1.5 * kCapacity);
+  const Outcomes warm = TakeOutcomes();
+  fixture.CheckRecord();
+  CHECK_TEXT(warm.served >= 0.7 * 5 * kCapacity,
+             Describe(warm, Overruns()).c_str());
+}
+
 // A host dies with places: they lapse with the time of their requests.
 TEST(EntryOwnerRoom, APlaceOfADeadHostLapses) {
   StartDeployment();
