Write moves of keys together, and watch the tables less often

Cause, by reading: each release that an owner answered by itself was a write of the whole table (WriteTable ran on each reply, a write takes 4 ms), and each write woke the tables' watch of every zone's holder, which asked again after 150 ms, also for its own writes.

Change: the moves whose keys are released are written together, 15 ms after the first of them and at most every 100 ms; a move by itself, or the last one of all, at once (ranges/table_write_timing, a pure function). The order is as it was: release, table, grant. The holders' watch of the tables waits 600 ms between changes, as the writer tells the others at once; a step whose former one is missing ends the wait (KindWatcher::EndBatch). The delay counts towards the watch's own wait, so a silent connection shows no later than before.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -37,8 +37,8 @@
 constexpr Duration kRegistryBatchDelay = std::chrono::milliseconds(150);
 constexpr Duration kConfigurationBatchDelay = std::chrono::milliseconds(100);
 // A host that writes a table also sends it to the others; the watch delivers
-// tables that were lost on the way.
-constexpr Duration kTableBatchDelay = std::chrono::milliseconds(150);
+// tables that were lost on the way, and ends this delay when one shows to be.
+constexpr Duration kTableBatchDelay = std::chrono::milliseconds(600);
 // The same for a host that replicates to no others. There may be many of them,
 // and each change costs a call of each.
 constexpr Duration kNonHolderBatchDelay = std::chrono::milliseconds(400);
@@ -222,6 +222,10 @@
                   revision_clock_.Before(watcher(kind).revision() + 1));
 }
 
+void DeploymentView::ReadTablesNow() {
+  watcher(ViewKind::kRangeTables).EndBatch();
+}
+
 void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
   watcher(kind).NoteCurrent(current_at);
 }
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -103,6 +103,9 @@
   // The host that feeds this one has the same copy and reported that it was up
   // to date at `current_at`.
   void NoteCurrent(ViewKind kind, MonotonicTime current_at);
+  // Another host's table shows that a former one is missing here. Reads the
+  // store without delay if this host reads it.
+  void ReadTablesNow();
   // The store accepted a write with that revision, sent at `sent_at` or later.
   void NoteWrite(uint64_t revision, MonotonicTime sent_at);
   // Another host that reads the store reported since when it is reachable;
--- a/source/core/entry/deployment_view_evacuations.cc
+++ b/source/core/entry/deployment_view_evacuations.cc
@@ -13,7 +13,9 @@
 namespace {
 
 // Longest wait of the watch. A connection that stopped working without an error
-// is noticed half a second past it, which leaves half of the bound of 5 s.
+// is noticed a second past it, which leaves half of the bound of 5 s. A host
+// whose feed ends waits for it once more: longer waits would make its copy too
+// old for CopyConfirmation.
 constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(900);
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -45,7 +45,16 @@
       commands_(loop, protocol),
       holds_(options_.clock_guard, options_.margin) {}
 
-RangeManager::~RangeManager() { loop_.timers().Cancel(timer_); }
+RangeManager::~RangeManager() {
+  loop_.timers().Cancel(timer_);
+  ClearServices();
+}
+
+void RangeManager::ClearServices() {
+  for (const auto& [name, service] : services_)
+    loop_.timers().Cancel(service->write_timer);
+  services_.clear();
+}
 
 void RangeManager::OnLeaseGained(bool continued) {
   running_ = true;
@@ -59,7 +68,7 @@
   // host that regains the lease must claim the table like any other host.
   no_earlier_grants_ = lease_.lease().term == 1 && !ran_before_;
   ran_before_ = true;
-  services_.clear();
+  ClearServices();
   // A lease with term 1 has no earlier holder whose grants may still be valid.
   // If no other host has held the lease since this one did, holds_ has all
   // grants.
@@ -75,7 +84,7 @@
   ++epoch_;
   loop_.timers().Cancel(timer_);
   commands_.Clear();
-  services_.clear();
+  ClearServices();
 }
 
 void RangeManager::OnViewChanged() {
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -127,6 +127,8 @@
   void StartMove(Service& service, const PlannedMove& planned,
                  const char* reason);
   void AdvanceMoves(Service& service);
+  // Writes the table when it is time; see NextTableWrite.
+  void ScheduleTableWrite(Service& service);
   void SendRelease(Service& service, const std::shared_ptr<Move>& move);
   void WriteTable(Service& service);
   void OnTableWritten(const std::string& service,
@@ -146,6 +148,7 @@
   bool IsSuspect(const OwnerState& state) const;
   std::vector<OwnerCandidate> Candidates(const std::string& service) const;
   Service* Find(const std::string& service);
+  void ClearServices();
 
   EventLoop& loop_;
   ObjectStore& store_;
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -19,6 +19,11 @@
 // Moves that balance load start only if the store confirmed the lease within
 // this time.
 constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(400);
+// Keys are unserved while they wait to be written. A release is answered when
+// the owner's running work has ended, after 0.6 s in half of all moves; those
+// of owners without work come within the first milliseconds.
+constexpr TableWriteTiming kTableWriteTiming = {std::chrono::milliseconds(15),
+                                                std::chrono::milliseconds(100)};
 
 }  // namespace
 
@@ -68,17 +73,43 @@
 
 void RangeManager::AdvanceMoves(Service& service) {
   const MonotonicTime now = loop_.timers().now();
-  bool any_released = false;
+  size_t unreleased = 0;
   for (const std::shared_ptr<Move>& move : service.moves) {
     if (!move->released && now >= holds_.FreeAt(move->from))
       move->released = true;
-    if (move->released) {
-      any_released = true;
-    } else if (!move->release_pending && now >= move->next_release_at) {
+    if (move->released) continue;
+    ++unreleased;
+    if (!move->release_pending && now >= move->next_release_at)
       SendRelease(service, move);
-    }
   }
-  if (any_released) WriteTable(service);
+  TableWriteState& state = service.write_state;
+  if (unreleased == service.moves.size()) {
+    state.released_since = kNever;
+    return;
+  }
+  if (state.released_since == kNever) state.released_since = now;
+  ScheduleTableWrite(service);
+}
+
+void RangeManager::ScheduleTableWrite(Service& service) {
+  const MonotonicTime now = loop_.timers().now();
+  const auto unreleased = static_cast<size_t>(std::count_if(
+      service.moves.begin(), service.moves.end(),
+      [](const std::shared_ptr<Move>& move) { return !move->released; }));
+  const MonotonicTime at =
+      NextTableWrite(service.write_state, unreleased, kTableWriteTiming);
+  loop_.timers().Cancel(std::exchange(service.write_timer, 0));
+  if (now >= at) {
+    WriteTable(service);
+    return;
+  }
+  service.write_timer =
+      loop_.timers().After(at - now, [this, name = service.name] {
+        Service* current = Find(name);
+        if (current == nullptr) return;
+        current->write_timer = 0;
+        WriteTable(*current);
+      });
 }
 
 void RangeManager::SendRelease(Service& service,
@@ -160,6 +191,7 @@
   }
   MergeNeighbours(table, options_.zone);
   service.write_pending = true;
+  service.write_state = {now, kNever};
   store_.Write({kRangeTableKind, service.name,
                 view_.stored_revision(service.name), EncodeRangeTable(table)},
                [this, name = service.name, written,
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "entry/range_manager.h"
+#include "ranges/table_write_timing.h"
 
 namespace mimosadeal {
 
@@ -51,7 +52,9 @@
   std::string name;
   bool claimed = false;
   bool write_pending = false;
-  MonotonicTime next_write_at = kNever;
+  MonotonicTime next_write_at = kNever;  // After a write that failed.
+  TableWriteState write_state;
+  uint64_t write_timer = 0;  // Fires when released moves are to be written.
   MonotonicTime next_balance_at = kNever;
   std::map<GrantKey, Grant> grants;
   std::map<UpstreamIncarnation, OwnerState> owners;
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -98,7 +98,11 @@
   if (before == nullptr || before->revision >= notice.revision) return;
   const auto content = nlohmann::json::parse(notice.step, nullptr, false);
   const auto base = StepBase(content);
-  if (!base.has_value() || *base > before->revision) return;
+  if (!base.has_value()) return;
+  if (*base > before->revision) {
+    view_.ReadTablesNow();
+    return;
+  }
   const auto step = DecodeRangeTableStep(content);
   if (!step.has_value()) return;
   auto after = ApplyStep(*before, step.value(), notice.revision);
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -56,6 +56,7 @@
 void KindWatcher::Pause() {
   if (paused_) return;
   paused_ = true;
+  batching_ = false;
   ++call_id_;
   loop_.timers().Cancel(timer_);
 }
@@ -104,11 +105,17 @@
 }
 
 void KindWatcher::Watch() {
+  batching_ = false;
   const uint64_t call_id = ++call_id_;
   call_sent_at_ = loop_.timers().now();
   // While the store is unreachable, asks for an immediate response: a waiting
-  // watch would show late that the store is reachable again.
-  call_wait_ = reachable_ ? timing_.wait : Duration::zero();
+  // watch would show late that the store is reachable again. Otherwise the
+  // delay since the last response is part of the wait, so that a silent
+  // connection shows as soon after a change as at other times.
+  const Duration delayed =
+      answered_at_ == kNever ? Duration::zero() : call_sent_at_ - answered_at_;
+  call_wait_ = reachable_ ? std::max(timing_.wait - delayed, Duration::zero())
+                          : Duration::zero();
   store_.Watch(kind_, revision_, call_wait_,
                [this, call_id](Result<ObjectChanges> changes) {
                  if (call_id == call_id_) OnChanges(std::move(changes));
@@ -202,8 +209,14 @@
     if (handlers_.on_update) handlers_.on_update(update);
     if (handlers_.on_synced) handlers_.on_synced();
   }
-  Schedule(any && !part ? timing_.batch_delay : Duration::zero(),
-           [this] { Watch(); });
+  const Duration delay = any && !part ? timing_.batch_delay : Duration::zero();
+  batching_ = delay > Duration::zero();
+  Schedule(delay, [this] { Watch(); });
+}
+
+void KindWatcher::EndBatch() {
+  if (!paused_ && std::exchange(batching_, false))
+    Schedule(Duration::zero(), [this] { Watch(); });
 }
 
 void KindWatcher::Apply(const StoredObject& object, const ChangeBound& bound) {
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -62,7 +62,8 @@
 };
 
 struct KindWatcherTiming {
-  Duration wait{};  // How long the store holds a watch without changes.
+  // Longest time between two responses of the store without changes.
+  Duration wait{};
   // Delay between a change and the next watch, so that one call returns several
   // changes in a row.
   Duration batch_delay{};
@@ -88,6 +89,9 @@
   void SetBatchDelay(Duration batch_delay) {
     timing_.batch_delay = batch_delay;
   }
+  // Ends the delay before the next watch, if there is one: a change is known to
+  // be missing here.
+  void EndBatch();
   // Applies an update from another host; one that is not newer than this copy
   // has no effect. Returns false when changes between this copy and the update
   // are missing. `store_reachable_since`: see reachable_since.
@@ -150,6 +154,7 @@
   MonotonicTime call_sent_at_ = kNever;  // When the last call was sent.
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
+  bool batching_ = false;             // The next watch is being delayed.
   bool history_lost_ = false;         // The next call must be a list.
   MonotonicTime listed_at_ = kNever;  // When the last list was complete.
   Duration call_wait_{};    // For which the last call asked the store to wait.
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -120,6 +120,9 @@
     server_ = std::move(made.value());
   }
 
+  // The queries of the watches so far.
+  const std::vector<std::string>& watches() const { return watches_; }
+
  private:
   static nlohmann::json Object(uint64_t revision) {
     return {{"metadata", {{"name", "a"}, {"rev", revision}}},
@@ -127,6 +130,7 @@
   }
 
   void Respond(ExchangeId id, const std::string& query) {
+    watches_.push_back(query);
     nlohmann::json body;
     const uint64_t from = std::stoull(query.substr(sizeof("watch=") - 1));
     const uint64_t last = std::min(from + kChangesPerResponse, kNewestRevision);
@@ -140,6 +144,7 @@
   }
 
   std::unique_ptr<ExchangeServer> server_;
+  std::vector<std::string> watches_;
 };
 
 TEST_GROUP(PartialHistory) {
@@ -182,5 +187,65 @@
   CHECK(watcher.current_at() == kNever);
 }
 
+TEST_GROUP(DelayedWatch) {
+  EventLoop loop{{32, 8, 65536}};
+  SocketAddress address{"127.0.4.2", 18498};
+  ScriptedStore scripted{loop, address};
+  ObjectStore store{loop, address, platform::MakeStoreProtocol(),
+                    std::chrono::seconds(1)};
+
+  void RunFor(Duration time) {
+    const MonotonicTime end = loop.timers().now() + time;
+    const TimerId tick =
+        loop.timers().Every(std::chrono::milliseconds(5), [] {});
+    while (loop.timers().now() < end) loop.RunOnce();
+    loop.timers().Cancel(tick);
+  }
+
+  // Lets the watcher read a few changes, after which it waits.
+  void ReadChanges(KindWatcher & watcher) {
+    watcher.ApplyFed({true, 0, kNewestRevision - 9, {{"a", 1, false, nullptr}}},
+                     kNever);
+    watcher.Start();
+    RunFor(std::chrono::milliseconds(100));
+    LONGS_EQUAL(kNewestRevision, watcher.revision());
+    LONGS_EQUAL(1, scripted.watches().size());
+  }
+};
+
+// A holder gathers changes of the tables, unless it hears that one is missing.
+TEST(DelayedWatch, TheDelayEndsWhenAChangeIsKnownToBeMissing) {
+  KindWatcher watcher{loop,
+                      store,
+                      "things",
+                      {std::chrono::seconds(5), std::chrono::seconds(9),
+                       std::chrono::seconds(9), std::chrono::seconds(9)},
+                      {}};
+  ReadChanges(watcher);
+  watcher.EndBatch();
+  RunFor(std::chrono::milliseconds(50));
+  CHECK(scripted.watches().size() > 1);
+}
+
+// A silent connection must not show later after a change than otherwise.
+TEST(DelayedWatch, TheDelayIsPartOfTheNextWait) {
+  KindWatcher watcher{loop,
+                      store,
+                      "things",
+                      {std::chrono::seconds(5), std::chrono::milliseconds(200),
+                       std::chrono::seconds(9), std::chrono::seconds(9)},
+                      {}};
+  ReadChanges(watcher);
+  RunFor(std::chrono::milliseconds(250));
+  CHECK(scripted.watches().size() > 1);
+  const std::string& query = scripted.watches().at(1);
+  const std::string name = "waitMs=";
+  const auto at = query.find(name);
+  CHECK(at != std::string::npos);
+  const long wait = std::stol(query.substr(at + name.size()));
+  CHECK(wait <= 4800);
+  CHECK(wait >= 4000);
+}
+
 }  // namespace
 }  // namespace mimosadeal
