Announce moves of keys, so that requests wait for the new owner (off)

Change, with requests.await_moves = true at all hosts (new, false by default, not in the template): the lease holder that asks an owner to release keys tells all hosts by datagram (MoveNotice, 44): keys, old owner, generation, validity of 1 s, repeated each 0.4 s, withdrawn when the release fails, the owner falls silent or does not answer for 2 s, or the move is given up. A request for such a key is not sent to the old owner: it waits as requests without an owner do, if the move will probably end in that time, or is refused at once as not run with the expected time. Those that waited are sent 20 to 40 ms after the table names the new owner. A notice never outranks the table (generations) and has no part in what is granted, released or written. Decisions are pure functions in ranges/move_notices.

Result: EntryMoves (4 hosts, an owner that finishes its work in 250 ms): with the setting no request came to an upstream without its key from 50 ms after the release on and all were served; the control without it fails that check. A move that does not take place, and the loss of the holder that moves, leave the keys served. MoveNotices replays a fifth of 145 ranges moving within a second at 122 hosts with lost, late and repeated notices.

--- a/source/core/entry/entry_metrics.cc
+++ b/source/core/entry/entry_metrics.cc
@@ -100,6 +100,11 @@
                   .Name("mimosadeal_hedges_total")
                   .Help("Second tries of late requests, sent and by outcome")
                   .Register(*registry_)),
+      move_waits_(prometheus::BuildCounter()
+                      .Name("mimosadeal_move_waits_total")
+                      .Help("Requests for keys that were being moved, by what "
+                            "was decided, and by how their wait ended")
+                      .Register(*registry_)),
       hedge_refusals_(prometheus::BuildCounter()
                           .Name("mimosadeal_hedge_refusals_total")
                           .Help("Late requests without a second try, by reason")
@@ -179,6 +184,10 @@
   hedges_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EntryMetrics::ObserveMoveWait(std::string_view outcome) {
+  move_waits_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EntryMetrics::ObserveHedgeRefusal(std::string_view reason) {
   hedge_refusals_.Add({{"reason", std::string(reason)}}).Increment();
 }
--- a/source/core/entry/entry_metrics.h
+++ b/source/core/entry/entry_metrics.h
@@ -76,6 +76,9 @@
   // A second try of a late request was sent or ended; see docs/OPERATIONS.md
   // for the outcomes.
   void ObserveHedge(std::string_view outcome);
+  // What was decided about a request whose key was being moved, or how its wait
+  // ended.
+  void ObserveMoveWait(std::string_view outcome);
   // A late request got no second try; see HedgeRefusal.
   void ObserveHedgeRefusal(std::string_view reason);
   // This host refused or closed a caller because bytes or connections ran
@@ -103,6 +106,7 @@
   prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& relayed_;
   prometheus::Family<prometheus::Counter>& hedges_;
+  prometheus::Family<prometheus::Counter>& move_waits_;
   prometheus::Family<prometheus::Counter>& hedge_refusals_;
   prometheus::Family<prometheus::Counter>& pressure_;
   prometheus::Family<prometheus::Counter>& room_;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -262,6 +262,7 @@
   options.cpu_share = settings_.cpu_share;
   options.link_mbps = settings_.link_mbps;
   options.scarce_room = bounds_.scarce_room;
+  options.await_moves = settings_.await_moves;
   ZoneCoordinatorHandlers handlers;
   handlers.on_crash = [this](uint64_t fingerprint,
                              const std::string& upstream_incarnation) {
@@ -274,6 +275,9 @@
   handlers.on_room_loan = [this](const RoomLoan& loan) {
     if (room_ != nullptr) room_->OnLoan(loan);
   };
+  handlers.on_move_notice = [this](const MoveNotice& notice) {
+    forwarder_->OnMoveNotice(notice);
+  };
   handlers.may_hold_leases = [this] { return MayHoldLeases(); };
   handlers.on_disconnected = [this](ConnectionId connection) {
     relay_->OnDisconnected(connection);
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -26,6 +26,7 @@
 #include "entry/key_command_client.h"
 #include "forwarding/deployment_protocol.h"
 #include "ranges/hold_tracker.h"
+#include "ranges/move_notices.h"
 #include "ranges/range_planner.h"
 #include "ranges/range_table.h"
 #include "store/stored_object.h"
@@ -76,6 +77,15 @@
   void SetTableHandler(std::function<void(const RangeTable&)> handler) {
     on_table_written_ = std::move(handler);
   }
+  // `handler` runs for moves whose old owners are being asked to release their
+  // keys, at intervals, and with a lifetime of zero for those that keep them.
+  // Without it moves are not announced.
+  void SetMovesHandler(
+      std::function<void(const std::string& service,
+                         const std::vector<MovingKeys>&, Duration lifetime)>
+          handler) {
+    on_moves_ = std::move(handler);
+  }
   // `continued`: no other host has held the lease since this one held it last.
   void OnLeaseGained(bool continued);
   void OnLeaseLost();
@@ -129,6 +139,11 @@
   void AdvanceMoves(Service& service);
   // Writes the table when it is time; see NextTableWrite.
   void ScheduleTableWrite(Service& service);
+  // Announces the moves that are due for it; see SetMovesHandler.
+  void AnnounceMoves(Service& service);
+  bool MayAnnounce(const Service& service, const Move& move) const;
+  // The old owner may not have received the release.
+  void WithdrawMove(Service& service, Move& move);
   void SendRelease(Service& service, const std::shared_ptr<Move>& move);
   void WriteTable(Service& service);
   void OnTableWritten(const std::string& service,
@@ -161,6 +176,9 @@
   HoldTracker holds_;
   std::function<void(const UpstreamIncarnation&)> on_leaving_;
   std::function<void(const RangeTable&)> on_table_written_;
+  std::function<void(const std::string&, const std::vector<MovingKeys>&,
+                     Duration)>
+      on_moves_;
   bool running_ = false;
   bool ran_before_ = false;  // This process has held the zone's lease before.
   bool no_earlier_grants_ = false;  // No host has sent grants in the zone yet.
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -82,6 +82,7 @@
     if (!move->release_pending && now >= move->next_release_at)
       SendRelease(service, move);
   }
+  AnnounceMoves(service);
   TableWriteState& state = service.write_state;
   if (unreleased == service.moves.size()) {
     state.released_since = kNever;
@@ -148,6 +149,9 @@
           // A handover from the new incarnation does not describe the state of
           // the old one.
           if (!restarted) move->handover = result.reply.handover;
+          move->release_answered = true;
+        } else if (Service* current = Find(name)) {
+          WithdrawMove(*current, *move);
         }
         if (Service* current = Find(name)) AdvanceMoves(*current);
       });
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -41,6 +41,13 @@
   MonotonicTime started_at = kNever;
   bool release_pending = false;
   MonotonicTime next_release_at = kNever;
+  // The old owner answered a release by then, though not every grant that it
+  // may still receive has expired.
+  bool release_answered = false;
+  MonotonicTime announced_since = kNever;  // Valid once it was announced.
+  MonotonicTime announced_at = kNever;     // Last; see AnnounceMoves.
+  uint64_t announced_generation = 0;       // Last, of the range.
+  bool withdrawn = false;                  // After it was announced.
   // The old owner no longer holds the keys and processes no request for them.
   bool released = false;
   // From the old owner's reply to the release; sent to the new owner with its
--- a/source/core/entry/range_manager_tables.cc
+++ b/source/core/entry/range_manager_tables.cc
@@ -34,6 +34,8 @@
 void RangeManager::NoteRestore(Service& service) {
   if (claimed_eras_[service.name] == store_.era()) return;
   service.claimed = false;
+  for (const std::shared_ptr<Move>& move : service.moves)
+    WithdrawMove(service, *move);
   service.moves.clear();
   log_.LogStateChange("range-table.claiming-again",
                       {{"service", service.name},
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -197,6 +197,7 @@
       WaitForOwner(pending, RefusalReason::kNoOwner, Duration::zero());
       return;
     }
+    if (WaitsForMove(pending, *range)) return;
     const UpstreamLoad& load = pool_.LoadOf(upstream->record);
     if (load.rest_until > now) {
       RefuseUntil(pending, {load.rest_until, RefusalReason::kResting});
@@ -275,15 +276,19 @@
   Refuse(pending, next.reason);
 }
 
+MonotonicTime RequestForwarder::OwnerWaitEnd(
+    const PendingRequest& pending) const {
+  if (pending.wait_until != kNever) return pending.wait_until;
+  return std::min(
+      loop_.timers().now() + pending.route->target_latency / kOwnerWaitDivisor,
+      pending.give_up_at - kMinTimeToSend);
+}
+
 void RequestForwarder::WaitForOwner(PendingRequest& pending,
                                     RefusalReason reason,
                                     Duration recheck_after) {
   const MonotonicTime now = loop_.timers().now();
-  if (pending.wait_until == kNever) {
-    pending.wait_until =
-        std::min(now + pending.route->target_latency / kOwnerWaitDivisor,
-                 pending.give_up_at - kMinTimeToSend);
-  }
+  pending.wait_until = OwnerWaitEnd(pending);
   pending.wait_reason = reason;
   if (now + recheck_after >= pending.wait_until) {
     Refuse(pending, reason, kRetryAfterNoOwner);
@@ -308,6 +313,7 @@
 }
 
 void RequestForwarder::OnViewChanged() {
+  ApplyTablesToMoves();
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
     if (MayTryAgain(*pending)) waiting.push_back(exchange);
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -20,6 +20,7 @@
 #include "entry/upstream_pool.h"
 #include "forwarding/deployment_protocol.h"
 #include "net/http_server.h"
+#include "ranges/move_notices.h"
 #include "routing/weighted_round_robin.h"
 
 namespace mimosadeal {
@@ -36,6 +37,7 @@
 struct HedgeTarget;
 struct KeyRange;
 struct ListedUpstream;
+struct MoveNotice;
 struct NextChance;
 struct PermitDecision;
 struct RegistrationLapse;
@@ -109,6 +111,9 @@
   void BeginStop(MonotonicTime refuse_from, MonotonicTime end_at);
   // Retries the requests that wait for their key's owner.
   void OnViewChanged();
+  // Keys are being moved, or are not after all. Requests for them wait for the
+  // new owner, as far as they can be in time.
+  void OnMoveNotice(const MoveNotice& notice);
   // Other hosts may send requests whose upstreams this host has no path to.
   // Sends those that wait, and those whose connection is still being opened.
   void OnHelper();
@@ -264,6 +269,16 @@
   // view changes, and after `recheck_after` unless that is zero.
   void WaitForOwner(PendingRequest& pending, RefusalReason reason,
                     Duration recheck_after);
+  // Until when the request may wait for an owner.
+  MonotonicTime OwnerWaitEnd(const PendingRequest& pending) const;
+  // Whether the request must not be sent now because its key is being moved or
+  // was moved just now. If so, it waits, or is refused.
+  bool WaitsForMove(PendingRequest& pending, const KeyRange& range);
+  void NoteMoveWait(const PendingRequest& pending, const NoticedMove& move,
+                    const MoveWaitDecision& decision);
+  // The move that the request waited for has ended, or is not known any more.
+  void EndMoveWait(PendingRequest& pending, const KeyRange& range);
+  void ApplyTablesToMoves();
   void OnResult(ExchangeId exchange, int try_number,
                 const UpstreamRecord& upstream, ExchangeResult result);
   // Plans the second try of a request whose first one is being sent to the
@@ -351,6 +366,7 @@
   // `preferred_version_`.
   std::map<std::string, std::vector<const ListedUpstream*>> preferred_;
   uint64_t preferred_version_ = 0;
+  std::map<std::string, MoveNotices> move_notices_;  // By service.
   RoomBorrower* room_ = nullptr;                  // Null unless room is scarce.
   std::map<std::string, RoomQueue> room_queues_;  // By service.
   std::set<std::string> room_posted_;  // Services that ServeRoom runs for soon.
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -75,8 +75,11 @@
   // End of the wait for an owner; kNever until the first wait.
   MonotonicTime wait_until = kNever;
   RefusalReason wait_reason = RefusalReason::kNone;
-  bool waiting = false;            // For an owner.
-  std::vector<std::string> tried;  // Upstreams that it was sent to.
+  bool waiting = false;  // For an owner.
+  // The old owner, while the request waits for a move; see WaitsForMove.
+  std::string moving_from;
+  MonotonicTime send_after = kNever;  // After a move that it waited for.
+  std::vector<std::string> tried;     // Upstreams that it was sent to.
   // Without those that failed before the request was written.
   int sends = 0;
   // Sent to the caller without jitter; zero uses the refusal's own value.
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -9,6 +9,7 @@
 #include "entry/range_manager.h"
 #include "entry/zone_coordinator_state.h"
 #include "inner/load_reports.h"
+#include "inner/move_messages.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
@@ -201,6 +202,11 @@
       });
   self->ranges->SetTableHandler(
       [this](const RangeTable& written) { AnnounceTable(written); });
+  if (options_.await_moves) {
+    self->ranges->SetMovesHandler(
+        [this](const std::string& service, const std::vector<MovingKeys>& keys,
+               Duration lifetime) { AnnounceMoves(service, keys, lifetime); });
+  }
   if (options_.scarce_room) MakeRoomLender(*self);
   zones_[name] = std::move(zone);
   self->lease->Start();
@@ -300,6 +306,9 @@
     case MessageType::kRoomLoan:
       decode_and_handle(RoomLoan{}, &ZoneCoordinator::OnRoomLoan);
       return;
+    case MessageType::kMoveNotice:
+      decode_and_handle(MoveNotice{}, &ZoneCoordinator::OnMoveNotice);
+      return;
     case MessageType::kLoadReport:
       decode_and_handle(LoadReport{}, &ZoneCoordinator::OnLoadReport);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -32,6 +32,8 @@
 class ObjectStore;
 class PathMonitor;
 class RangeManager;
+struct MoveNotice;
+struct MovingKeys;
 
 struct ZoneCoordinatorOptions {
   std::string host;
@@ -43,6 +45,8 @@
   double link_mbps = 1000;  // Of this host's link.
   // See RoomLender. Hosts lend and borrow no room unless it is scarce.
   bool scarce_room = false;
+  // Whether moves of keys are announced; see Settings::await_moves.
+  bool await_moves = false;
 };
 
 struct ZoneCoordinatorHandlers {
@@ -53,6 +57,7 @@
   std::function<void(ConnectionId)> on_disconnected;
   // Room that was lent to this host.
   std::function<void(const RoomLoan&)> on_room_loan;
+  std::function<void(const MoveNotice&)> on_move_notice;
   // See LeaseManagerHandlers::may_hold.
   std::function<bool()> may_hold_leases;
 };
@@ -221,6 +226,11 @@
   // As ForwardLimit and SendLimits, for the upstreams that may be cold.
   void ForwardCold(const std::string& upstream, ReportScope scope);
   void SendColdReports(const std::string& address);
+  void AnnounceMoves(const std::string& service,
+                     const std::vector<MovingKeys>& keys, Duration lifetime);
+  void OnMoveNotice(const MoveNotice& notice);
+  // Sends the notice on, as far as its scope allows.
+  void Forward(MoveNotice notice);
   void MakeRoomLender(Zone& zone);
   // `address` may be this host's.
   void SendRoomDemand(const std::string& address, const RoomDemand& demand);
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -45,9 +45,10 @@
   kColdPermitRequest = 41,
   kRoomDemand = 42,
   kRoomLoan = 43,
+  kMoveNotice = 44,
 };
 
-inline constexpr EnumNames<MessageType, 35> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 36> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -83,6 +84,7 @@
     {MessageType::kColdPermitRequest, "cold-permit-request"},
     {MessageType::kRoomDemand, "room-demand"},
     {MessageType::kRoomLoan, "room-loan"},
+    {MessageType::kMoveNotice, "move-notice"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -1,5 +1,7 @@
 #include "inner/messages.h"
 
+#include "inner/move_messages.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -83,6 +85,8 @@
       return Check<RoomDemand>(body);
     case MessageType::kRoomLoan:
       return Check<RoomLoan>(body);
+    case MessageType::kMoveNotice:
+      return Check<MoveNotice>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -345,6 +345,7 @@
     case MessageType::kColdPermitRequest:
     case MessageType::kRoomDemand:
     case MessageType::kRoomLoan:
+    case MessageType::kMoveNotice:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -126,6 +126,10 @@
                 "Share of a service's requests that may be sent a second time "
                 "because their response is late; 0 sends none. With "
                 "platform.protocol = object-store."},
+    SettingSpec{"requests.await_moves", &Settings::await_moves, "false", 0, 0,
+                "Whether lease holders announce moves of keys, and requests "
+                "wait for the new owner instead of trying the old one. With "
+                "platform.protocol = object-store; the same at all hosts."},
     SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0,
                 10000,
                 "Number of tenants with separate metrics; further tenants "
@@ -168,6 +172,8 @@
 std::string DescribeAllowed(const SettingSpec& spec) {
   if (std::holds_alternative<std::string Settings::*>(spec.target))
     return "a text";
+  if (std::holds_alternative<bool Settings::*>(spec.target))
+    return "true or false";
   const std::string range = " from " + FormatNumber(spec.minimum) + " to " +
                             FormatNumber(spec.maximum);
   if (std::holds_alternative<double Settings::*>(spec.target))
--- a/source/core/settings/setting_table.h
+++ b/source/core/settings/setting_table.h
@@ -12,8 +12,9 @@
 namespace mimosadeal {
 
 // The member that stores a setting. Its type is also the type in the file.
-using SettingTarget = std::variant<std::string Settings::*, int64_t Settings::*,
-                                   double Settings::*, Duration Settings::*>;
+using SettingTarget =
+    std::variant<std::string Settings::*, int64_t Settings::*,
+                 double Settings::*, Duration Settings::*, bool Settings::*>;
 
 struct SettingSpec {
   // "section.name". Names of durations end in _ms, their unit.
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -59,6 +59,7 @@
   int64_t ledger_response_bytes = 0;
   double retry_budget = 0;
   double hedge_share = 0;  // Fraction of a service's requests; 0 if off.
+  bool await_moves = false;
   int64_t metric_tenants = 0;
   std::string scheduling;
 
--- a/source/core/settings/settings_loader.cc
+++ b/source/core/settings/settings_loader.cc
@@ -180,6 +180,12 @@
       SetString(spec, node.value<std::string>().value_or(""));
       return;
     }
+    if (std::holds_alternative<bool Settings::*>(spec.target)) {
+      const auto value = node.value_exact<bool>();
+      SetBoolean(spec, value.has_value() ? (*value ? "true" : "false") : "",
+                 path_, line);
+      return;
+    }
     const bool integers_only =
         !std::holds_alternative<double Settings::*>(spec.target);
     if (!node.is_integer() && (integers_only || !node.is_floating_point())) {
@@ -196,6 +202,10 @@
       SetString(spec, std::string(text));
       return;
     }
+    if (std::holds_alternative<bool Settings::*>(spec.target)) {
+      SetBoolean(spec, text, source, line);
+      return;
+    }
     double number = 0;
     const auto parsed =
         std::from_chars(text.data(), text.data() + text.size(), number);
@@ -217,6 +227,17 @@
         std::move(text);
   }
 
+  void SetBoolean(const SettingSpec& spec, std::string_view text,
+                  const std::string& source, unsigned line) {
+    if (text != "true" && text != "false") {
+      AddFault(source, line, std::string(spec.name),
+               "must be " + DescribeAllowed(spec));
+      return;
+    }
+    set_names_.insert(spec.name);
+    loaded_.settings.*std::get<bool Settings::*>(spec.target) = text == "true";
+  }
+
   void SetNumber(const SettingSpec& spec, double number,
                  const std::string& source, unsigned line) {
     if (!(number >= spec.minimum && number <= spec.maximum)) {
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -263,6 +263,7 @@
 }
 
 void DeploymentUpstream::OnRelease(ExchangeId id, const std::string& body) {
+  releases_.push_back(loop_.timers().now());
   if (faults_.ignore_releases) return;
   const auto command = nlohmann::json::parse(body, nullptr, false);
   const int first = command["from"].get<int>();
@@ -312,6 +313,7 @@
     return;
   }
   if (options_.keyed && !Holds(key)) {
+    misdirected_.push_back(loop_.timers().now());
     Respond(id, 421, {{"x-not-executed", "1"}, {"x-request-id", request_id}});
     return;
   }
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -109,6 +109,10 @@
   // Most requests that arrived within a second while the upstream was cold.
   size_t most_while_cold() const { return most_while_cold_; }
   int running() const { return running_; }
+  // When requests arrived for keys that the upstream did not hold.
+  const std::vector<MonotonicTime>& misdirected() const { return misdirected_; }
+  // When releases arrived.
+  const std::vector<MonotonicTime>& releases() const { return releases_; }
   // Number of requests refused because of UpstreamFaults::rest_seconds.
   int refused_requests() const { return refused_requests_; }
   // Number of requests that found slots and queue full.
@@ -172,6 +176,8 @@
   // Expires with this object, so that timers that fire later do not use it.
   std::shared_ptr<char> alive_ = std::make_shared<char>();
   int running_ = 0;
+  std::vector<MonotonicTime> misdirected_;
+  std::vector<MonotonicTime> releases_;
   int refused_requests_ = 0;
   int overruns_ = 0;
   size_t most_held_ = 0;
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -11,6 +11,7 @@
 
 #include "common/ids.h"
 #include "inner/load_reports.h"
+#include "inner/move_messages.h"
 #include "ownership/ownership_table.h"
 
 namespace mimosadeal {
@@ -94,6 +95,7 @@
       MakeSample(RelayCancel{7}),
       MakeSample(room_demand),
       MakeSample(room_loan),
+      MakeSample(MoveNotice{"yard", {{100, 199, "u1", 7}}, 1000, 2}),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
       MakeSample(Hello{"h"}),
