--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -36,6 +36,8 @@
 struct OwnerContention;
 struct OwnerPlaceNotice;
 struct OwnerPlaceRequest;
+struct MoveNotice;
+struct MovingKeys;
 
 struct ZoneCoordinatorOptions {
   std::string host;
@@ -49,6 +51,8 @@
   bool scarce_room = false;
   // See ContendedOwners. Without it no owner counts as contended.
   bool owner_room = false;
+  // Whether moves of keys are announced; see Settings::await_moves.
+  bool await_moves = false;
 };
 
 struct ZoneCoordinatorHandlers {
@@ -59,6 +63,7 @@
   std::function<void(ConnectionId)> on_disconnected;
   // Room that was lent to this host.
   std::function<void(const RoomLoan&)> on_room_loan;
+  std::function<void(const MoveNotice&)> on_move_notice;
   // See LeaseManagerHandlers::may_hold.
   std::function<bool()> may_hold_leases;
 };
@@ -244,6 +249,11 @@
                          ReportScope scope);
   void OnOwnerPlaceRequest(const OwnerPlaceRequest& message);
   void OnOwnerPlaceNotice(const OwnerPlaceNotice& notice);
+  void AnnounceMoves(const std::string& service,
+                     const std::vector<MovingKeys>& keys, Duration lifetime);
+  void OnMoveNotice(const MoveNotice& notice);
+  // Sends the notice on, as far as its scope allows.
+  void Forward(MoveNotice notice);
   void MakeRoomLender(Zone& zone);
   // `address` may be this host's.
   void SendRoomDemand(const std::string& address, const RoomDemand& demand);
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -45,12 +45,13 @@
   kColdPermitRequest = 41,
   kRoomDemand = 42,
   kRoomLoan = 43,
+  kMoveNotice = 44,
   kOwnerContention = 45,
   kOwnerPlaceRequest = 46,
   kOwnerPlaceNotice = 47,
 };
 
-inline constexpr EnumNames<MessageType, 38> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 39> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -86,6 +87,7 @@
     {MessageType::kColdPermitRequest, "cold-permit-request"},
     {MessageType::kRoomDemand, "room-demand"},
     {MessageType::kRoomLoan, "room-loan"},
+    {MessageType::kMoveNotice, "move-notice"},
     {MessageType::kOwnerContention, "owner-contention"},
     {MessageType::kOwnerPlaceRequest, "owner-place-request"},
     {MessageType::kOwnerPlaceNotice, "owner-place-notice"},
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -1,5 +1,7 @@
 #include "inner/messages.h"
 
+#include "inner/move_messages.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -89,6 +91,8 @@
       return Check<OwnerPlaceRequest>(body);
     case MessageType::kOwnerPlaceNotice:
       return Check<OwnerPlaceNotice>(body);
+    case MessageType::kMoveNotice:
+      return Check<MoveNotice>(body);
   }
   return MakeError(ErrorCode::kMalformed, "unknown message type");
 }
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -348,6 +348,7 @@
     case MessageType::kOwnerContention:
     case MessageType::kOwnerPlaceRequest:
     case MessageType::kOwnerPlaceNotice:
+    case MessageType::kMoveNotice:
       // Only hosts that run EntryNode send these. Node ignores them.
       return;
   }
--- a/source/core/settings/setting_table.cc
+++ b/source/core/settings/setting_table.cc
@@ -131,6 +131,10 @@
                 "its contended owners of keys get from all hosts together. "
                 "With platform.protocol = object-store; the same at all "
                 "hosts."},
+    SettingSpec{"requests.await_moves", &Settings::await_moves, "false", 0, 0,
+                "Whether lease holders announce moves of keys, and requests "
+                "wait for the new owner instead of trying the old one. With "
+                "platform.protocol = object-store; the same at all hosts."},
     SettingSpec{"requests.metric_tenants", &Settings::metric_tenants, "50", 0,
                 10000,
                 "Number of tenants with separate metrics; further tenants "
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -60,6 +60,7 @@
   double retry_budget = 0;
   double hedge_share = 0;  // Fraction of a service's requests; 0 if off.
   bool owner_room = false;
+  bool await_moves = false;
   int64_t metric_tenants = 0;
   std::string scheduling;
 
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -11,6 +11,7 @@
 
 #include "common/ids.h"
 #include "inner/load_reports.h"
+#include "inner/move_messages.h"
 #include "ownership/ownership_table.h"
 
 namespace mimosadeal {
@@ -104,6 +105,7 @@
           150000}),
       MakeSample(
           OwnerPlaceNotice{7, "10.1.0.10:7720", "u1", 1, "north", 1, 2, 4, 0}),
+      MakeSample(MoveNotice{"yard", {{100, 199, "u1", 7}}, 1000, 2}),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
       MakeSample(Hello{"h"}),
