--- a/source/core/server/dispatcher.h
+++ b/source/core/server/dispatcher.h
@@ -83,6 +83,9 @@
   size_t ledger_size() const { return ledger_.size(); }
 
  private:
+  // The shortest time after which a refused caller may come again.
+  static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
+
   enum class Stage : uint8_t {
     kAwaitingLedger,  // The shard's ledger is being fetched.
     kDuplicate,       // A request with the same id is running; this one waits
