--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -105,7 +105,7 @@
 }
 
 void KindWatcher::Watch() {
-  batching_ = false;
+  const bool batched = std::exchange(batching_, false);
   const uint64_t call_id = ++call_id_;
   call_sent_at_ = loop_.timers().now();
   // While the store is unreachable, asks for an immediate response: a waiting
@@ -113,7 +113,7 @@
   // delay since the last response is part of the wait, so that a silent
   // connection shows as soon after a change as at other times.
   const Duration delayed =
-      answered_at_ == kNever ? Duration::zero() : call_sent_at_ - answered_at_;
+      batched ? call_sent_at_ - answered_at_ : Duration::zero();
   call_wait_ = reachable_ ? std::max(timing_.wait - delayed, Duration::zero())
                           : Duration::zero();
   store_.Watch(kind_, revision_, call_wait_,
@@ -219,8 +219,7 @@
 }
 
 void KindWatcher::EndBatch() {
-  if (!paused_ && std::exchange(batching_, false))
-    Schedule(Duration::zero(), [this] { Watch(); });
+  if (!paused_ && batching_) Schedule(Duration::zero(), [this] { Watch(); });
 }
 
 void KindWatcher::Apply(const StoredObject& object, const ChangeBound& bound) {
