--- a/source/core/entry/permit_broker_places.cc
+++ b/source/core/entry/permit_broker_places.cc
@@ -214,7 +214,7 @@
                                                   double share) {
   const MonotonicTime now = loop_.timers().now();
   if (!IsContended(state)) return TakeOutcomes(state.queue, now);
-  const std::vector<PermitOutcome> outcomes =
+  std::vector<PermitOutcome> outcomes =
       TakePlaces(state.queue, *state.places, share, now);
   std::erase_if(state.holders, [&state](const auto& holder) {
     return !state.places->in_use.contains(holder.first);
