Fetch the ledger again when tables may have been missed

Cause: a dispatcher took shards for its own without a gap if the last table that it had seen named it. Change: after its lease has ended it fetches every shard's entries from the dispatcher that the table names as the last one.

--- a/source/core/ownership/group_member.cc
+++ b/source/core/ownership/group_member.cc
@@ -90,8 +90,10 @@
   // Limits the lease to the agreed time if the holder's clock is faulty.
   const Duration ttl =
       std::min(Duration(reply.ttl_ns), member.timing.lease_ttl);
-  if (reply.ttl_ns > 0)
-    member.lease_until = std::max(member.lease_until, sent_at + ttl);
+  if (reply.ttl_ns > 0 && sent_at + ttl > member.lease_until) {
+    if (now >= member.lease_until) ++member.lapses;
+    member.lease_until = sent_at + ttl;
+  }
   return effect;
 }
 
--- a/source/core/ownership/group_member.h
+++ b/source/core/ownership/group_member.h
@@ -27,6 +27,8 @@
 
   // End of the lease, counted from before its request was sent.
   MonotonicTime lease_until = kNever;
+  // How many times the lease had ended before it was extended.
+  uint64_t lapses = 0;
   // When the latest reply arrived that extended the lease in the present term.
   MonotonicTime last_extension = kNever;
   // The same for replies of the controller itself, without its standby.
--- a/source/core/server/dispatcher.cc
+++ b/source/core/server/dispatcher.cc
@@ -121,7 +121,10 @@
     upstream.link->Renew(LeaseLeft());
   }
   replication_.OnTable(table_);
-  fetcher_.OnTable(table_);
+  const uint64_t lapses = environment_.member.lapses;
+  fetcher_.OnTable(
+      table_, lapses != lapses_at_table_ || LeaseLeft() <= Duration::zero());
+  lapses_at_table_ = lapses;
   RejectRevokedRequests();
 }
 
--- a/source/core/server/dispatcher.h
+++ b/source/core/server/dispatcher.h
@@ -159,6 +159,7 @@
   Environment environment_;
   std::function<void()> on_change_;
   OwnershipTable table_;
+  uint64_t lapses_at_table_ = 0;  // GroupMember::lapses at the last table.
   Configuration configuration_;
   std::map<std::string, Upstream> upstreams_;
   std::unordered_map<uint64_t, Request> requests_;
--- a/source/core/server/ledger_fetcher.cc
+++ b/source/core/server/ledger_fetcher.cc
@@ -17,7 +17,7 @@
       options_(std::move(options)),
       on_ready_(std::move(on_ready)) {}
 
-void LedgerFetcher::OnTable(const OwnershipTable& table) {
+void LedgerFetcher::OnTable(const OwnershipTable& table, bool lapsed) {
   std::map<ShardId, LedgerReadiness> shards;
   std::map<std::string, std::vector<ShardId>> shards_by_former_dispatcher;
   for (const TableService& service : table.services) {
@@ -28,7 +28,7 @@
         continue;
       const ShardId id{service.name, shard};
       const auto known = shards_.find(id);
-      if (known != shards_.end()) {
+      if (known != shards_.end() && !lapsed) {
         shards.insert(*known);
         continue;
       }
--- a/source/core/server/ledger_fetcher.h
+++ b/source/core/server/ledger_fetcher.h
@@ -40,8 +40,9 @@
                 LedgerFetcherOptions options, std::function<void()> on_ready);
 
   // Starts a fetch for every shard that `table` newly assigns to this
-  // dispatcher.
-  void OnTable(const OwnershipTable& table);
+  // dispatcher. `lapsed`: its lease has ended since the last table, so it may
+  // have missed tables by which another dispatcher served its shards.
+  void OnTable(const OwnershipTable& table, bool lapsed);
   void OnEntries(const LedgerEntries& entries);
 
   LedgerReadiness ReadinessOf(const std::string& service, uint32_t shard,
