--- a/source/core/entry/permit_broker.cc
+++ b/source/core/entry/permit_broker.cc
@@ -6,23 +6,14 @@
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/limit_statement.h"
+#include "entry/permit_timing.h"
 #include "net/event_loop.h"
 
 namespace mimosadeal {
 namespace {
 
-// A datagram and its reply take 4 ms to any zone; a lost one is sent again.
-constexpr Duration kResendInterval = std::chrono::milliseconds(100);
-// For the reply to a request that waited for a permit as long as it may.
-constexpr Duration kReplyTime = std::chrono::milliseconds(100);
-// When it is worth asking again if no host gives permits. A zone gets a new
-// lease holder within 3.5 s.
-constexpr Duration kRetryWithoutGiver = std::chrono::milliseconds(1000);
 // Longer than requests wait for permits; protects against corrupt messages.
 constexpr Duration kMaxWait = std::chrono::seconds(10);
-// From an asker by its lease holder to the upstream's, and one more while a
-// lease changes hands.
-constexpr uint32_t kMaxHops = 3;
 
 }  // namespace
 
@@ -62,7 +53,7 @@
   ask.request.zone = upstream.record.zone;
   ask.request.rank = rank;
   ask.limit = upstream.limit;
-  ask.give_up_at = now + wait + kReplyTime;
+  ask.give_up_at = now + wait + kPermitReplyTime;
   ask.callback = std::move(callback);
   ask.place = place;
   ask.asked_at = now;
@@ -85,15 +76,15 @@
     return;
   }
   PermitRequest request = ask.request;
-  request.wait_ms = static_cast<uint32_t>(
-      std::max<int64_t>(0, ToMilliseconds(ask.give_up_at - kReplyTime - now)));
+  request.wait_ms = static_cast<uint32_t>(std::max<int64_t>(
+      0, ToMilliseconds(ask.give_up_at - kPermitReplyTime - now)));
   request.limit = ToStatement(ask.limit, now);
   const ListedUpstream* listed = view_.directory().Find(request.upstream);
   const Duration cold =
       listed == nullptr ? Duration::zero() : view_.ColdLeft(*listed);
-  ask.timer =
-      loop_.timers().After(std::min(kResendInterval, ask.give_up_at - now),
-                           [this, id] { SendAsk(id); });
+  ask.timer = loop_.timers().After(
+      std::min(kPermitResendInterval, ask.give_up_at - now),
+      [this, id] { SendAsk(id); });
   if (giver.is_self) {
     Decide(request, giver);
   } else {
@@ -135,7 +126,7 @@
     Decide(request, giver);
     return;
   }
-  if (giver.address.empty() || request.hops >= kMaxHops - 1) {
+  if (giver.address.empty() || request.hops >= kMaxPermitHops - 1) {
     Reply({request.upstream, request.incarnation},
           {request.address, request.id}, false, kRetryWithoutGiver);
     return;
--- a/source/core/entry/permit_broker_places.cc
+++ b/source/core/entry/permit_broker_places.cc
@@ -10,6 +10,7 @@
 #include "entry/deployment_view.h"
 #include "entry/limit_statement.h"
 #include "entry/permit_broker.h"
+#include "entry/permit_timing.h"
 #include "inner/owner_room_messages.h"
 #include "net/event_loop.h"
 #include "routing/route_table.h"
@@ -20,11 +21,6 @@
 // A giver that has not answered for this long is taken for lost: two questions
 // or their answers were lost, too.
 constexpr Duration kGiverSilence = std::chrono::milliseconds(250);
-// As PermitBroker's own.
-constexpr Duration kResendInterval = std::chrono::milliseconds(100);
-constexpr Duration kReplyTime = std::chrono::milliseconds(100);
-constexpr Duration kRetryWithoutGiver = std::chrono::milliseconds(1000);
-constexpr uint32_t kMaxHops = 3;
 // Longer than requests wait or run; protects against corrupt messages.
 constexpr Duration kMaxTime = std::chrono::seconds(30);
 // Permits per second where only places bound them. Stated limits are lower.
@@ -50,7 +46,8 @@
   }
   OwnerPlaceRequest message;
   message.request = ask.request;
-  message.request.wait_ms = ToMessageTime(ask.give_up_at - kReplyTime - now);
+  message.request.wait_ms =
+      ToMessageTime(ask.give_up_at - kPermitReplyTime - now);
   message.request.limit = ToStatement(ask.limit, now);
   const ListedUpstream* listed = view_.directory().Find(ask.request.upstream);
   if (listed != nullptr)
@@ -61,9 +58,9 @@
   message.in_time_ms = ToMessageTime(ask.place->in_time - asked);
   message.hold_ms = ToMessageTime(ask.place->hold - asked);
   message.work_us = static_cast<uint32_t>(ToMicroseconds(ask.place->work));
-  ask.timer =
-      loop_.timers().After(std::min(kResendInterval, ask.give_up_at - now),
-                           [this, id] { SendAsk(id); });
+  ask.timer = loop_.timers().After(
+      std::min(kPermitResendInterval, ask.give_up_at - now),
+      [this, id] { SendAsk(id); });
   if (giver.is_self) {
     DecidePlace(message, giver);
   } else {
@@ -88,7 +85,7 @@
     return;
   }
   // Without an answer the asker goes on alone.
-  if (giver.address.empty() || request.hops >= kMaxHops - 1) return;
+  if (giver.address.empty() || request.hops >= kMaxPermitHops - 1) return;
   OwnerPlaceRequest forwarded = message;
   ++forwarded.request.hops;
   handlers_.send_place_request(giver.address, forwarded);
@@ -163,8 +160,9 @@
          {"places", static_cast<uint64_t>(PlaceCount(*state.places, 1, now))}});
   }
   // A request that was under way when its host's mark ended is served as well.
-  state.contended_until = std::max(
-      state.contended_until, now + std::max<Duration>(left, kResendInterval));
+  state.contended_until =
+      std::max(state.contended_until,
+               now + std::max<Duration>(left, kPermitResendInterval));
 }
 
 Duration PermitBroker::TargetOf(const std::string& service) const {
@@ -270,7 +268,7 @@
   }
   const PermitGiver giver = handlers_.find_giver(notice.zone);
   if (!giver.is_self) {
-    if (giver.address.empty() || notice.hops >= kMaxHops - 1) return;
+    if (giver.address.empty() || notice.hops >= kMaxPermitHops - 1) return;
     OwnerPlaceNotice forwarded = notice;
     ++forwarded.hops;
     handlers_.send_notice(giver.address, forwarded);
