--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -15,6 +15,12 @@
 constexpr int kHostNetwork = 3;
 constexpr uint16_t kPort = 18700;
 constexpr int kSlots = 2;
+constexpr int kKeyStep = 7919;
+constexpr int kKeys = 65536;
+constexpr Duration kKeptDeadline = std::chrono::milliseconds(3000);
+// Between an answer and the client's next request; longer after a failure.
+constexpr Duration kKeptPause = std::chrono::milliseconds(20);
+constexpr Duration kKeptPauseAfterFailure = std::chrono::milliseconds(500);
 
 int64_t Milliseconds(MonotonicTime time, MonotonicTime since) {
   return time == kNever ? -1 : ToMilliseconds(time - since);
@@ -36,6 +42,7 @@
 }
 
 SmallDeployment::~SmallDeployment() {
+  kept_clients_.clear();
   hosts_.clear();
   workers_.clear();
   DeploymentUpstream::SetPeers({});
@@ -205,6 +212,59 @@
   return answer;
 }
 
+void SmallDeployment::AddKeptClients(const std::string& host, int count) {
+  for (int i = 0; i < count; ++i) {
+    auto kept = std::make_unique<KeptClient>();
+    kept->host = host;
+    kept->client = std::make_unique<ExchangeClient>(
+        loop_, hosts_.at(host)->callers, kTextLimits);
+    SendKept(*kept);
+    kept_clients_.push_back(std::move(kept));
+  }
+}
+
+void SmallDeployment::SendKept(KeptClient& kept) {
+  auto answer = std::make_shared<ClientAnswer>();
+  const int number = ++next_request_;
+  answer->request_id = "request-" + std::to_string(number);
+  answer->host = kept.host;
+  answer->method = "POST";
+  answer->key = (number * kKeyStep) % kKeys;
+  answer->sent_at = now();
+  answers_.push_back(answer);
+  ExchangeRequest request;
+  request.method = answer->method;
+  request.target = "/hold/" + std::to_string(number);
+  request.timeout = kKeptDeadline;
+  request.headers = {
+      {"host", "lots.example"},
+      {"x-request-id", answer->request_id},
+      {"x-request-deadline-ms", std::to_string(ToMilliseconds(kKeptDeadline))},
+      {"x-shard-key", std::to_string(answer->key)}};
+  kept.client->Start(std::move(request), [this, &kept,
+                                          answer](ExchangeResult result) {
+    const bool received = result.failure == ClientFailure::kNone;
+    answer->status = received ? result.response.status : -1;
+    answer->answered_at = now();
+    const bool ended = result.failure == ClientFailure::kClosed;
+    if (ended && result.reused)
+      ended_unanswered_.push_back(answer->request_id);
+    loop_.timers().After(received ? kKeptPause : kKeptPauseAfterFailure,
+                         [this, &kept] { SendKept(kept); });
+  });
+}
+
+int SmallDeployment::CountLost() const {
+  int lost = 0;
+  for (const UpstreamRun& run : record_.runs) {
+    const bool ended =
+        std::find(ended_unanswered_.begin(), ended_unanswered_.end(),
+                  run.request_id) != ended_unanswered_.end();
+    if (ended && run.began_at != kNever) ++lost;
+  }
+  return lost;
+}
+
 bool SmallDeployment::RunUntil(const std::function<bool()>& done,
                                Duration limit) {
   const MonotonicTime end = now() + limit;
--- a/review/standins-2/small_deployment.h
+++ b/review/standins-2/small_deployment.h
@@ -43,6 +43,14 @@
   std::string body;
 };
 
+// A client that keeps its connection and sends its next request when it has the
+// answer to the one before.
+struct KeptClient {
+  std::string host;
+  std::unique_ptr<ExchangeClient> client;
+  MonotonicTime next_at = kNever;
+};
+
 // Exit codes of a case.
 inline constexpr int kRuleHeld = 0;
 inline constexpr int kRuleBroken = 1;
@@ -76,6 +84,13 @@
                                      const std::string& method,
                                      const std::string& target, int key,
                                      Duration deadline);
+  // Opens clients at the host that send requests that may not be repeated to
+  // the service divided by key, one after the other.
+  void AddKeptClients(const std::string& host, int count);
+  // Number of requests that began at a worker and that were sent on a kept
+  // connection which ended without an answer. All workers of AddWorker are
+  // sound.
+  int CountLost() const;
   bool RunUntil(const std::function<bool()>& done, Duration limit);
   void RunFor(Duration time);
   MonotonicTime now() { return loop_.timers().now(); }
@@ -98,6 +113,7 @@
  private:
   std::string Ip(int network, int number) const;
   void UpdatePeers();
+  void SendKept(KeptClient& kept);
 
   EventLoop loop_;
   std::string daemon_;
@@ -110,6 +126,9 @@
   std::map<std::string, std::unique_ptr<SmallHost>> hosts_;
   std::vector<std::unique_ptr<ExchangeClient>> clients_;
   std::vector<std::shared_ptr<ClientAnswer>> answers_;
+  std::vector<std::unique_ptr<KeptClient>> kept_clients_;
+  // Ids of the requests whose kept connection ended without an answer.
+  std::vector<std::string> ended_unanswered_;
   std::vector<std::string> notes_;
   int next_host_ = 0;
   int next_request_ = 0;
