--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,6 +1,7 @@
-// Two workers send, in place of some of their answers, bytes whose header states
-// an absurd length. Checks that requests of other clients, which sound workers
-// run, are answered. A process that ends is started again, as by the platform.
+// Two workers send, in place of some of their answers, bytes whose header
+// states an absurd length. Checks that requests of other clients, which sound
+// workers run, are answered. A process that ends is started again, as by the
+// platform.
 //
 //   review-2-case-7 DAEMON DIRECTORY RECORD   (TROUBLE=0: sound answers only)
 #include <sys/socket.h>
@@ -168,10 +169,9 @@
     }
     const std::string name = "front-" + zones[next_host++ % zones.size()];
     if (start_at.at(name) == kNever) {
-      answers.push_back(
-          deployment.Send(*deployment.hosts().at(name), "POST",
-                          "/charge/" + std::to_string(answers.size()), -1,
-                          kClientDeadline));
+      answers.push_back(deployment.Send(
+          *deployment.hosts().at(name), "POST",
+          "/charge/" + std::to_string(answers.size()), -1, kClientDeadline));
     }
     deployment.RunFor(kRequestInterval);
   }
--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -132,8 +132,8 @@
     settings << "[host]\nid = \"" << name << "\"\nzone = \"" << zone
              << "\"\ngroup = \"" << zone << "\"\n\n[listen]\ncallers = \""
              << host->callers.ToString() << "\"\nreadiness = \""
-             << host->readiness.ToString() << "\"\noperators = \"" << ip
-             << ":" << kPort + 2 << "\"\ninner = \"" << ip << ":" << kPort + 3
+             << host->readiness.ToString() << "\"\noperators = \"" << ip << ":"
+             << kPort + 2 << "\"\ninner = \"" << ip << ":" << kPort + 3
              << "\"\n\n[platform]\nprotocol = \"object-store\"\naddress = \""
              << SocketAddress{Ip(kStoreNetwork, 1), kPort}.ToString()
              << "\"\nbounds = \"seedLag=3s,reuseAfter=2s,"
@@ -241,17 +241,17 @@
       {"x-request-id", answer->request_id},
       {"x-request-deadline-ms", std::to_string(ToMilliseconds(kKeptDeadline))},
       {"x-shard-key", std::to_string(answer->key)}};
-  kept.client->Start(std::move(request), [this, &kept,
-                                          answer](ExchangeResult result) {
-    const bool received = result.failure == ClientFailure::kNone;
-    answer->status = received ? result.response.status : -1;
-    answer->answered_at = now();
-    const bool ended = result.failure == ClientFailure::kClosed;
-    if (ended && result.reused)
-      ended_unanswered_.push_back(answer->request_id);
-    loop_.timers().After(received ? kKeptPause : kKeptPauseAfterFailure,
-                         [this, &kept] { SendKept(kept); });
-  });
+  kept.client->Start(
+      std::move(request), [this, &kept, answer](ExchangeResult result) {
+        const bool received = result.failure == ClientFailure::kNone;
+        answer->status = received ? result.response.status : -1;
+        answer->answered_at = now();
+        const bool ended = result.failure == ClientFailure::kClosed;
+        if (ended && result.reused)
+          ended_unanswered_.push_back(answer->request_id);
+        loop_.timers().After(received ? kKeptPause : kKeptPauseAfterFailure,
+                             [this, &kept] { SendKept(kept); });
+      });
 }
 
 int SmallDeployment::CountLost() const {
