Review scripts: end the daemons when a case cannot run

Claim: a script that cannot bind an address left the daemons running that it had started; it ends them now.

Evidence: by reading SmallDeployment; no run had left one.

--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -36,7 +36,7 @@
   started_at_ = now();
   auto made =
       DeploymentStore::Start(loop_, SocketAddress{Ip(kStoreNetwork, 1), kPort});
-  if (!made.has_value()) _exit(kCouldNotRun);
+  if (!made.has_value()) GiveUp();
   store_ = std::move(made.value());
   store_->Put("config", "main", Configuration(1));
 }
@@ -99,12 +99,17 @@
   options.work = work;
   options.report_delay = registration_delay;
   auto made = DeploymentUpstream::Start(loop_, *store_, record_, options);
-  if (!made.has_value()) _exit(kCouldNotRun);
+  if (!made.has_value()) GiveUp();
   workers_[id] = std::move(made.value());
   UpdatePeers();
   return *workers_[id];
 }
 
+void SmallDeployment::GiveUp() {
+  hosts_.clear();  // Ends their processes.
+  _exit(kCouldNotRun);
+}
+
 void SmallDeployment::CrashWorker(const std::string& id) {
   workers_.erase(id);
   UpdatePeers();
--- a/review/standins-2/small_deployment.h
+++ b/review/standins-2/small_deployment.h
@@ -113,6 +113,8 @@
  private:
   std::string Ip(int network, int number) const;
   void UpdatePeers();
+  // Ends the case as one that could not run.
+  [[noreturn]] void GiveUp();
   void SendKept(KeptClient& kept);
 
   EventLoop loop_;
