Inner protocol: a forged count takes no memory for missing elements

A message's count of elements was compared with the bytes left, one byte for each, and then all elements were made at once: 8 bytes for each byte of a count of numbers, about 100 for a count of objects. A frame may have 8 MB.

Numbers are now compared with their whole size before anything is allocated, and objects are made one at a time, each after the bytes of the former one. The encoding does not change.

Messages.AForgedCountTakesNoMemoryForElementsThatDoNotCome failed before (100,000 elements were made).

--- a/source/core/inner/wire_archive.h
+++ b/source/core/inner/wire_archive.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
+#include <vector>
 
 namespace mimosadeal {
 
@@ -48,8 +50,7 @@
     rest_.remove_prefix(length);
   }
 
-  // Throws if fewer than `length` bytes are left. Each element takes at least
-  // one byte, so this also limits the number of elements.
+  // Throws if fewer than `length` bytes are left.
   void Require(size_t length) const {
     if (length > rest_.size())
       throw cereal::Exception("a length exceeds the message");
@@ -104,10 +105,30 @@
                                cereal::SizeTag<T>& tag) {
   uint32_t size = 0;
   archive.LoadBytes(&size, sizeof(size));
+  // Each element takes at least one byte.
   archive.Require(size);
   tag.size = size;
 }
 
+// Cereal's own functions for vectors make all elements before they read the
+// first.
+template <typename T, typename Allocator>
+void CEREAL_LOAD_FUNCTION_NAME(WireInputArchive& archive,
+                               std::vector<T, Allocator>& elements) {
+  cereal::size_type count = 0;
+  archive(cereal::make_size_tag(count));
+  elements.clear();
+  if constexpr (std::is_arithmetic_v<T>) {
+    archive.Require(static_cast<size_t>(count) * sizeof(T));
+    elements.reserve(static_cast<size_t>(count));
+  }
+  for (cereal::size_type i = 0; i < count; ++i) {
+    T element{};
+    archive(element);
+    elements.push_back(std::move(element));
+  }
+}
+
 template <typename T>
 void CEREAL_SAVE_FUNCTION_NAME(WireOutputArchive& archive,
                                const cereal::BinaryData<T>& data) {
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -172,6 +172,37 @@
   CHECK_FALSE(DecodeBody<LedgerFetch>(body).has_value());
 }
 
+// An element of a message that counts how many of it were made.
+struct CountedElement {
+  inline static size_t made = 0;
+  std::string text;
+
+  CountedElement() { ++made; }
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(text);
+  }
+};
+
+// Guards against memory for the elements that a forged count states: each takes
+// many times the bytes that the message needs for it.
+TEST(Messages, AForgedCountTakesNoMemoryForElementsThatDoNotCome) {
+  constexpr uint32_t count = 100'000;
+  std::string body;
+  WireOutputArchive out(body);
+  out(count, std::string("only"));
+  body.append(count, '\xFF');
+  std::vector<CountedElement> elements;
+  CountedElement::made = 0;
+  WireInputArchive objects(body);
+  CHECK_THROWS(cereal::Exception, objects(elements));
+  CHECK(CountedElement::made <= 2);
+  std::vector<uint64_t> numbers;
+  WireInputArchive values(body);
+  CHECK_THROWS(cereal::Exception, values(numbers));
+  LONGS_EQUAL(0, numbers.capacity());
+}
+
 // A forged message must not crash a decoder. The sanitizer build also detects
 // accesses beyond its buffers.
 TEST(Messages, RandomBytesNeverCrashADecoder) {
