--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -169,6 +169,16 @@
   CHECK(FindHeader(read.value().headers, "x-other") == "kept");
 }
 
+// Guards against a deadline that overflows and so has passed on arrival.
+TEST(PlatformCaller, AnAbsurdDeadlineIsFarAway) {
+  for (const char* deadline :
+       {"9223372036854775807", "9223372036854775", "100000000"}) {
+    const auto read =
+        ReadCallerRequest(Request({{"x-request-deadline-ms", deadline}}));
+    CHECK(*read.value().time_left == std::chrono::hours(24));
+  }
+}
+
 TEST(PlatformCaller, AnInvalidKeyIsMalformed) {
   for (const char* key : {"65536", "-1", "12a", "9999999999999999999"})
     CHECK_FALSE(ReadCallerRequest(Request({{"x-shard-key", key}})).has_value());
