HTTP: memory for a body follows its bytes, not its stated length

Cause: the parser, in eager mode, goes from the header on to the body although it has noted that the length exceeds the limit, and the library's body type reserves the stated length; nothing catches std::bad_alloc. The check of FeedParser came after that call.

The parser now reads the header by itself, the length is compared with the limit, and only then the body is read. A body's buffer grows with the bytes that have arrived, so lengths within the limit take no memory in advance either. A header limit above 4 GB is no longer cut to 32 bits.

Evidence: the parser alone ended the test program with std::bad_alloc, which rules out the budget for bytes and the connection's buffers.

--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -5,9 +5,10 @@
 #include <bit>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cctype>
 
+#include "net/growing_body.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -65,6 +66,11 @@
   return will_exceed || parser.get().body().size() > max_body_bytes;
 }
 
+uint32_t HeaderLimit(const HttpMessageLimits& limits) {
+  return static_cast<uint32_t>(
+      std::min<size_t>(limits.max_header_bytes, UINT32_MAX));
+}
+
 // Feeds the parser until it needs more input or the message ends, and removes
 // the parsed bytes from `input`. What it leaves there after the header is the
 // begin of a chunk's header or of the trailers, which have the header's limit.
@@ -84,12 +90,15 @@
       continue;
     }
     if (error || used == 0) break;
+    if (ExceedsBodyLimit(parser, limits.max_body_bytes)) break;
+    // An eager parser would go from the header on to the body even if the
+    // stated length exceeds the limit.
+    parser.eager(parser.is_header_done());
   }
   input.erase(0, parsed);
   if (!error && !parser.is_done() && parser.is_header_done() &&
       input.size() > limits.max_header_bytes)
     error = http::error::header_limit;
-  // The parser loses this error if a part of the body comes with the header.
   if (!error && ExceedsBodyLimit(parser, limits.max_body_bytes))
     error = http::error::body_limit;
   if (error == http::error::header_limit || error == http::error::body_limit)
@@ -110,16 +119,15 @@
 }  // namespace
 
 struct HttpRequestParser::Impl {
-  http::request_parser<http::string_body> parser;
+  http::request_parser<GrowingBody> parser;
   HttpMessageLimits limits;
 };
 
 HttpRequestParser::HttpRequestParser(HttpMessageLimits limits)
     : impl_(std::make_unique<Impl>()) {
   impl_->limits = limits;
-  impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+  impl_->parser.header_limit(HeaderLimit(limits));
   impl_->parser.body_limit(limits.max_body_bytes);
-  impl_->parser.eager(true);
 }
 
 HttpRequestParser::~HttpRequestParser() = default;
@@ -170,7 +178,7 @@
 }
 
 struct HttpResponseParser::Impl {
-  http::response_parser<http::string_body> parser;
+  http::response_parser<GrowingBody> parser;
   HttpMessageLimits limits;
 
   // Whether the header, once it is complete, has a status that a response may
@@ -186,9 +194,8 @@
                                        bool head_request)
     : impl_(std::make_unique<Impl>()) {
   impl_->limits = limits;
-  impl_->parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+  impl_->parser.header_limit(HeaderLimit(limits));
   impl_->parser.body_limit(limits.max_body_bytes);
-  impl_->parser.eager(true);
   impl_->parser.skip(head_request);
 }
 
--- a/source/integration_tests/entry_faulty_upstreams_test.cc
+++ b/source/integration_tests/entry_faulty_upstreams_test.cc
@@ -288,6 +288,25 @@
                    900 * 1024);
 }
 
+// Guards against the end of the process that reads a response, with the
+// requests of all its callers, by a stated length that no body has.
+TEST(EntryFaulty, AnAbsurdStatedLengthEndsNoProcess) {
+  const auto odd = StartWithOddUpstream();
+  for (const char* framing : {"content-length: 9223372036854775807\r\n",
+                              "content-length: 18446744073709551615\r\n",
+                              "content-length: 1099511627776\r\n",
+                              "transfer-encoding: chunked\r\n\r\n"
+                              "7fffffffffffffff\r\n"}) {
+    odd->Answer("HTTP/1.1 200 OK", framing);
+    const int before = odd->requests();
+    const CallerResponse response =
+        fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, "one");
+    CheckHostsRun();
+    LONGS_EQUAL_TEXT(before + 1, odd->requests(), framing);
+    LONGS_EQUAL_TEXT(502, response.status, framing);
+  }
+}
+
 // Guards against a status that is none, which callers got as an answer. The
 // upstream may have run the request.
 TEST(EntryFaulty, AStatusThatIsNoneIsNotHandedToCallers) {
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -152,6 +152,59 @@
   CHECK(to_head.Feed(no_body) == ParseState::kDone);
 }
 
+// Guards against memory that is reserved for a stated length before the length
+// is compared with the limit: the allocation failed and ended the process.
+TEST(HttpCodec, AnAbsurdStatedLengthIsRefusedBeforeMemoryIsReserved) {
+  for (const char* length : {"9223372036854775807", "9223372036854775808",
+                             "18446744073709551615", "1099511627776"}) {
+    for (const char* body : {"", "a", "abc"}) {
+      const std::string rest =
+          std::string("content-length: ") + length + "\r\n\r\n" + body;
+      std::string response_text = "HTTP/1.1 200 OK\r\n" + rest;
+      HttpResponseParser response(kLimits, false);
+      CHECK(response.Feed(response_text) == ParseState::kTooLarge);
+      std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + rest;
+      HttpRequestParser request(kLimits);
+      CHECK(request.Feed(request_text) == ParseState::kTooLarge);
+      LONGS_EQUAL(413, request.refusal_status());
+    }
+  }
+}
+
+// Guards against a sender that ends the process by a length within a limit that
+// exceeds the memory: only the bytes that arrived may take memory.
+TEST(HttpCodec, AStatedLengthWithinALargeLimitReservesNoMemory) {
+  constexpr HttpMessageLimits large = {1024, size_t{1} << 62};
+  const std::string rest = "content-length: 4611686018427387904\r\n\r\nabc";
+  std::string response_text = "HTTP/1.1 200 OK\r\n" + rest;
+  HttpResponseParser response(large, false);
+  CHECK(response.Feed(response_text) == ParseState::kNeedMore);
+  CHECK(response.FeedEnd() == ParseState::kMalformed);
+  std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + rest;
+  HttpRequestParser request(large);
+  CHECK(request.Feed(request_text) == ParseState::kNeedMore);
+  CHECK(request.expected_body_bytes() == size_t{1} << 62);
+}
+
+// Guards against a chunk's length that is trusted as a body's was.
+TEST(HttpCodec, AnAbsurdChunkLengthIsRefused) {
+  for (const char* length :
+       {"7fffffffffffffff", "ffffffffffffffff", "10000000000", "41"}) {
+    for (const char* body : {"", "a", "abc"}) {
+      const std::string rest =
+          std::string("transfer-encoding: chunked\r\n\r\n") + length + "\r\n" +
+          body;
+      std::string response_text = "HTTP/1.1 200 OK\r\n" + rest;
+      HttpResponseParser response(kLimits, false);
+      CHECK(response.Feed(response_text) == ParseState::kTooLarge);
+      std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + rest;
+      HttpRequestParser request(kLimits);
+      CHECK(request.Feed(request_text) == ParseState::kTooLarge);
+      LONGS_EQUAL(413, request.refusal_status());
+    }
+  }
+}
+
 TEST(HttpCodec, HopByHopHeadersAreRecognised) {
   CHECK(IsHopByHopHeader("connection"));
   CHECK(IsHopByHopHeader("transfer-encoding"));
