Stored configuration: a patch with fields of other types is malformed

The library's value() throws if a member has another type than its default; a stored record whose patches had such an id or version would have ended each host that reads it (product's own interface). Such a record is refused as unreadable now.

--- a/source/core/configuration/stored_configuration.cc
+++ b/source/core/configuration/stored_configuration.cc
@@ -57,6 +57,16 @@
                    {"document", stored.document}});
 }
 
+namespace {
+
+bool IsPatch(const Json& patch) {
+  return patch.is_object() &&
+         (!patch.contains("id") || patch["id"].is_string()) &&
+         (!patch.contains("version") || patch["version"].is_number_unsigned());
+}
+
+}  // namespace
+
 Result<StoredConfiguration> DecodeStoredConfiguration(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
   const Error malformed = MakeError(ErrorCode::kMalformed,
@@ -70,7 +80,7 @@
   stored.version = json["version"].get<uint64_t>();
   stored.document = json["document"];
   for (const Json& patch : json.value("patches", Json::array())) {
-    if (!patch.is_object()) return malformed;
+    if (!IsPatch(patch)) return malformed;
     stored.patches.push_back(
         {patch.value("id", ""), patch.value("version", uint64_t{0})});
   }
--- a/source/unit_tests/configuration/stored_configuration_test.cc
+++ b/source/unit_tests/configuration/stored_configuration_test.cc
@@ -60,7 +60,9 @@
   for (const char* text :
        {"", "[]", "{}", R"({"version": -1, "document": {}})",
         R"({"version": 1, "document": 3})",
-        R"({"version": 1, "document": {}, "patches": [1]})"}) {
+        R"({"version": 1, "document": {}, "patches": [1]})",
+        R"({"version": 1, "document": {}, "patches": [{"id": 1}]})",
+        R"({"version": 1, "document": {}, "patches": [{"version": ""}]})"}) {
     CHECK_FALSE(DecodeStoredConfiguration(text).has_value());
   }
 }
