Ranges: retired generations outlast the grants that carried them

Cause: the proof that an owner is the same incarnation belongs to its connection, but which generations had gone through it was marked at the grants, by span. A move of a part dropped the mark of the whole range; the rest, with the same generation, had none yet. When the connection broke, nothing was replaced and the proof began anew.

When the proof ends, all generations that the table has assigned until then are retired for this upstream. No grant is sent with a retired generation, and each tick replaces those of the ranges that don't move. This depends on no record of grants, so no order of moves, replies and renewals loses it.

--- a/source/core/entry/key_command_client.h
+++ b/source/core/entry/key_command_client.h
@@ -20,7 +20,8 @@
 struct KeyCommandResult {
   bool replied = false;
   // Commands sent so far may have reached another incarnation of the upstream
-  // than later ones will. Every generation that they granted must be replaced.
+  // than later ones will. Every generation that they granted must be replaced
+  // before the next grant.
   // The log has this field under the same name.
   bool life_unproven = false;
   // The command was written to the connection, so it may take effect.
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -182,6 +182,7 @@
 
 void RangeManager::UpdateService(Service& service) {
   CheckOwners(service);
+  ReplaceRetired(service);
   AdvanceMoves(service);
   RenewGrants(service);
   Balance(service);
@@ -195,6 +196,13 @@
                      });
 }
 
+std::vector<KeySpan> RangeManager::MovingSpans(const Service& service) {
+  std::vector<KeySpan> moving;
+  for (const std::shared_ptr<Move>& move : service.moves)
+    moving.push_back({move->planned.first, move->planned.last});
+  return moving;
+}
+
 void RangeManager::CheckOwners(Service& service) {
   const MonotonicTime now = loop_.timers().now();
   const RangeTable table = *view_.table(service.name);
@@ -258,29 +266,19 @@
 
 void RangeManager::RenewGrants(Service& service) {
   const MonotonicTime now = loop_.timers().now();
-  const RangeTable table = *view_.table(service.name);
-  std::vector<KeySpan> moving;
-  for (const std::shared_ptr<Move>& move : service.moves)
-    moving.push_back({move->planned.first, move->planned.last});
   std::set<GrantKey> current;
-  for (const KeyRange& range : table.ranges) {
-    if (range.zone != options_.zone) continue;
-    const Duration hold = HoldForRange(service, range);
-    if (hold < kMinHold) continue;
-    for (const KeySpan& span :
-         SubtractSpans({range.first, range.last}, moving)) {
-      const GrantKey key{span.first, span.last, range.generation};
-      current.insert(key);
-      Grant& grant = service.grants[key];
-      const bool due = now - grant.sent_at >= options_.renew ||
-                       grant.hold < hold || !grant.acknowledged;
-      if (grant.in_flight || !due) continue;
-      if (now - grant.sent_at < kMinGrantInterval) continue;
-      KeyRange part = range;
-      part.first = span.first;
-      part.last = span.last;
-      SendGrant(service, part, hold);
-    }
+  for (const KeyRange& part : PartsThatStay(
+           *view_.table(service.name), options_.zone, MovingSpans(service))) {
+    const Duration hold = HoldForRange(service, part);
+    if (hold < kMinHold || IsRetired(service.retired, part)) continue;
+    const GrantKey key{part.first, part.last, part.generation};
+    current.insert(key);
+    const Grant& grant = service.grants[key];
+    const bool due = now - grant.sent_at >= options_.renew ||
+                     grant.hold < hold || !grant.acknowledged;
+    if (grant.in_flight || !due) continue;
+    if (now - grant.sent_at < kMinGrantInterval) continue;
+    SendGrant(service, part, hold);
   }
   std::erase_if(service.grants, [&current](const auto& entry) {
     return !current.contains(entry.first);
@@ -295,6 +293,7 @@
   return running_ && lease_.active() && service != nullptr &&
          service->grants.contains(
              {range.first, range.last, range.generation}) &&
+         !IsRetired(service->retired, range) &&
          !IsMoving(*service, range.first, range.last);
 }
 
@@ -336,7 +335,6 @@
       service->grants.find({range.first, range.last, range.generation});
   if (found != service->grants.end()) {
     found->second.in_flight = false;
-    found->second.written |= result.replied || result.written;
     found->second.sent_at = std::max(found->second.sent_at, sent_at);
   }
   if (result.dropped) return;
@@ -357,9 +355,11 @@
                            {"life_unproven", result.life_unproven},
                            {"status", result.reply.status}});
     }
-    if (result.life_unproven)
-      RaiseGenerations(*service, range_owner,
-                       "the upstream may have restarted");
+    // The connection served the grants of all the owner's ranges.
+    if (result.life_unproven) {
+      RetireGenerations(service->retired, range_owner.id, *view_.table(name));
+      ReplaceRetired(*service);
+    }
     return;
   }
   if (state.silent_since != kNever) {
@@ -390,8 +390,8 @@
     state.replaced = true;
     holds_.OnEnded(range_owner);
   } else if (result.reply.outcome == CommandOutcome::kFenced) {
-    RaiseGeneration(*service, range,
-                    "the upstream has seen a higher generation");
+    ReplaceGeneration(*service, range,
+                      "the upstream has seen a higher generation");
   }
 }
 
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -134,8 +134,9 @@
   // at a time.
   void EvacuateZone(Service& service, RangeTable& planned);
   void Balance(Service& service);
-  void StartMove(Service& service, const PlannedMove& planned,
-                 const char* reason);
+  // Returns null if a part of the keys is moving already.
+  std::shared_ptr<Move> StartMove(Service& service, const PlannedMove& planned,
+                                  const char* reason);
   void AdvanceMoves(Service& service);
   // Writes the table when it is time; see NextTableWrite.
   void ScheduleTableWrite(Service& service);
@@ -150,13 +151,16 @@
                       const std::vector<std::shared_ptr<Move>>& moves,
                       Result<StoredObject> written);
   bool IsMoving(const Service& service, int first, int last) const;
+  static std::vector<KeySpan> MovingSpans(const Service& service);
   // Logs an error and returns nothing if the object is malformed.
   std::optional<RangeTable> DecodeTable(const StoredObject& object);
-  void RaiseGenerations(Service& service,
-                        const UpstreamIncarnation& range_owner,
-                        const char* reason);
-  void RaiseGeneration(Service& service, const KeyRange& range,
-                       const char* reason);
+  // Replaces the retired generations of the zone's ranges, except where their
+  // keys are moving: those get new ones with the move.
+  void ReplaceRetired(Service& service);
+  // Gives the range, or a part of one, to its owner again with a new
+  // generation. Does nothing if a part of it is moving.
+  void ReplaceGeneration(Service& service, const KeyRange& part,
+                         const char* reason);
   Duration CurrentHold() const;
   Duration HoldForRange(const Service& service, const KeyRange& range) const;
   // Whether the upstream may not respond to grants.
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -51,11 +51,11 @@
   }
 }
 
-void RangeManager::StartMove(Service& service, const PlannedMove& planned,
-                             const char* reason) {
-  if (IsMoving(service, planned.first, planned.last)) return;
+std::shared_ptr<RangeManager::Move> RangeManager::StartMove(
+    Service& service, const PlannedMove& planned, const char* reason) {
+  if (IsMoving(service, planned.first, planned.last)) return nullptr;
   const KeyRange* range = FindRange(*view_.table(service.name), planned.first);
-  if (range == nullptr) return;
+  if (range == nullptr) return nullptr;
   auto move = std::make_shared<Move>();
   move->planned = planned;
   move->from = {range->owner, range->owner_incarnation};
@@ -69,6 +69,7 @@
                                        {"to", planned.to.id},
                                        {"generation", range->generation},
                                        {"reason", reason}});
+  return move;
 }
 
 void RangeManager::AdvanceMoves(Service& service) {
@@ -236,44 +237,22 @@
   RenewGrants(*service);
 }
 
-// A lost connection is reported only with the next command, whichever range
-// that is for. So the generations of all ranges are raised whose grants the
-// upstream may have received, that is, which were written to the connection.
-void RangeManager::RaiseGenerations(Service& service,
-                                    const UpstreamIncarnation& range_owner,
-                                    const char* reason) {
-  const RangeTable& table = *view_.table(service.name);
-  std::vector<KeyRange> parts;
-  for (const auto& [key, grant] : service.grants) {
-    const auto& [first, last, generation] = key;
-    const KeyRange* range = FindRange(table, first);
-    if (!grant.written || range == nullptr || range->owner != range_owner.id ||
-        range->owner_incarnation != range_owner.incarnation ||
-        range->generation != generation) {
-      continue;
-    }
-    parts.push_back(*range);
-    parts.back().first = first;
-    parts.back().last = last;
+void RangeManager::ReplaceRetired(Service& service) {
+  for (const KeyRange& part : PartsThatStay(
+           *view_.table(service.name), options_.zone, MovingSpans(service))) {
+    if (IsRetired(service.retired, part))
+      ReplaceGeneration(service, part, "the upstream may have restarted");
   }
-  for (const KeyRange& part : parts) RaiseGeneration(service, part, reason);
 }
 
-void RangeManager::RaiseGeneration(Service& service, const KeyRange& range,
-                                   const char* reason) {
-  const PlannedMove regrant{
-      range.first,
-      range.last,
-      range.owner,
-      {range.owner, range.owner_incarnation, range.zone, 1}};
-  StartMove(service, regrant, reason);
-  for (const std::shared_ptr<Move>& move : service.moves) {
-    if (move->planned.first == range.first &&
-        move->planned.last == range.last &&
-        move->planned.to.id == range.owner) {
-      move->released = true;
-    }
-  }
+void RangeManager::ReplaceGeneration(Service& service, const KeyRange& part,
+                                     const char* reason) {
+  const PlannedMove regrant{part.first,
+                            part.last,
+                            part.owner,
+                            {part.owner, part.owner_incarnation, part.zone, 1}};
+  const auto move = StartMove(service, regrant, reason);
+  if (move != nullptr) move->released = true;
 }
 
 void RangeManager::Balance(Service& service) {
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "entry/range_manager.h"
+#include "ranges/retired_generations.h"
 #include "ranges/table_write_timing.h"
 
 namespace mimosadeal {
@@ -30,8 +31,6 @@
   Duration hold{};
   bool in_flight = false;
   bool acknowledged = false;
-  // It was written to the connection, so the upstream may have received it.
-  bool written = false;
 };
 
 struct RangeManager::Move {
@@ -66,6 +65,8 @@
   std::map<GrantKey, Grant> grants;
   std::map<UpstreamIncarnation, OwnerState> owners;
   std::vector<std::shared_ptr<Move>> moves;
+  // Invariant: no grant is sent with a retired generation.
+  RetiredGenerations retired;
   bool evacuation_logged = false;  // For the present evacuation of the zone.
 };
 
