Ranges: a late refusal of a grant moves nothing

An upstream refuses a grant whose generation is below one that it has seen. The refusal starts a move of the range to its owner with a new generation, without a release, as the owner has the keys. If the range had moved to another owner meanwhile, as a whole, that move took it from the next owner, which still held the keys: two holders of a range.

The generation is replaced only while the table gives the keys the very one that was refused.

--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -158,7 +158,8 @@
   // keys are moving: those get new ones with the move.
   void ReplaceRetired(Service& service);
   // Gives the range, or a part of one, to its owner again with a new
-  // generation. Does nothing if a part of it is moving.
+  // generation. Does nothing if a part of it is moving, or if the table has
+  // given it a newer generation.
   void ReplaceGeneration(Service& service, const KeyRange& part,
                          const char* reason);
   Duration CurrentHold() const;
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -247,6 +247,8 @@
 
 void RangeManager::ReplaceGeneration(Service& service, const KeyRange& part,
                                      const char* reason) {
+  // The reply to a grant may come after the range has moved.
+  if (!IsInForce(*view_.table(service.name), part)) return;
   const PlannedMove regrant{part.first,
                             part.last,
                             part.owner,
--- a/source/core/ranges/range_table.cc
+++ b/source/core/ranges/range_table.cc
@@ -66,6 +66,12 @@
   return after == table.ranges.begin() ? nullptr : &*std::prev(after);
 }
 
+bool IsInForce(const RangeTable& table, const KeyRange& part) {
+  const KeyRange* range = FindRange(table, part.first);
+  return range != nullptr && range->generation == part.generation &&
+         range->last >= part.last;
+}
+
 void AssignPart(RangeTable& table, const KeyRange& part) {
   std::vector<KeyRange> ranges;
   ranges.reserve(table.ranges.size() + 2);
--- a/source/core/ranges/range_table.h
+++ b/source/core/ranges/range_table.h
@@ -47,6 +47,10 @@
 // Returns the range that holds `key`, or null when the table is empty.
 const KeyRange* FindRange(const RangeTable& table, int key);
 
+// Whether the table gives the keys of `part`, a range of this or of an earlier
+// table or a part of one, the generation of `part` and so its owner.
+bool IsInForce(const RangeTable& table, const KeyRange& part);
+
 // Replaces the keys of `part` by that range, splitting the ranges that it
 // overlaps.
 void AssignPart(RangeTable& table, const KeyRange& part);
--- a/source/integration_tests/entry_generations_test.cc
+++ b/source/integration_tests/entry_generations_test.cc
@@ -6,14 +6,21 @@
 #include <string>
 
 #include "entry_fixture.h"
+#include "ranges/range_table.h"
 
 namespace mimosadeal {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // A restarted upstream registers this long after it accepts commands.
 constexpr Duration kReportDelay = seconds(3);
+// Longer than a move takes from the report that its owner leaves, and shorter
+// than a host waits for the reply to a grant.
+constexpr Duration kGrantDelay = milliseconds(500);
+constexpr int kRanges = 32;
+constexpr int kKeysOfRange = 65536 / kRanges;
 
 class EntryGenerationsTest : public EntryTest {
  public:
@@ -34,6 +41,17 @@
     return false;
   }
 
+  // Returns a key that two upstreams hold now, or -1.
+  int KeyWithTwoHolders() {
+    for (int key = 0; key <= kLastKey; key += kKeysOfRange / 2) {
+      int holders = 0;
+      for (const auto& [id, upstream] : fixture.upstreams)
+        holders += upstream->Holds(key) ? 1 : 0;
+      if (holders > 1) return key;
+    }
+    return -1;
+  }
+
   // Starts the upstream again under its id and address.
   void Restart(const std::string& id) {
     DeploymentUpstreamOptions options = fixture.upstreams.at(id)->options();
@@ -41,6 +59,27 @@
     fixture.CrashUpstream(id);
     fixture.AddUpstream(options, id.back() - '0');
   }
+
+  // Starts the default deployment with many ranges, which alternate between
+  // the four owners.
+  void StartWithManyRanges(int hosts) {
+    fixture.AddDefaultUpstreams();
+    RangeTable table;
+    for (int i = 0; i < kRanges; ++i) {
+      const std::string owner = "yard-" + std::to_string(i % 4 + 1);
+      const DeploymentUpstream& upstream = *fixture.upstreams.at(owner);
+      KeyRange range;
+      range.first = i * kKeysOfRange;
+      range.last = range.first + kKeysOfRange - 1;
+      range.owner = owner;
+      range.owner_incarnation = upstream.incarnation();
+      range.zone = upstream.options().zone;
+      range.generation = ++table.last_generation;
+      table.ranges.push_back(range);
+    }
+    fixture.store->Put("range-tables", "yard", EncodeRangeTable(table));
+    fixture.StartHosts(hosts);
+  }
 };
 
 TEST_GROUP_BASE(EntryGenerations, EntryGenerationsTest){};
@@ -62,5 +101,27 @@
   fixture.CheckRecord();
 }
 
+// Guards against a refusal of a late grant that takes a range back to its
+// former owner although another upstream holds it by then.
+TEST(EntryGenerations, ALateRefusalOfAGrantTakesNoKeysFromTheNextOwner) {
+  StartWithManyRanges(2);
+  DeploymentUpstream& owner = *fixture.upstreams.at("yard-1");
+  owner.faults().grant_delay = kGrantDelay;
+  fixture.RunFor(seconds(1));
+  // The range of the grant that has just arrived moves before it is refused.
+  const int before = owner.grants();
+  CHECK(fixture.RunUntil([&] { return owner.grants() > before; }, seconds(3)));
+  owner.Report("draining");
+  CHECK(fixture.RunUntil(
+      [this] { return Logged("grant.rejected", "upstream", "yard-1"); },
+      seconds(3)));
+  owner.faults().grant_delay = {};
+  CHECK_FALSE(fixture.RunUntil([this] { return KeyWithTwoHolders() >= 0; },
+                               seconds(4)));
+  LONGS_EQUAL(-1, OwnedKey("yard-1"));
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/standins/deployment_upstream.cc
+++ b/source/standins/deployment_upstream.cc
@@ -216,7 +216,22 @@
 }
 
 void DeploymentUpstream::OnGrant(ExchangeId id, const std::string& body) {
+  ++grants_;
   if (faults_.ignore_grants) return;
+  const MonotonicTime now = loop_.timers().now();
+  if (faults_.grant_delay <= Duration::zero()) {
+    ApplyGrant(id, body, now);
+    return;
+  }
+  loop_.timers().After(
+      faults_.grant_delay,
+      [this, id, body, now, alive = std::weak_ptr<char>(alive_)] {
+        if (!alive.expired()) ApplyGrant(id, body, now);
+      });
+}
+
+void DeploymentUpstream::ApplyGrant(ExchangeId id, const std::string& body,
+                                    MonotonicTime arrived_at) {
   const auto command = nlohmann::json::parse(body, nullptr, false);
   const int first = command["from"].get<int>();
   const int last = command["target"].get<int>();
@@ -248,9 +263,8 @@
     const bool inside = it->first >= first && it->second.last <= last;
     it = inside ? holds_.erase(it) : std::next(it);
   }
-  holds_[first] = {
-      last, generation,
-      loop_.timers().now() + std::chrono::milliseconds(std::stoll(hold))};
+  holds_[first] = {last, generation,
+                   arrived_at + std::chrono::milliseconds(std::stoll(hold))};
   Respond(id, 200, {});
 }
 
--- a/source/standins/deployment_upstream.h
+++ b/source/standins/deployment_upstream.h
@@ -68,6 +68,8 @@
   int requests_to_ignore = 0;
   // Neither applies grants nor responds to them.
   bool ignore_grants = false;
+  // Applies grants, or refuses them, this long after their arrival.
+  Duration grant_delay{};
   // Neither applies releases nor responds to them.
   bool ignore_releases = false;
   // Crashes on a request whose target contains "poison".
@@ -113,6 +115,8 @@
   const std::vector<MonotonicTime>& misdirected() const { return misdirected_; }
   // When releases arrived.
   const std::vector<MonotonicTime>& releases() const { return releases_; }
+  // Number of grants that arrived.
+  int grants() const { return grants_; }
   // Number of requests refused because of UpstreamFaults::rest_seconds.
   int refused_requests() const { return refused_requests_; }
   // Number of requests that found slots and queue full.
@@ -146,6 +150,8 @@
   void OnRequest(ExchangeId id, HttpRequest&& request);
   void OnAbandoned(ExchangeId id);
   void OnGrant(ExchangeId id, const std::string& body);
+  void ApplyGrant(ExchangeId id, const std::string& body,
+                  MonotonicTime arrived_at);
   void OnRelease(ExchangeId id, const std::string& body);
   void OnCallerRequest(ExchangeId id, HttpRequest&& request);
   void StartNext();
@@ -178,6 +184,7 @@
   int running_ = 0;
   std::vector<MonotonicTime> misdirected_;
   std::vector<MonotonicTime> releases_;
+  int grants_ = 0;
   int refused_requests_ = 0;
   int overruns_ = 0;
   size_t most_held_ = 0;
