Callers: an input gives back the memory of a body it received

Cause: such bytes wait in the connection's input. The parser erased them from the string, which kept its capacity, and the budget counted its size.

EntryCrowds.BodiesBehindAnotherRequest... failed in 2 of 2 runs and HttpCodec.AParsedBodyLeavesNoMemory... in 1 of 1 before; both pass.

--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -23,6 +23,12 @@
 // A connection that has been idle for less may be about to carry a request.
 constexpr Duration kMinIdleToClose = std::chrono::seconds(1);
 
+// The memory that an input takes. That of a small one is not counted.
+size_t InputBytes(const std::string& input) {
+  return input.capacity() > kMaxKeptInputBytes ? input.capacity()
+                                               : input.size();
+}
+
 }  // namespace
 
 std::string_view PressureActionName(PressureAction action) {
@@ -52,10 +58,10 @@
 
 bool ExchangeServer::HoldRequest(Connection& connection) {
   if (budget_ == nullptr) return true;
-  const size_t wanted =
-      connection.input.size() + (connection.parser->header_done()
-                                     ? connection.parser->expected_body_bytes()
-                                     : 0);
+  const size_t wanted = InputBytes(connection.input) +
+                        (connection.parser->header_done()
+                             ? connection.parser->expected_body_bytes()
+                             : 0);
   ByteHold& hold = *connection.request_hold;
   if (wanted <= hold.bytes() ||
       MakeRoom(connection, ByteUse::kRequestBodies, hold.bytes(), wanted)) {
@@ -71,7 +77,7 @@
 bool ExchangeServer::HoldPipelined(Connection& connection) {
   if (budget_ == nullptr) return true;
   ByteHold& hold = *connection.request_hold;
-  const size_t wanted = connection.input.size();
+  const size_t wanted = InputBytes(connection.input);
   if (MakeRoom(connection, ByteUse::kRequestBodies, hold.bytes(), wanted)) {
     hold.Set(wanted);
     return true;
--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -66,6 +66,14 @@
   return will_exceed || parser.get().body().size() > max_body_bytes;
 }
 
+// Removes the first bytes, and gives back the memory that a received body took.
+void RemoveParsed(std::string& input, size_t parsed) {
+  input.erase(0, parsed);
+  if (input.capacity() > kMaxKeptInputBytes &&
+      input.size() <= input.capacity() / 2)
+    input.shrink_to_fit();
+}
+
 uint32_t HeaderLimit(const HttpMessageLimits& limits) {
   return static_cast<uint32_t>(
       std::min<size_t>(limits.max_header_bytes, UINT32_MAX));
@@ -95,7 +103,7 @@
     // stated length exceeds the limit.
     parser.eager(parser.is_header_done());
   }
-  input.erase(0, parsed);
+  RemoveParsed(input, parsed);
   if (!error && !parser.is_done() && parser.is_header_done() &&
       input.size() > limits.max_header_bytes)
     error = http::error::header_limit;
--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -41,6 +41,8 @@
 // More than the connections that a host with kHostDescriptors accepts.
 constexpr int kSilentSenders = 200;
 constexpr Duration kCrowdTime = seconds(6);
+// Between callers that send two requests at once.
+constexpr Duration kPipelineInterval = milliseconds(200);
 
 constexpr Duration kPumpInterval = milliseconds(2);
 constexpr size_t kPieceBytes = 64 * 1024;
@@ -310,6 +312,24 @@
   CheckHostHolds();
 }
 
+// Guards against connections that keep the memory of a body that was received
+// while their former request waited for its response.
+TEST(EntryCrowds, BodiesBehindAnotherRequestDoNotExhaustTheHost) {
+  StartDeployment(milliseconds(150), 10);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  const std::string length =
+      "content-length: " + std::to_string(kMaxBodyBytes) + "\r\n";
+  for (int i = 0; i < kSenders; ++i) {
+    crowd.Add({"content-length: 1\r\n",
+               "x" + RequestHead("POST", "/charge/behind", length),
+               kMaxBodyBytes});
+    fixture.RunFor(kPipelineInterval);
+  }
+  fixture.RunFor(seconds(1));
+  CHECK(large_->responses() > kSenders);
+  CheckHostHolds();
+}
+
 // Guards against trailers that count against no limit of their own.
 TEST(EntryCrowds, TrailersWithoutEndDoNotExhaustTheHost) {
   StartDeployment(milliseconds(20), 10);
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -205,6 +205,20 @@
   }
 }
 
+// Guards against an input that keeps the memory of a body which it received as
+// a whole: no budget counts it.
+TEST(HttpCodec, AParsedBodyLeavesNoMemoryInTheInput) {
+  constexpr size_t body_bytes = size_t{4} * 1024 * 1024;
+  const std::string next = "GET / HTTP/1.1\r\n";
+  std::string text = "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: " +
+                     std::to_string(body_bytes) + "\r\n\r\n" +
+                     std::string(body_bytes, 'x') + next;
+  HttpRequestParser parser({1024, body_bytes});
+  CHECK(parser.Feed(text) == ParseState::kDone);
+  STRCMP_EQUAL(next.c_str(), text.c_str());
+  CHECK(text.capacity() < body_bytes / 16);
+}
+
 TEST(HttpCodec, HopByHopHeadersAreRecognised) {
   CHECK(IsHopByHopHeader("connection"));
   CHECK(IsHopByHopHeader("transfer-encoding"));
