--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -357,7 +357,12 @@
     }
     // The connection served the grants of all the owner's ranges.
     if (result.life_unproven) {
-      RetireGenerations(service->retired, range_owner.id, *view_.table(name));
+      const RangeTable& table = *view_.table(name);
+      RetireGenerations(service->retired, range_owner.id, table);
+      log_.LogStateChange("generations.retired",
+                          {{"service", name},
+                           {"upstream", range_owner.id},
+                           {"up_to", table.last_generation}});
       ReplaceRetired(*service);
     }
     return;
