Ranges: retire the generations that were sent, not all assigned

Each lost connection replaced the generations of all the owner's ranges, also of those that had just been replaced and not been sent since. Retired are now those up to the highest that was sent to the upstream; ranges are granted in the order of their generations, so the rest stays above it.

It stays because it replaces less.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -314,6 +314,7 @@
       listed->record, command, kGrantTimeout,
       [this, range_owner, hold, sent_at, name = service.name, range] {
         if (!MaySendGrant(name, range)) return false;
+        NoteGrantSent(Find(name)->retired, range.owner, range.generation);
         *sent_at = loop_.timers().now();
         holds_.OnSent(range_owner, *sent_at, hold);
         return true;
@@ -357,12 +358,11 @@
     }
     // The connection served the grants of all the owner's ranges.
     if (result.life_unproven) {
-      const RangeTable& table = *view_.table(name);
-      RetireGenerations(service->retired, range_owner.id, table);
-      log_.LogStateChange("generations.retired",
-                          {{"service", name},
-                           {"upstream", range_owner.id},
-                           {"up_to", table.last_generation}});
+      const uint64_t up_to =
+          RetireGenerations(service->retired, range_owner.id);
+      log_.LogStateChange(
+          "generations.retired",
+          {{"service", name}, {"upstream", range_owner.id}, {"up_to", up_to}});
       ReplaceRetired(*service);
     }
     return;
--- a/source/core/net/growing_body.h
+++ b/source/core/net/growing_body.h
@@ -36,7 +36,7 @@
   using value_type = std::string;
 
   // Implements the BodyReader requirements of Boost.Beast.
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool is_request, class Fields>
     reader(boost::beast::http::header<is_request, Fields>& /*header*/,
--- a/source/core/ranges/retired_generations.cc
+++ b/source/core/ranges/retired_generations.cc
@@ -4,15 +4,23 @@
 
 namespace mimosadeal {
 
-void RetireGenerations(RetiredGenerations& retired, const std::string& upstream,
-                       const RangeTable& table) {
-  uint64_t& highest = retired.highest[upstream];
-  highest = std::max(highest, table.last_generation);
+void NoteGrantSent(RetiredGenerations& retired, const std::string& upstream,
+                   uint64_t generation) {
+  uint64_t& highest = retired.upstreams[upstream].highest_sent;
+  highest = std::max(highest, generation);
+}
+
+uint64_t RetireGenerations(RetiredGenerations& retired,
+                           const std::string& upstream) {
+  RetiredGenerations::Upstream& known = retired.upstreams[upstream];
+  known.highest_retired = known.highest_sent;
+  return known.highest_retired;
 }
 
 bool IsRetired(const RetiredGenerations& retired, const KeyRange& range) {
-  const auto found = retired.highest.find(range.owner);
-  return found != retired.highest.end() && range.generation <= found->second;
+  const auto found = retired.upstreams.find(range.owner);
+  return found != retired.upstreams.end() &&
+         range.generation <= found->second.highest_retired;
 }
 
 std::vector<KeyRange> PartsThatStay(const RangeTable& table,
--- a/source/core/ranges/retired_generations.h
+++ b/source/core/ranges/retired_generations.h
@@ -3,9 +3,9 @@
 // When it is uncertain whether the next command to an upstream reaches the
 // incarnation that received the commands before (see IncarnationProof), each
 // generation that those commands may have granted must be replaced before the
-// next grant. Generations are assigned in ascending order, so they are at most
-// the last one that the table assigned until then. That bound holds however
-// moves have split the ranges since, and for grants whose replies were lost.
+// next grant. They are at most the highest one that was sent. That bound holds
+// however moves have split the ranges since, and for grants whose replies were
+// lost.
 #pragma once
 
 #include <cstdint>
@@ -20,13 +20,20 @@
 // Of one service, for as long as one host holds the lease of the upstreams'
 // zone. The next holder replaces all generations when it claims the table.
 struct RetiredGenerations {
-  // By the upstream's id: the highest generation that it must not be granted.
-  std::map<std::string, uint64_t> highest;
+  struct Upstream {
+    uint64_t highest_sent = 0;
+    uint64_t highest_retired = 0;  // Must not be granted, nor any below.
+  };
+  std::map<std::string, Upstream> upstreams;  // By id.
 };
 
-// Retires all generations of `upstream` that `table` has assigned.
-void RetireGenerations(RetiredGenerations& retired, const std::string& upstream,
-                       const RangeTable& table);
+// Records that a grant with this generation may have left for the upstream.
+void NoteGrantSent(RetiredGenerations& retired, const std::string& upstream,
+                   uint64_t generation);
+
+// Retires all generations that were sent to the upstream. Returns the highest.
+uint64_t RetireGenerations(RetiredGenerations& retired,
+                           const std::string& upstream);
 
 // Whether the range's owner must not be granted its generation.
 bool IsRetired(const RetiredGenerations& retired, const KeyRange& range);
--- a/source/unit_tests/ranges/grant_sequences_test.cc
+++ b/source/unit_tests/ranges/grant_sequences_test.cc
@@ -119,7 +119,10 @@
   Append(text, static_cast<uint64_t>(connected_to));
   Append(text, in_flight);
   Append(text, late);
-  for (const auto& [upstream, highest] : retired.highest) Append(text, highest);
+  for (const auto& [id, upstream] : retired.upstreams) {
+    Append(text, upstream.highest_sent);
+    Append(text, upstream.highest_retired);
+  }
   text += '|';
   for (const auto& [first, last, generation] : marks) {
     Append(text, static_cast<uint64_t>(first * kKeys + last));
@@ -185,7 +188,7 @@
 void OnLifeUnproven(Model& model, Variant variant) {
   ResetProof(model.proof);
   if (variant != Variant::kMarksSpans)
-    RetireGenerations(model.retired, kRestarting, model.table);
+    RetireGenerations(model.retired, kRestarting);
   for (const KeyRange& part :
        PartsThatStay(model.table, kZone, MovingSpans(model))) {
     const bool marked =
@@ -231,6 +234,7 @@
     model.connected_to = model.incarnation;
   }
   model.in_flight = ModelGrant{parts[index], model.connected_to};
+  NoteGrantSent(model.retired, kRestarting, parts[index].generation);
 }
 
 void DeliverGrant(Model& model) {
