Tests: share the table of many ranges, the exploration and a check

Read as a newcomer: the deployment with many ranges stood in two tests, the exploration of a model's states in two, and the check of refused lengths in two of HttpCodec; each stands once now. No check or bound changes. The exploration ends at the first violation in both tests; only those that expect one meet it.

--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <sstream>
 
+#include "ranges/range_table.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -259,6 +261,27 @@
   StartHosts(count);
 }
 
+void EntryFixture::StartWithManyRanges(int count) {
+  constexpr int owners = 4;
+  AddDefaultUpstreams();
+  RangeTable table;
+  for (int first = 0; first <= kLastKey; first += kKeysOfManyRanges) {
+    const int owner = first / kKeysOfManyRanges % owners + 1;
+    const DeploymentUpstream& upstream =
+        *upstreams.at("yard-" + std::to_string(owner));
+    KeyRange range;
+    range.first = first;
+    range.last = first + kKeysOfManyRanges - 1;
+    range.owner = upstream.options().id;
+    range.owner_incarnation = upstream.incarnation();
+    range.zone = upstream.options().zone;
+    range.generation = ++table.last_generation;
+    table.ranges.push_back(range);
+  }
+  store->Put("range-tables", "yard", EncodeRangeTable(table));
+  StartHosts(count);
+}
+
 void EntryFixture::AddDefaultUpstreams() {
   store->Put("config", "main", Configuration(1));
   for (int i = 1; i <= 4; ++i) {
--- a/source/integration_tests/entry_fixture.h
+++ b/source/integration_tests/entry_fixture.h
@@ -81,6 +81,9 @@
   // Starts four keyed upstreams, two others and `hosts` hosts in two zones.
   // Waits until every host is ready and every key has an owner.
   void StartDefaultDeployment(int hosts);
+  // The same with many ranges of equal length, which alternate between the four
+  // keyed upstreams.
+  void StartWithManyRanges(int hosts);
   void AddDefaultUpstreams();
   // Starts hosts in the two zones alternately. Waits until every host is ready
   // and every key has an owner.
@@ -146,6 +149,9 @@
   std::vector<std::unique_ptr<ExchangeClient>> clients_;
 };
 
+// The length, in keys, of each range of StartWithManyRanges.
+inline constexpr int kKeysOfManyRanges = 2048;
+
 // How long upstreams are cold after their start, and how many requests may
 // reach a cold one within a second: this multiple of its rate, plus a number.
 inline constexpr Duration kColdTime = std::chrono::seconds(3);
--- a/source/integration_tests/entry_generations_test.cc
+++ b/source/integration_tests/entry_generations_test.cc
@@ -19,8 +19,6 @@
 // Longer than a move takes from the report that its owner leaves, and shorter
 // than a host waits for the reply to a grant.
 constexpr Duration kGrantDelay = milliseconds(500);
-constexpr int kRanges = 32;
-constexpr int kKeysOfRange = 65536 / kRanges;
 
 class EntryGenerationsTest : public EntryTest {
  public:
@@ -43,7 +41,7 @@
 
   // Returns a key that two upstreams hold now, or -1.
   int KeyWithTwoHolders() {
-    for (int key = 0; key <= kLastKey; key += kKeysOfRange / 2) {
+    for (int key = 0; key <= kLastKey; key += kKeysOfManyRanges / 2) {
       int holders = 0;
       for (const auto& [id, upstream] : fixture.upstreams)
         holders += upstream->Holds(key) ? 1 : 0;
@@ -59,27 +57,6 @@
     fixture.CrashUpstream(id);
     fixture.AddUpstream(options, id.back() - '0');
   }
-
-  // Starts the default deployment with many ranges, which alternate between
-  // the four owners.
-  void StartWithManyRanges(int hosts) {
-    fixture.AddDefaultUpstreams();
-    RangeTable table;
-    for (int i = 0; i < kRanges; ++i) {
-      const std::string owner = "yard-" + std::to_string(i % 4 + 1);
-      const DeploymentUpstream& upstream = *fixture.upstreams.at(owner);
-      KeyRange range;
-      range.first = i * kKeysOfRange;
-      range.last = range.first + kKeysOfRange - 1;
-      range.owner = owner;
-      range.owner_incarnation = upstream.incarnation();
-      range.zone = upstream.options().zone;
-      range.generation = ++table.last_generation;
-      table.ranges.push_back(range);
-    }
-    fixture.store->Put("range-tables", "yard", EncodeRangeTable(table));
-    fixture.StartHosts(hosts);
-  }
 };
 
 TEST_GROUP_BASE(EntryGenerations, EntryGenerationsTest){};
@@ -87,7 +64,7 @@
 // Guards against keys that a new incarnation gets with the generation of the
 // former one: the owner restarts while a part of its range moves away.
 TEST(EntryGenerations,
-     AnOwnerThatRestartsWhileAPartOfItsRangeMovesGetsNewOnes) {
+     AnOwnerThatRestartsWhileAPartOfItsRangeMovesGetsNewGenerations) {
   fixture.StartDefaultDeployment(2);
   fixture.RunFor(seconds(1));
   fixture.AddUpstream("yard-5", "yard", "north", 7);
@@ -104,7 +81,7 @@
 // Guards against a refusal of a late grant that takes a range back to its
 // former owner although another upstream holds it by then.
 TEST(EntryGenerations, ALateRefusalOfAGrantTakesNoKeysFromTheNextOwner) {
-  StartWithManyRanges(2);
+  fixture.StartWithManyRanges(2);
   DeploymentUpstream& owner = *fixture.upstreams.at("yard-1");
   owner.faults().grant_delay = kGrantDelay;
   fixture.RunFor(seconds(1));
--- a/source/integration_tests/entry_test.cc
+++ b/source/integration_tests/entry_test.cc
@@ -133,29 +133,13 @@
 // Grants queue up for an owner that responds to none. A queued grant sent after
 // its keys have moved would be accepted by an owner that has just recovered.
 TEST(Entry, AnOwnerThatRecoversWhileItsKeysMoveGetsNoGrantForThem) {
-  constexpr int kRanges = 32;
-  constexpr int kKeysOfRange = 65536 / kRanges;
-  fixture.AddDefaultUpstreams();
-  RangeTable table;
-  for (int i = 0; i < kRanges; ++i) {
-    const std::string owner = "yard-" + std::to_string(i % 4 + 1);
-    const DeploymentUpstream& upstream = *fixture.upstreams.at(owner);
-    KeyRange range;
-    range.first = i * kKeysOfRange;
-    range.last = range.first + kKeysOfRange - 1;
-    range.owner = owner;
-    range.owner_incarnation = upstream.incarnation();
-    range.zone = upstream.options().zone;
-    range.generation = ++table.last_generation;
-    table.ranges.push_back(range);
-  }
-  fixture.store->Put("range-tables", "yard", EncodeRangeTable(table));
-  fixture.StartHosts(2);
+  fixture.StartWithManyRanges(2);
   UpstreamFaults& faults = fixture.upstreams.at("yard-2")->faults();
   faults.ignore_grants = true;
   faults.ignore_releases = true;
   const auto any_key_moved = [this] {
-    for (int first = kKeysOfRange; first < 65536; first += 4 * kKeysOfRange) {
+    for (int first = kKeysOfManyRanges; first <= kLastKey;
+         first += 4 * kKeysOfManyRanges) {
       const auto& [holder, generation] = fixture.record.last_holder.at(first);
       if (!holder.starts_with("yard-2/")) return true;
     }
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -203,6 +203,20 @@
   LONGS_EQUAL(0, numbers.capacity());
 }
 
+// Guards against an encoding that hosts of another build do not read: counts
+// have four bytes, and elements follow each other without padding.
+TEST(Messages, TheEncodingOfListsIsThatOfFormerBuilds) {
+  const std::string numbers_bytes("\2\0\0\0\7\0\0\0\0\0\0\0\1\2\0\0\0\0\0\0",
+                                  20);
+  const std::vector<uint64_t> numbers = {7, 0x201};
+  CHECK(EncodeBody(numbers) == numbers_bytes);
+  CHECK(DecodeBody<std::vector<uint64_t>>(numbers_bytes).value() == numbers);
+  const std::string texts_bytes("\2\0\0\0\1\0\0\0a\2\0\0\0bc", 15);
+  const std::vector<std::string> texts = {"a", "bc"};
+  CHECK(EncodeBody(texts) == texts_bytes);
+  CHECK(DecodeBody<std::vector<std::string>>(texts_bytes).value() == texts);
+}
+
 // A forged message must not crash a decoder. The sanitizer build also detects
 // accesses beyond its buffers.
 TEST(Messages, RandomBytesNeverCrashADecoder) {
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -8,6 +8,20 @@
 
 constexpr HttpMessageLimits kLimits = {1024, 64};
 
+// Checks that responses and requests with this framing, and none or some bytes
+// of a body behind it, are refused as too large.
+void CheckRefusedWithAnyBody(const std::string& framing) {
+  for (const char* body : {"", "a", "abc"}) {
+    std::string response_text = "HTTP/1.1 200 OK\r\n" + framing + body;
+    HttpResponseParser response(kLimits, false);
+    CHECK(response.Feed(response_text) == ParseState::kTooLarge);
+    std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + framing + body;
+    HttpRequestParser request(kLimits);
+    CHECK(request.Feed(request_text) == ParseState::kTooLarge);
+    LONGS_EQUAL(413, request.refusal_status());
+  }
+}
+
 TEST_GROUP(HttpCodec){
     // Feeds the text to the parser in pieces of `step` bytes. `rest` receives
     // what it leaves.
@@ -157,17 +171,8 @@
 TEST(HttpCodec, AnAbsurdStatedLengthIsRefusedBeforeMemoryIsReserved) {
   for (const char* length : {"9223372036854775807", "9223372036854775808",
                              "18446744073709551615", "1099511627776"}) {
-    for (const char* body : {"", "a", "abc"}) {
-      const std::string rest =
-          std::string("content-length: ") + length + "\r\n\r\n" + body;
-      std::string response_text = "HTTP/1.1 200 OK\r\n" + rest;
-      HttpResponseParser response(kLimits, false);
-      CHECK(response.Feed(response_text) == ParseState::kTooLarge);
-      std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + rest;
-      HttpRequestParser request(kLimits);
-      CHECK(request.Feed(request_text) == ParseState::kTooLarge);
-      LONGS_EQUAL(413, request.refusal_status());
-    }
+    CheckRefusedWithAnyBody(std::string("content-length: ") + length +
+                            "\r\n\r\n");
   }
 }
 
@@ -190,18 +195,8 @@
 TEST(HttpCodec, AnAbsurdChunkLengthIsRefused) {
   for (const char* length :
        {"7fffffffffffffff", "ffffffffffffffff", "10000000000", "41"}) {
-    for (const char* body : {"", "a", "abc"}) {
-      const std::string rest =
-          std::string("transfer-encoding: chunked\r\n\r\n") + length + "\r\n" +
-          body;
-      std::string response_text = "HTTP/1.1 200 OK\r\n" + rest;
-      HttpResponseParser response(kLimits, false);
-      CHECK(response.Feed(response_text) == ParseState::kTooLarge);
-      std::string request_text = "PUT / HTTP/1.1\r\nhost: h\r\n" + rest;
-      HttpRequestParser request(kLimits);
-      CHECK(request.Feed(request_text) == ParseState::kTooLarge);
-      LONGS_EQUAL(413, request.refusal_status());
-    }
+    CheckRefusedWithAnyBody(std::string("transfer-encoding: chunked\r\n\r\n") +
+                            length + "\r\n");
   }
 }
 
--- a/source/unit_tests/ranges/grant_sequences_test.cc
+++ b/source/unit_tests/ranges/grant_sequences_test.cc
@@ -16,6 +16,7 @@
 #include <tuple>
 #include <vector>
 
+#include "exploration.h"
 #include "ranges/incarnation_proof.h"
 #include "ranges/range_table.h"
 #include "ranges/retired_generations.h"
@@ -437,29 +438,11 @@
   return model;
 }
 
-struct Explored {
-  size_t states = 0;
-  bool violated = false;
-};
-
 Explored Explore(Variant variant, int depth) {
-  std::set<std::string> seen;
-  std::vector<Model> frontier = {FirstState()};
-  Explored explored;
-  for (int i = 0; i < depth && !explored.violated; ++i) {
-    std::vector<Model> next;
-    for (const Model& model : frontier) {
-      for (int step = 0; step < kSteps; ++step) {
-        Model after = NextState(model, static_cast<Step>(step), variant);
-        if (!seen.insert(after.Key()).second) continue;
-        explored.violated |= after.violated;
-        next.push_back(std::move(after));
-      }
-    }
-    frontier = std::move(next);
-  }
-  explored.states = seen.size();
-  return explored;
+  return ExploreSequences(
+      FirstState(), kSteps, depth, [variant](const Model& model, int step) {
+        return NextState(model, static_cast<Step>(step), variant);
+      });
 }
 
 constexpr int kDepth = 12;
--- a/source/unit_tests/ranges/incarnation_proof_test.cc
+++ b/source/unit_tests/ranges/incarnation_proof_test.cc
@@ -17,6 +17,8 @@
 #include <tuple>
 #include <vector>
 
+#include "exploration.h"
+
 namespace mimosadeal {
 namespace {
 
@@ -235,30 +237,12 @@
   return model;
 }
 
-struct Explored {
-  size_t states = 0;
-  bool violated = false;
-};
-
 Explored Explore(Variant variant, int depth) {
-  using Key = decltype(std::declval<Model>().Key());
-  std::set<Key> seen;
-  std::vector<Model> frontier = {Model{}};
-  Explored explored;
-  for (int i = 0; i < depth && !frontier.empty(); ++i) {
-    std::vector<Model> next;
-    for (const Model& model : frontier) {
-      for (const Step step : kSteps) {
-        Model after = NextState(model, step, variant);
-        if (!seen.insert(after.Key()).second) continue;
-        explored.violated |= after.violated;
-        next.push_back(std::move(after));
-      }
-    }
-    frontier = std::move(next);
-  }
-  explored.states = seen.size();
-  return explored;
+  return ExploreSequences(
+      Model{}, static_cast<int>(kSteps.size()), depth,
+      [variant](const Model& model, int step) {
+        return NextState(model, kSteps.at(static_cast<size_t>(step)), variant);
+      });
 }
 
 constexpr int kDepth = 11;
