--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -23,7 +23,8 @@
 // A connection that has been idle for less may be about to carry a request.
 constexpr Duration kMinIdleToClose = std::chrono::seconds(1);
 
-// The memory that an input takes. That of a small one is not counted.
+// The memory that an input takes. Of a small one only the content counts, so
+// that it does not make an ordinary request a large holder.
 size_t InputBytes(const std::string& input) {
   return input.capacity() > kMaxKeptInputBytes ? input.capacity()
                                                : input.size();
