--- a/review/standins-3/paused_reader.cc
+++ b/review/standins-3/paused_reader.cc
@@ -8,14 +8,12 @@
 //
 // usage: review3-paused-reader RECORD DIRECTORY PAUSE_MS
 
-#include <cstdio>
 #include <cstdlib>
-#include <memory>
 #include <thread>
 
 #include "deployment_store.h"
 #include "net/event_loop.h"
-#include "net/exchange_server.h"
+#include "one_worker.h"
 #include "world.h"
 
 namespace mimosadeal::review {
@@ -39,89 +37,6 @@
 constexpr int kAllowedLost = 3;
 constexpr double kMillisecondsPerSecond = 1000;
 
-nlohmann::json Configuration() {
-  const nlohmann::json route = {
-      {"name", "r-deeds"},   {"pathPrefix", "/deeds/"},   {"kind", "upload"},
-      {"timeout", "4000ms"}, {"targetLatency", "1500ms"}, {"priority", 1},
-      {"maxAttempts", 2},    {"service", "dossier"}};
-  return {{"version", "r1"},
-          {"services",
-           {{{"name", "dossier"},
-             {"healthPath", "/health"},
-             {"maxConnections", 560},
-             {"protocol", "h1"},
-             {"tls", false}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16384},
-            {"maxBodyBytes", 67108864},
-            {"headerTimeout", "3000ms"},
-            {"idleTimeout", "15000ms"}}},
-          {"virtualHosts", {{{"host", "deeds.example"}, {"paths", {route}}}}}};
-}
-
-// A worker of a service without keys; it runs any number of requests at once.
-class Worker {
- public:
-  Worker(EventLoop& loop, DeploymentStore& store, Record& record)
-      : loop_(loop), record_(record), address_(FreeAddress("127.0.3.1")) {
-    HttpServerHandlers handlers;
-    handlers.on_request = [this](ExchangeId id, HttpRequest&& request) {
-      OnRequest(id, request);
-    };
-    handlers.on_abandoned = [this](ExchangeId) {
-      record_.Add("worker: a request was abandoned");
-    };
-    handlers.make_refusal = [](int status, const std::string&) {
-      HttpResponse response;
-      response.status = status;
-      return response;
-    };
-    auto server = ExchangeServer::Listen(loop, address_,
-                                         {{16384, 1 << 20},
-                                          std::chrono::seconds(10),
-                                          std::chrono::seconds(10),
-                                          560},
-                                         std::move(handlers));
-    if (!server.has_value()) std::exit(kCouldNotRun);
-    server_ = std::move(server.value());
-    store.Put("servers", "i-7f3a91c2",
-              {{"service", "dossier"},
-               {"address", address_.ToString()},
-               {"zone", "muscat-a"},
-               {"version", "v1"},
-               {"slots", 32},
-               {"state", "ready"},
-               {"warmupLeft", "0ms"},
-               {"seq", 1},
-               {"born", 1'767'225'600'000}});
-  }
-
-  int answered() const { return answered_; }
-
- private:
-  void OnRequest(ExchangeId id, const HttpRequest& request) {
-    const std::string request_id(FindHeader(request.headers, "x-request-id"));
-    record_.Add("worker: begins " + request_id);
-    loop_.timers().After(kWork, [this, id, request_id] {
-      HttpResponse response;
-      response.status = 200;
-      response.headers = {{"x-request-id", request_id},
-                          {"x-response-signature", "s-" + request_id},
-                          {"x-instance-id", "i-7f3a91c2"}};
-      response.body = std::string(kAnswerBytes, 'a');
-      server_->Respond(id, std::move(response));
-      ++answered_;
-      record_.Add("worker: answered " + request_id);
-    });
-  }
-
-  EventLoop& loop_;
-  Record& record_;
-  SocketAddress address_;
-  std::unique_ptr<ExchangeServer> server_;
-  int answered_ = 0;
-};
-
 struct ClientResult {
   bool whole = false;
 };
@@ -166,8 +81,8 @@
   const SocketAddress store_address = FreeAddress("127.0.3.2");
   auto store = DeploymentStore::Start(loop, store_address);
   if (!store.has_value()) return kCouldNotRun;
-  store.value()->Put("config", "main", Configuration());
-  Worker worker(loop, *store.value(), record);
+  OneWorker worker(loop, *store.value(), record,
+                   {"upload", kTimeBudget, kWork, kAnswerBytes});
   const HostAddresses host = MakeHost("front-1", "muscat-a", "127.0.3.10");
   ChildProcess process =
       StartHost(WriteSettings(directory, host, store_address, kBounds),
@@ -177,18 +92,7 @@
   bool ready = false;
   bool done = false;
   std::thread clients([&] {
-    for (int i = 0; i < 100 && !ready; ++i) {
-      Client probe;
-      std::string answer;
-      if (probe.Connect(host.readiness) &&
-          probe.Send("GET /mimosadeal/ready HTTP/1.1\r\nHost: p\r\n\r\n")) {
-        probe.Read(answer, 4096, milliseconds(500));
-        ready = StatusOf(answer) == 200;
-      }
-      std::this_thread::sleep_for(milliseconds(100));
-    }
-    // In touch: nothing was disturbed for stabilityWindow.
-    std::this_thread::sleep_for(milliseconds(3500));
+    ready = AwaitInTouch(host.readiness);
     record.Add(ready ? "host: ready" : "host: not ready");
     std::vector<std::thread> threads;
     for (int i = 0; i < kClients && ready; ++i) {
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -85,7 +86,8 @@
                       {"--settings", settings_path}, log_path);
 }
 
-bool Client::Connect(const SocketAddress& address, int receive_buffer) {
+bool Client::Connect(const SocketAddress& address, int receive_buffer,
+                     int segment) {
   Close();
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd_ < 0) return false;
@@ -93,6 +95,8 @@
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
                sizeof(receive_buffer));
   }
+  if (segment > 0)
+    setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
   const sockaddr_in native = Native(address);
   return connect(fd_, reinterpret_cast<const sockaddr*>(&native),
                  sizeof(native)) == 0;
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -66,8 +66,10 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  // `receive_buffer`: of the socket, in bytes; 0 for the system's default.
-  bool Connect(const SocketAddress& address, int receive_buffer = 0);
+  // `receive_buffer` and `segment`: of the socket, in bytes; 0 for the system's
+  // defaults.
+  bool Connect(const SocketAddress& address, int receive_buffer = 0,
+               int segment = 0);
   bool Send(const std::string& bytes);
   // Reads what there is, at most `most` bytes, and waits for it for at most
   // `limit`. Returns the number of bytes, 0 at the end of the connection, -1
