--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,4 +6,4 @@
 cmake -S . -B target -DCMAKE_BUILD_TYPE=Release \
   -DCMAKE_PROJECT_mimosadeal_INCLUDE="$PWD/review/standins-3/targets.cmake"
 cmake --build target -j8 --target mimosadeal \
-  review3-paused-reader review3-two-owners
+  review3-paused-reader review3-two-owners review3-relayed-body
--- a/review/standins-3/one_worker.cc
+++ b/review/standins-3/one_worker.cc
@@ -10,7 +10,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr char kWorkerId[] = "i-7f3a91c2";
 constexpr int kConnections = 560;
 constexpr size_t kMaxBodyBytes = size_t{64} * 1024 * 1024;
 constexpr milliseconds kIdleTimeout{10000};
@@ -54,7 +53,7 @@
     OnRequest(id, request);
   };
   handlers.on_abandoned = [this](ExchangeId) {
-    record_.Add("worker: a request was abandoned");
+    if (options_.recorded) record_.Add("worker: a request was abandoned");
   };
   handlers.make_refusal = [](int status, const std::string&) {
     HttpResponse response;
@@ -68,7 +67,7 @@
   if (!server.has_value()) std::exit(kCouldNotRun);
   server_ = std::move(server.value());
   store.Put("config", "main", Configuration(options_));
-  store.Put("servers", kWorkerId,
+  store.Put("servers", options_.id,
             {{"service", "dossier"},
              {"address", address_.ToString()},
              {"zone", "muscat-a"},
@@ -82,17 +81,17 @@
 
 void OneWorker::OnRequest(ExchangeId id, const HttpRequest& request) {
   const std::string request_id(FindHeader(request.headers, "x-request-id"));
-  record_.Add("worker: begins " + request_id);
+  if (options_.recorded) record_.Add("worker: begins " + request_id);
   loop_.timers().After(options_.work, [this, id, request_id] {
     HttpResponse response;
     response.status = 200;
     response.headers = {{"x-request-id", request_id},
                         {"x-response-signature", "s-" + request_id},
-                        {"x-instance-id", kWorkerId}};
+                        {"x-instance-id", options_.id}};
     response.body = std::string(options_.answer_bytes, 'a');
     server_->Respond(id, std::move(response));
     ++answered_;
-    record_.Add("worker: answered " + request_id);
+    if (options_.recorded) record_.Add("worker: answered " + request_id);
   });
 }
 
--- a/review/standins-3/one_worker.h
+++ b/review/standins-3/one_worker.h
@@ -20,6 +20,8 @@
   std::chrono::milliseconds timeout{};  // Of the route.
   std::chrono::milliseconds work{};
   size_t answer_bytes = 0;
+  std::string id = "i-7f3a91c2";
+  bool recorded = true;  // Whether its requests go into the record.
 };
 
 // Runs any number of requests at once. Registers itself, and writes the
@@ -30,6 +32,7 @@
             OneWorkerOptions options);
 
   int answered() const { return answered_; }
+  const SocketAddress& address() const { return address_; }
 
  private:
   void OnRequest(ExchangeId id, const HttpRequest& request);
