--- a/review/standins-3/keyed_worker.cc
+++ b/review/standins-3/keyed_worker.cc
@@ -202,6 +202,8 @@
       continue;
     }
     ++begun_;
+    record_.Add(options_.id + ": begins " + next.id + ", key " +
+                std::to_string(next.key));
     running_[next.exchange] = next;
     if (on_begin_) on_begin_(*this, next.key);
     loop_.timers().After(options_.work, [this, next] {
--- a/review/standins-3/one_worker.cc
+++ b/review/standins-3/one_worker.cc
@@ -53,7 +53,7 @@
     OnRequest(id, request);
   };
   handlers.on_abandoned = [this](ExchangeId) {
-    if (options_.recorded) record_.Add("worker: a request was abandoned");
+    record_.Add(options_.id + ": a request was abandoned");
   };
   handlers.make_refusal = [](int status, const std::string&) {
     HttpResponse response;
@@ -81,7 +81,8 @@
 
 void OneWorker::OnRequest(ExchangeId id, const HttpRequest& request) {
   const std::string request_id(FindHeader(request.headers, "x-request-id"));
-  if (options_.recorded) record_.Add("worker: begins " + request_id);
+  record_.Add(options_.id + ": begins " + request_id);
+  begun_.insert(request_id);
   loop_.timers().After(options_.work, [this, id, request_id] {
     HttpResponse response;
     response.status = 200;
@@ -91,7 +92,7 @@
     response.body = std::string(options_.answer_bytes, 'a');
     server_->Respond(id, std::move(response));
     ++answered_;
-    if (options_.recorded) record_.Add("worker: answered " + request_id);
+    record_.Add(options_.id + ": answered " + request_id);
   });
 }
 
--- a/review/standins-3/one_worker.h
+++ b/review/standins-3/one_worker.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "net/event_loop.h"
@@ -21,7 +22,6 @@
   std::chrono::milliseconds work{};
   size_t answer_bytes = 0;
   std::string id = "i-7f3a91c2";
-  bool recorded = true;  // Whether its requests go into the record.
 };
 
 // Runs any number of requests at once. Registers itself, and writes the
@@ -32,6 +32,8 @@
             OneWorkerOptions options);
 
   int answered() const { return answered_; }
+  // Whether it began to run the request.
+  bool Began(const std::string& id) const { return begun_.contains(id); }
   const SocketAddress& address() const { return address_; }
 
  private:
@@ -43,6 +45,7 @@
   SocketAddress address_;
   std::unique_ptr<ExchangeServer> server_;
   int answered_ = 0;
+  std::set<std::string> begun_;
 };
 
 // Waits until the host says that it is ready, and for stabilityWindow after
--- a/review/standins-3/relayed_body.cc
+++ b/review/standins-3/relayed_body.cc
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 #include "deployment_store.h"
@@ -71,11 +72,13 @@
   SocketAddress host;
   std::atomic<bool> done{false};
   std::atomic<int> served{0};
-  std::atomic<int> lost{0};
+  std::mutex mutex;
+  // Requests whose connection ended without an answer.
+  std::vector<std::string> unanswered;
 };
 
-// Sends small requests one after the other on a kept connection. Counts those
-// whose connection ends without an answer while a worker may run them.
+// Sends small requests one after the other on a kept connection.
+// Notes those whose connection ends without an answer.
 void RunClient(Shared& shared, int number) {
   int sent = 0;
   while (!shared.done) {
@@ -91,28 +94,42 @@
       std::string answer;
       if (!client.Send(Request(id, 100))) break;
       const double sent_at = shared.record.Now();
+      shared.record.Add("client: " + id + " sent");
       count = 1;
       while (!IsWhole(answer) && count > 0)
         count = client.Read(answer, 4096, kTimeBudget);
       if (StatusOf(answer) == 200) ++shared.served;
       if (StatusOf(answer) == 503)
         std::this_thread::sleep_for(milliseconds(50));
-      // One that had no time to reach a worker doesn't count.
-      const double age = shared.record.Now() - sent_at;
-      if ((count == 0 || count == -1) && age > 0.1) {
-        ++shared.lost;
-        shared.record.Add("client: " + id + " lost its connection after " +
-                          std::to_string(age) + " s");
+      shared.record.Add("client: " + id + " got status " +
+                        std::to_string(StatusOf(answer)) + " after " +
+                        std::to_string(shared.record.Now() - sent_at) + " s");
+      if (count == 0 || count == -1) {
+        shared.record.Add("client: " + id + " lost its connection");
+        const std::lock_guard<std::mutex> lock(shared.mutex);
+        shared.unanswered.push_back(id);
       }
     }
   }
 }
 
+// Those of the unanswered requests that were passed on to a worker.
+int CountLost(Shared& shared,
+              const std::vector<std::unique_ptr<OneWorker>>& workers) {
+  const std::lock_guard<std::mutex> lock(shared.mutex);
+  int lost = 0;
+  for (const std::string& id : shared.unanswered) {
+    for (const auto& worker : workers) lost += worker->Began(id) ? 1 : 0;
+  }
+  return lost;
+}
+
 void SendLarge(Shared& shared, int number) {
   Client client;
   const std::string id = "large-" + std::to_string(number);
   if (!client.Connect(shared.host)) return;
   const bool sent = client.Send(Request(id, kLargeBody));
+  shared.record.Add("client: " + id + (sent ? " sent" : " not sent whole"));
   std::string answer;
   if (sent) client.Read(answer, 4096, kTimeBudget);
   shared.record.Add("client: " + id + " got status " +
@@ -133,7 +150,7 @@
     workers.push_back(std::make_unique<OneWorker>(
         loop, *store.value(), record,
         OneWorkerOptions{"unsafe", kTimeBudget, kWork, 400,
-                         "worker-" + std::to_string(i), false}));
+                         "worker-" + std::to_string(i)}));
     const SocketAddress address = FreeAddress("127.0.3.40");
     auto link = FaultLink::Open(loop, address, workers.back()->address(), 1);
     if (!link.has_value()) return kCouldNotRun;
@@ -183,7 +200,8 @@
   int large = 0;
   int killed = 0;
   long peak_kb = 0;
-  while (BootClock::now() < cut_at + kCut && shared.lost <= kAllowedLost) {
+  while (BootClock::now() < cut_at + kCut &&
+         CountLost(shared, workers) <= kAllowedLost) {
     loop.RunOnce();
     const MonotonicTime now = BootClock::now();
     if (now >= next_large_at) {
@@ -218,13 +236,14 @@
   while (left > 0) loop.RunOnce();
   joiner.join();
   for (ChildProcess& process : processes) process.Kill();
+  const int lost = CountLost(shared, workers);
   record.Add("large bodies: " + std::to_string(large) +
              "; most memory: " + std::to_string(peak_kb / 1024) +
              " MB; killed: " + std::to_string(killed) +
              "; small requests served: " + std::to_string(shared.served) +
-             ", lost: " + std::to_string(shared.lost));
+             ", lost: " + std::to_string(lost));
   if (shared.served == 0) return kCouldNotRun;
-  return shared.lost > kAllowedLost ? kBroken : kHeld;
+  return lost > kAllowedLost ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/standins-3/two_owners.cc
+++ b/review/standins-3/two_owners.cc
@@ -78,7 +78,7 @@
 // Sends requests for random keys until `done`, one after the other.
 void RunClient(const std::vector<HostAddresses>& hosts, int number,
                const std::atomic<int>& granting, const std::atomic<bool>& done,
-               std::atomic<int>& served) {
+               std::atomic<int>& served, Record& record) {
   std::minstd_rand random(static_cast<unsigned>(number) + 1);
   int sent = 0;
   while (!done) {
@@ -92,17 +92,22 @@
     std::string answer;
     do {
       answer.clear();
+      const int key = static_cast<int>(random() % 65536);
       const std::string id =
           "c" + std::to_string(number) + "-" + std::to_string(++sent);
       if (!client.Send("GET /lookup/2f HTTP/1.1\r\nHost: yard.example\r\n"
                        "X-Request-Id: " +
                        id + "\r\nX-Request-Deadline-Ms: 4000\r\nX-Shard-Key: " +
-                       std::to_string(random() % 65536) + "\r\n\r\n")) {
+                       std::to_string(key) + "\r\n\r\n")) {
         break;
       }
+      record.Add("client: " + id + " sent, key " + std::to_string(key) +
+                 ", to front-" + std::to_string(host));
       while (!IsWhole(answer) &&
              client.Read(answer, 4096, milliseconds(4500)) > 0) {
       }
+      record.Add("client: " + id + " got status " +
+                 std::to_string(StatusOf(answer)));
       if (StatusOf(answer) == 200) ++served;
       if (StatusOf(answer) != 200)
         std::this_thread::sleep_for(milliseconds(100));
@@ -290,7 +295,7 @@
   record_.Add("granting host: " + std::to_string(granting_));
   for (int i = 0; i < kClients && ready; ++i) {
     clients.emplace_back(
-        [&, i] { RunClient(hosts_, i, granting_, done, served); });
+        [&, i] { RunClient(hosts_, i, granting_, done, served, record_); });
   }
   for (int i = 0; i < kEpisodes && ready; ++i) {
     const MonotonicTime begun_at = BootClock::now();
