Stand-in store: pages of lists, and names that are encoded in calls

PROTOCOL.md lets a list have about 500 objects a page, which continues after a name in the query. The stand-in sent every object at once and read queries and names as they were, so no test could fail on a name that means something in a URL. It now sends pages (500 objects, or fewer by a fault of the test) and decodes queries, in which "+" is a blank, and names in paths.

--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -1,5 +1,7 @@
 #include "deployment_store.h"
 
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "net/event_loop.h"
@@ -24,6 +26,30 @@
   }
 }
 
+// What "+" stands for: a blank in a query, itself in a path.
+enum class PlusSign : uint8_t { kItself, kBlank };
+
+// Decodes the percent-encoded bytes. A "%" without two hexadecimal digits
+// stands for itself.
+std::string DecodeUrl(std::string_view encoded, PlusSign plus) {
+  std::string decoded;
+  for (size_t at = 0; at < encoded.size(); ++at) {
+    unsigned value = 0;
+    const char* const digits = encoded.data() + at + 1;
+    const bool escape =
+        encoded[at] == '%' && at + 2 < encoded.size() &&
+        std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2;
+    if (escape) {
+      decoded += static_cast<char>(value);
+      at += 2;
+    } else {
+      const bool blank = encoded[at] == '+' && plus == PlusSign::kBlank;
+      decoded += blank ? ' ' : encoded[at];
+    }
+  }
+  return decoded;
+}
+
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> values;
   size_t at = 0;
@@ -31,8 +57,10 @@
     const size_t end = std::min(query.find('&', at), query.size());
     const std::string part = query.substr(at, end - at);
     const size_t equals = part.find('=');
-    if (equals != std::string::npos)
-      values[part.substr(0, equals)] = part.substr(equals + 1);
+    if (equals != std::string::npos) {
+      values[DecodeUrl(part.substr(0, equals), PlusSign::kBlank)] =
+          DecodeUrl(part.substr(equals + 1), PlusSign::kBlank);
+    }
     at = end + 1;
   }
   return values;
@@ -115,7 +143,8 @@
   std::string kind = request.path.substr(sizeof(kObjectsPath) - 1);
   std::string name;
   if (const size_t slash = kind.find('/'); slash != std::string::npos) {
-    name = kind.substr(slash + 1);
+    name =
+        DecodeUrl(std::string_view(kind).substr(slash + 1), PlusSign::kItself);
     kind.resize(slash);
   }
   if (request.method == "GET") {
@@ -139,9 +168,8 @@
     return;
   }
   if (!query.contains("watch")) {
-    nlohmann::json items = nlohmann::json::array();
-    for (const auto& [key, object] : objects_[kind]) items.push_back(object);
-    Respond(id, 200, {{"items", items}, {"more", false}, {"asOf", revision_}});
+    const auto after = query.find("after");
+    OnList(id, kind, after == query.end() ? "" : after->second);
     return;
   }
   Watch watch{id, kind, std::stoull(query.at("watch")),
@@ -154,6 +182,20 @@
   }
 }
 
+void DeploymentStore::OnList(ExchangeId id, const std::string& kind,
+                             const std::string& after) {
+  const auto& objects = objects_[kind];
+  nlohmann::json items = nlohmann::json::array();
+  auto next = objects.upper_bound(after);
+  for (; next != objects.end() && items.size() < faults_.max_page_objects;
+       ++next)
+    items.push_back(next->second);
+  Respond(id, 200,
+          {{"items", std::move(items)},
+           {"more", next != objects.end()},
+           {"asOf", revision_}});
+}
+
 bool DeploymentStore::RespondToWatch(const Watch& watch, bool timed_out) {
   nlohmann::json events = nlohmann::json::array();
   uint64_t as_of = revision_;
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -26,6 +26,8 @@
   // A watch's response has at most this many events; the next watch gets the
   // others. 0 for no limit.
   size_t max_watch_events = 0;
+  // A page of a list has at most this many objects.
+  size_t max_page_objects = 500;
 };
 
 class DeploymentStore {
@@ -88,6 +90,9 @@
   // it.
   void NotifyWatches(const std::string& kind, const nlohmann::json& object,
                      bool removed);
+  // Responds with the objects whose names follow `after`, as many as a page
+  // has.
+  void OnList(ExchangeId id, const std::string& kind, const std::string& after);
   // Returns whether it responded: if the watch has events, or if it timed out.
   bool RespondToWatch(const Watch& watch, bool timed_out);
   void Respond(ExchangeId id, int status, const nlohmann::json& body);
