Store: a list whose pages repeat fails

Cause: a list went on as long as the store said that there is more, whatever it had sent. Class: a loop whose end is left to the other side.

A page begins after a name; a name that began a page of the same list before ends the list as malformed, which is logged as any failed call (store.reachable) and repeated with the usual delay.

--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -123,15 +123,23 @@
 }
 
 void ObjectStore::List(const std::string& kind, Callback<ObjectPage> callback) {
-  ContinueList(kind, {}, std::move(callback));
+  ContinueList(kind, {}, {}, std::move(callback));
 }
 
 void ObjectStore::ContinueList(const std::string& kind, ObjectPage collected,
+                               std::set<std::string> positions,
                                Callback<ObjectPage> callback) {
+  if (!positions.insert(collected.next).second) {
+    callback(MakeError(
+        ErrorCode::kMalformed,
+        "the pages of a list repeat after \"" + collected.next + "\""));
+    return;
+  }
   ++counts_.reads;
   ExchangeRequest request = protocol_.list(kind, collected.next);
   request.timeout = call_timeout_;
   auto done = [this, kind, collected = std::move(collected),
+               positions = std::move(positions),
                callback =
                    std::move(callback)](const ExchangeResult& result) mutable {
     if (result.failure != ClientFailure::kNone) {
@@ -155,7 +163,8 @@
     if (collected.next.empty()) {
       callback(std::move(collected));
     } else {
-      ContinueList(kind, std::move(collected), std::move(callback));
+      ContinueList(kind, std::move(collected), std::move(positions),
+                   std::move(callback));
     }
   };
   Start(std::move(request), false, std::move(done));
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "net/exchange_client.h"
@@ -84,7 +85,9 @@
 
   void Start(ExchangeRequest request, bool is_watch,
              std::function<void(const ExchangeResult&)> done);
+  // `positions`: those that pages of this list began after.
   void ContinueList(const std::string& kind, ObjectPage collected,
+                    std::set<std::string> positions,
                     Callback<ObjectPage> callback);
   void NoteEra(const HttpResponse& response);
   // Returns the era of what the response says. Errors: kUnavailable if it is
--- a/source/unit_tests/store/object_store_test.cc
+++ b/source/unit_tests/store/object_store_test.cc
@@ -9,6 +9,7 @@
 
 #include "deployment_store.h"
 #include "net/event_loop.h"
+#include "net/exchange_server.h"
 #include "platform/store_codec.h"
 
 namespace mimosadeal {
@@ -91,5 +92,32 @@
   }
 }
 
+// Guards against a list without end, which would also take memory without end.
+TEST(ObjectStore, AListWhosePagesRepeatFails) {
+  int calls = 0;
+  std::unique_ptr<ExchangeServer> server;
+  HttpServerHandlers handlers;
+  handlers.on_request = [&](ExchangeId id, HttpRequest&&) {
+    HttpResponse response;
+    const std::string name = ++calls % 2 == 0 ? "a" : "b";
+    response.body = R"({"items":[{"metadata":{"name":")" + name +
+                    R"(","rev":1},"spec":{}}],"more":true,"asOf":1})";
+    server->Respond(id, response);
+  };
+  handlers.on_abandoned = [](ExchangeId) {};
+  handlers.make_refusal = [](int, const std::string&) {
+    return HttpResponse{};
+  };
+  auto listening = ExchangeServer::Listen(
+      loop, kAddress, {{4096, 4096}, seconds(5), seconds(5), 10},
+      std::move(handlers));
+  CHECK(listening.has_value());
+  server = std::move(listening.value());
+  const Result<ObjectPage> listed = ListAll();
+  CHECK_FALSE(listed.has_value());
+  CHECK(listed.error().code == ErrorCode::kMalformed);
+  LONGS_EQUAL(3, calls);
+}
+
 }  // namespace
 }  // namespace mimosadeal
