Connections: a reset that a send has met is no orderly end

Callers saw a part of a response as a whole one (MIXED): an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a connection's error once. A send that fails takes it, and the receive after it returns what has arrived and then 0, as for an orderly end, which ends a response without a length. While a large body is sent, one call takes about a millisecond; a reset that arrives in it meets the next call. Class: one source of truth that is consumed by whoever asks first.

A stream keeps the failure of its sends, and an end after one is that failure.

--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -112,8 +112,8 @@
 void TcpStream::Flush() {
   while (!output_.empty()) {
     if (!SendFirst()) {
-      // An error is also reported to the callbacks of the watch. They end the
-      // stream there, not within the call that writes.
+      // After an error the callbacks of the watch end the stream, not the call
+      // that writes.
       watch_->RequestWritable();
       return;
     }
@@ -130,6 +130,8 @@
         send(watch_->fd(), bytes.data() + first_sent_,
              bytes.size() - first_sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+      send_failure_ = EndOf(errno);
     if (sent <= 0) return false;
     bytes_sent_ += static_cast<uint64_t>(sent);
     first_sent_ += static_cast<size_t>(sent);
@@ -173,7 +175,8 @@
       continue;
     }
     if (received == 0) {
-      End(StreamEnd::kClosedByPeer);
+      End(send_failure_ == StreamEnd::kNone ? StreamEnd::kClosedByPeer
+                                            : send_failure_);
       return;
     }
     if (errno == EINTR) continue;
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -94,6 +94,9 @@
   size_t first_sent_ = 0;  // Bytes of the first piece.
   size_t queued_ = 0;      // Invariant: size of all pieces less first_sent_.
   uint64_t bytes_sent_ = 0;
+  // How a send failed; kNone if none has. The kernel reports an error once, and
+  // a receive after it seems to find an orderly end.
+  StreamEnd send_failure_ = StreamEnd::kNone;
   bool connecting_ = false;
   bool finishing_ = false;
   bool ended_ = false;
--- a/source/integration_tests/entry_faulty_upstreams_test.cc
+++ b/source/integration_tests/entry_faulty_upstreams_test.cc
@@ -9,6 +9,7 @@
 #include "entry_fixture.h"
 #include "net/fd_watch.h"
 #include "net/tcp_stream.h"
+#include "resetting_upstream.h"
 
 namespace mimosadeal {
 namespace {
@@ -21,6 +22,9 @@
 constexpr size_t kChunkBytes = 64 * 1024;
 constexpr size_t kMaxQueuedBytes = 256 * 1024;
 constexpr int kParallelRequests = 100;
+// More than the kernel takes at once, so that a reset meets a send.
+constexpr size_t kUploadBytes = size_t{16} * 1024 * 1024;
+constexpr int kUploads = 20;
 
 // An upstream that responds to every request with the same bytes without end,
 // or with `max_bytes` of them and then nothing more.
@@ -178,9 +182,9 @@
     }
   }
 
-  // Starts the default deployment with an OddUpstream as the only one of the
-  // service without keys.
-  std::unique_ptr<OddUpstream> StartWithOddUpstream() {
+  // Starts the default deployment with one upstream of the service without keys
+  // that the test provides. Returns its address.
+  SocketAddress StartWithOtherUpstream() {
     fixture.StartDefaultDeployment(2);
     fixture.CrashUpstream("desk-1");
     fixture.CrashUpstream("desk-2");
@@ -188,7 +192,6 @@
     fixture.store->Remove("servers", "desk-2");
     SocketAddress address = fixture.upstreams.at("yard-1")->options().address;
     ++address.port;
-    auto odd = std::make_unique<OddUpstream>(fixture.loop, address);
     fixture.store->Put("servers", "odd-1",
                        {{"service", "desk"},
                         {"address", address.ToString()},
@@ -199,6 +202,12 @@
                         {"warmupLeft", "0ms"},
                         {"seq", 1},
                         {"born", 1}});
+    return address;
+  }
+
+  std::unique_ptr<OddUpstream> StartWithOddUpstream() {
+    const SocketAddress address = StartWithOtherUpstream();
+    auto odd = std::make_unique<OddUpstream>(fixture.loop, address);
     fixture.RunFor(kChangeDeadline);
     return odd;
   }
@@ -355,5 +364,24 @@
   CheckHostsRun();
 }
 
+// Guards against a part of a response that callers got as a whole one: the
+// upstream reset the connection while a long body was being sent to it.
+TEST(EntryFaulty, AResponseThatAResetCutsDuringAnUploadIsNotHandedToCallers) {
+  const SocketAddress address = StartWithOtherUpstream();
+  const ResettingUpstream upstream(address);
+  nlohmann::json configuration = fixture.Configuration(2);
+  configuration["limits"]["maxBodyBytes"] = kUploadBytes;
+  fixture.store->Put("config", "main", configuration);
+  fixture.RunFor(kChangeDeadline);
+  const std::string body(kUploadBytes, 'x');
+  for (int i = 0; i < kUploads; ++i) {
+    const CallerResponse response =
+        fixture.SendAndWait(Host(1), "POST", "/charge/a", -1, body, seconds(5));
+    LONGS_EQUAL(502, response.status);
+    LONGS_EQUAL(i + 1, upstream.responses());
+  }
+  CheckHostsRun();
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/net/stream_error_test.cc
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -91,6 +91,32 @@
   for (const int fd : {next.near, next.far, connection.far}) close(fd);
 }
 
+// Guards against a part of a response that passes for a whole one: a send that
+// fails takes the reset's error, and the stream then seems to end in order.
+TEST(StreamError, AResetThatASendHasMetIsNoOrderlyEnd) {
+  TcpPair connection;
+  std::string received;
+  bool ended = false;
+  StreamEnd how = StreamEnd::kNone;
+  TcpStream stream(
+      loop, connection.near,
+      {nullptr, [&received](std::string_view bytes) { received += bytes; },
+       [&](StreamEnd end) {
+         ended = true;
+         how = end;
+       }});
+  CHECK_EQUAL(4, send(connection.far, "part", 4, MSG_NOSIGNAL));
+  const linger reset_on_close = {1, 0};
+  setsockopt(connection.far, SOL_SOCKET, SO_LINGER, &reset_on_close,
+             sizeof(reset_on_close));
+  close(connection.far);
+  stream.Write("first");
+  stream.Write("second");
+  RunUntil(ended);
+  STRCMP_EQUAL("reset", std::string(StreamEndName(how)).c_str());
+  STRCMP_EQUAL("part", received.c_str());
+}
+
 // Guards against a connection to another host that stays in use although
 // nothing is sent on it any more.
 TEST(StreamError, APeerConnectionClosedByTheLoopIsReportedAsClosed) {
