Ranges: go on asking owners that were silent for longer than their holds

Callers saw no key served any more, without end, after a time in which no owner had answered its lease holder for longer than the holds last: paths lost or upstreams that did not respond, also when all of them were back.

Cause: a silent owner is granted only up to the end of what it may hold, so that its keys can move then. With that used up it got no grant, so it could not answer, and its silence ends only by an answer or when its keys have moved. If all owners were silent, none was a candidate to move to. With two zones, each gave its keys to the other, whose holder had found the same owners silent. Silence also counted while the host itself had no paths, so that every owner was taken for silent at once when they were back.

Class: a judgement that stops the very exchange which could correct it.

A silent owner whose grants have all lapsed and whose keys are not moving is now granted with a hold of 0.8 s until it answers. It remains the table's owner, and the hold tracker counts the grant, so a move waits for it as for any other. Silence begins anew when this host has paths again.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -27,6 +27,9 @@
 constexpr Duration kSilenceMemory = std::chrono::seconds(10);
 // A grant with a shorter hold is not worth sending.
 constexpr Duration kMinHold = std::chrono::milliseconds(200);
+// Hold of a grant that finds out whether a silent owner responds again. Short,
+// because its keys cannot move before it has expired.
+constexpr Duration kProbeHold = std::chrono::milliseconds(800);
 
 }  // namespace
 
@@ -205,6 +208,12 @@
 
 void RangeManager::CheckOwners(Service& service) {
   const MonotonicTime now = loop_.timers().now();
+  // Silence while this host has no paths says nothing of the owners.
+  if (paths_.IsCutOff(service.name)) {
+    for (auto& [owner, state] : service.owners) {
+      if (state.silent_since != kNever) state.silent_since = now;
+    }
+  }
   const RangeTable table = *view_.table(service.name);
   RangeTable planned = PlannedTable(service);
   EvacuateZone(service, planned);
@@ -230,8 +239,7 @@
     } else if (listed->availability == UpstreamAvailability::kDraining) {
       Evacuate(service, planned, range_owner, "the upstream is leaving");
     } else if (state.silent_since != kNever &&
-               now - state.silent_since >= options_.owner_timeout &&
-               !paths_.IsCutOff(service.name)) {
+               now - state.silent_since >= options_.owner_timeout) {
       Evacuate(service, planned, range_owner, "the upstream does not respond");
     }
   }
@@ -258,10 +266,13 @@
   if (state->second.replaced) return Duration::zero();
   if (state->second.silent_since == kNever) return CurrentHold();
   // An unresponsive owner still receives grants, but none that extends what it
-  // may already hold, so that its keys can move when that expires.
-  return std::min(
-      options_.hold,
-      holds_.FreeAt(range_owner) - loop_.timers().now() - options_.margin * 2);
+  // may already hold, so that its keys can move when that expires. Keys that
+  // are still not moving then have nowhere to go, and their owner is asked
+  // until it responds.
+  const MonotonicTime now = loop_.timers().now();
+  const MonotonicTime free_at = holds_.FreeAt(range_owner);
+  if (now >= free_at) return kProbeHold;
+  return std::min(options_.hold, free_at - now - options_.margin * 2);
 }
 
 void RangeManager::RenewGrants(Service& service) {
--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -13,6 +13,9 @@
 // Time after which a host that lost its paths has to serve its callers again.
 constexpr Duration kNoticeTime = seconds(3);
 
+// Of grants, by the deployment's bounds.
+constexpr Duration kLongestHold = seconds(10);
+
 // Longer than a host reuses an idle connection.
 constexpr Duration kIdleTime = seconds(6);
 
@@ -37,6 +40,16 @@
     CheckServedFor(seconds(1));
   }
 
+  // Starts one host and upstreams of one zone.
+  void StartOnlyZone() {
+    fixture.store->Put("config", "main", fixture.Configuration(1));
+    for (int i = 1; i <= 3; ++i)
+      fixture.AddUpstream("yard-" + std::to_string(i), "yard", "north", i);
+    fixture.AddUpstream("desk-1", "desk", "north", 4);
+    fixture.link_upstreams = true;
+    fixture.StartHosts(1);
+  }
+
   void Cut(const std::vector<std::string>& names, UpstreamCut cut) {
     for (const std::string& name : names)
       fixture.SetUpstreamPartition(name, cut);
@@ -188,6 +201,53 @@
   fixture.CheckRecord();
 }
 
+// Owners that were silent for longer than their holds got no grant any more,
+// and as all were silent, no other upstream got their keys.
+TEST(EntryPaths, KeysAreServedSoonAfterAllHostsLostTheirPathsForLong) {
+  StartLinkedDeployment(4);
+  std::vector<std::string> all;
+  for (const auto& [name, host] : fixture.hosts) all.push_back(name);
+  for (const UpstreamCut cut : {UpstreamCut::kSilent, UpstreamCut::kRefused}) {
+    Cut(all, cut);
+    FailuresFor(kLongestHold + seconds(4));
+    Cut(all, UpstreamCut::kNone);
+    FailuresFor(kNoticeTime);
+    CheckServedFor(seconds(2));
+    CHECK(fixture.EveryKeyIsHeld());
+  }
+  fixture.CheckRecord();
+}
+
+// As above, with a zone that has no other to give its keys to.
+TEST(EntryPaths, KeysOfAnOnlyZoneAreServedSoonAfterItsHostLostItsPaths) {
+  StartOnlyZone();
+  for (const UpstreamCut cut : {UpstreamCut::kSilent, UpstreamCut::kRefused}) {
+    Cut({"host-1"}, cut);
+    FailuresFor(kLongestHold + seconds(4));
+    Cut({"host-1"}, UpstreamCut::kNone);
+    FailuresFor(kNoticeTime);
+    CheckServedFor(seconds(2));
+    CHECK(fixture.EveryKeyIsHeld());
+  }
+  fixture.CheckRecord();
+}
+
+// As above, while the upstreams accept connections and do not respond.
+TEST(EntryPaths, KeysOfAnOnlyZoneAreServedSoonAfterItsOwnersWereSilent) {
+  StartOnlyZone();
+  const auto set_silent = [this](bool silent) {
+    for (auto& [id, upstream] : fixture.upstreams)
+      upstream->faults().ignore_grants = silent;
+  };
+  set_silent(true);
+  FailuresFor(kLongestHold + seconds(4));
+  set_silent(false);
+  FailuresFor(kNoticeTime);
+  CheckServedFor(seconds(2));
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+
 // What was passed on may have run, whatever becomes of the other host.
 TEST(EntryPaths, ARelayedRequestWhoseHelperDiesIsNotSentAgain) {
   StartLinkedDeployment(2);
