--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -136,6 +136,17 @@
 void DeploymentStore::OnRequest(ExchangeId id, const HttpRequest& request) {
   ++calls_;
   if (faults_.silent) return;
+  if (faults_.delay == Duration::zero()) {
+    Handle(id, request);
+    return;
+  }
+  loop_.timers().After(
+      faults_.delay, [this, id, request, alive = std::weak_ptr<char>(alive_)] {
+        if (!alive.expired() && !faults_.silent) Handle(id, request);
+      });
+}
+
+void DeploymentStore::Handle(ExchangeId id, const HttpRequest& request) {
   if (faults_.refuse || !request.path.starts_with(kObjectsPath)) {
     Respond(id, faults_.refuse ? 503 : 404, {});
     return;
@@ -217,6 +228,12 @@
       nlohmann::json::parse(request.body, nullptr, false);
   const bool create = request.method == "POST";
   if (create) name = body["metadata"]["name"].get<std::string>();
+  if (faults_.late_writes > 0) {
+    --faults_.late_writes;
+    WriteLate(request, kind, name);
+    server_->Drop(id);
+    return;
+  }
   const nlohmann::json* current = Find(kind, name);
   const bool conflict =
       create ? current != nullptr
@@ -237,6 +254,26 @@
   Respond(id, create ? 201 : 200, *Find(kind, name));
 }
 
+void DeploymentStore::WriteLate(const HttpRequest& request,
+                                const std::string& kind,
+                                const std::string& name) {
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  const bool create = request.method == "POST";
+  loop_.timers().After(
+      faults_.late_write_delay,
+      [this, kind, name, body, create, alive = std::weak_ptr<char>(alive_)] {
+        if (alive.expired()) return;
+        const nlohmann::json* current = Find(kind, name);
+        const bool holds =
+            create ? current == nullptr
+                   : current != nullptr && (*current)["metadata"]["rev"] ==
+                                               body["metadata"]["rev"];
+        if (!holds) return;
+        ++writes_;
+        Put(kind, name, body["spec"]);
+      });
+}
+
 void DeploymentStore::Put(const std::string& kind, const std::string& name,
                           nlohmann::json spec) {
   nlohmann::json& object = objects_[kind][name];
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "common/boot_clock.h"
 #include "common/error.h"
 #include "net/exchange_server.h"
 
@@ -23,6 +24,12 @@
   bool refuse = false;
   // This many writes take effect, but get no response.
   int lose_write_responses = 0;
+  // This many writes take effect only `late_write_delay` after their arrival,
+  // if their condition still holds then, and get no response.
+  int late_writes = 0;
+  Duration late_write_delay{};
+  // Time from the arrival of a request to its effect.
+  Duration delay{};
   // A watch's response has at most this many events; the next watch gets the
   // others. 0 for no limit.
   size_t max_watch_events = 0;
@@ -82,10 +89,14 @@
 
   explicit DeploymentStore(EventLoop& loop) : loop_(loop) {}
   void OnRequest(ExchangeId id, const HttpRequest& request);
+  void Handle(ExchangeId id, const HttpRequest& request);
   void OnRead(ExchangeId id, const std::string& kind, const std::string& name,
               const std::map<std::string, std::string>& query);
   void OnWrite(ExchangeId id, const HttpRequest& request,
                const std::string& kind, std::string name);
+  // Carries out a write without a response after the delay.
+  void WriteLate(const HttpRequest& request, const std::string& kind,
+                 const std::string& name);
   // Adds the change to the history and responds to the watches that wait for
   // it.
   void NotifyWatches(const std::string& kind, const nlohmann::json& object,
@@ -113,6 +124,8 @@
   Objects lost_;  // The objects before the last restore.
   std::list<Event> history_;
   std::list<Watch> watches_;
+  // Expires with this object, so that timers that fire later do not use it.
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 }  // namespace mimosadeal
