Leases: count the grants of former holders up to the end of their authority

Cause: keys of an upstream that is gone move when every grant that its zone's former lease holder may have sent has expired. The new holder reckoned that grants had been sent until it got the lease itself, 10.5 s before, though the former holder had been killed with all others, or its lease had expired, long before the store was back and the lease could be taken.

Class: a wait that begins with the waiter's own step instead of with the last event that it waits for.

The time is now bounded by the expiry of the lease's revision that the takeover replaces, and, if that lease names a former process of the same host, by the start of this one. The latter holds only if no later holder is missing from the store, so a lease states the era in which it was written. Leases of the former build lack it and are bounded by their expiry only. lease.gained tells the time.

Evidence: Recovery.KeysOfNewUpstreamsAreServedInTimeWhenTheStoreReturnsLate, 6 hosts, store silent from 0.5 s before the kill until 6 s after the return.

--- a/source/core/entry/lease_manager.cc
+++ b/source/core/entry/lease_manager.cc
@@ -41,7 +41,8 @@
       log_(log),
       options_(std::move(options)),
       handlers_(std::move(handlers)),
-      random_(SystemSeed()) {
+      random_(SystemSeed()),
+      created_at_(loop.timers().now()) {
   lease_.zone = options_.zone;
 }
 
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -46,6 +46,14 @@
   Duration takeover_delay{};
 };
 
+// What is known of former holders when this host becomes the holder.
+struct LeaseGain {
+  // No other host has held the lease since this one held it last.
+  bool continued = false;
+  // By then the authority of all other holders had ended.
+  MonotonicTime others_until = kNever;
+};
+
 struct LeaseManagerHandlers {
   std::function<void(const std::string& address, const ZoneHello&)> send_hello;
   // Whether the store responded to this host's last read of the registry. If
@@ -59,9 +67,8 @@
   // Returns a name for this process's next tenure, which no tenure had before:
   // the process's own name, a dot and a suffix.
   std::function<std::string()> new_tenure;
-  // This host became the holder. `continued`: no other host has held the lease
-  // since it held it last.
-  std::function<void(bool continued)> on_gained;
+  // This host became the holder.
+  std::function<void(const LeaseGain&)> on_gained;
   // The store accepted this host's write of the lease, sent at `sent_at`, as
   // `revision`.
   std::function<void(uint64_t revision, MonotonicTime sent_at)> on_written;
@@ -123,9 +130,12 @@
   void TryTakeover();
   void TakeOverIfFree();
   void TakeOver();
+  // Returns the time by which the authority of the holder that the lease names,
+  // and of all before it, has ended. To be called when it may be taken over.
+  MonotonicTime OthersUntil() const;
   void Renew();
   Duration NextAttemptDelay(MonotonicTime now) const;
-  void WriteLease(const ZoneLease& next);
+  void WriteLease(ZoneLease next);
   void OnConflict(const StoredObject& object);
   void OnWritten(MonotonicTime sent_at, const std::string& tenure,
                  Result<StoredObject> written);
@@ -140,6 +150,8 @@
   LeaseManagerOptions options_;
   LeaseManagerHandlers handlers_;
   Random random_;
+  // No other process of this host has run since.
+  const MonotonicTime created_at_;
   ZoneLease lease_;  // As last read or written.
   LeaseObservation observation_;
   bool lease_read_ = false;  // The store has responded to a read.
@@ -163,6 +175,7 @@
   // host is known to have taken the lease.
   bool reacquiring_ = false;
   bool other_held_ = true;  // Another process held it since this one did.
+  MonotonicTime others_until_ = kNever;  // For the last takeover.
   bool write_pending_ = false;
   int read_failures_ = 0;  // Consecutive failed reads and takeovers.
   bool read_pending_ = false;
--- a/source/core/entry/lease_manager_store.cc
+++ b/source/core/entry/lease_manager_store.cc
@@ -152,6 +152,7 @@
 
 void LeaseManager::TakeOver() {
   if (write_pending_ || read_pending_ || !handlers_.may_hold()) return;
+  others_until_ = OthersUntil();
   tenure_ = handlers_.new_tenure();
   ZoneLease next = lease_;
   next.holder = options_.host;
@@ -162,6 +163,20 @@
   WriteLease(next);
 }
 
+MonotonicTime LeaseManager::OthersUntil() const {
+  MonotonicTime until = loop_.timers().now();
+  if (lease_.revision == 0) return until;
+  if (observation_.since != kNever &&
+      observation_.revision == lease_.revision) {
+    until = std::min(until, LeaseExpiry(observation_, options_.timing));
+  }
+  const bool own_former_process =
+      lease_.holder == options_.host && !IsOwnTenure(lease_.process);
+  return own_former_process && IsLatestLease(lease_)
+             ? std::min(until, created_at_)
+             : until;
+}
+
 void LeaseManager::Renew() {
   if (write_pending_) return;
   ZoneLease next = lease_;
@@ -170,8 +185,11 @@
   WriteLease(next);
 }
 
-void LeaseManager::WriteLease(const ZoneLease& next) {
+void LeaseManager::WriteLease(ZoneLease next) {
   write_pending_ = true;
+  // The write is accepted only in the era of the revision that it replaces.
+  next.era =
+      lease_.revision == 0 ? store_.era() : EraOfRevision(lease_.revision);
   const MonotonicTime sent_at = loop_.timers().now();
   store_.Write(
       {kZoneLeaseKind, options_.zone, lease_.revision, EncodeZoneLease(next)},
@@ -211,8 +229,10 @@
   log_.LogStateChange("lease.gained", {{"zone", options_.zone},
                                        {"term", lease_.term},
                                        {"tenure", tenure_},
-                                       {"takeover", !continued}});
-  handlers_.on_gained(continued);
+                                       {"takeover", !continued},
+                                       {"others_ended_ms_ago",
+                                        last_status_at_ - others_until_}});
+  handlers_.on_gained({continued, others_until_});
   EndExpiredTenure();
 }
 
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -59,9 +59,9 @@
   services_.clear();
 }
 
-void RangeManager::OnLeaseGained(bool continued) {
+void RangeManager::OnLeaseGained(const LeaseGain& gain) {
   running_ = true;
-  if (!continued) {
+  if (!gain.continued) {
     claimed_eras_.clear();
     held_since_ = loop_.timers().now();
   }
@@ -75,8 +75,8 @@
   // A lease with term 1 has no earlier holder whose grants may still be valid.
   // If no other host has held the lease since this one did, holds_ has all
   // grants.
-  if (lease_.lease().term > 1 && !continued)
-    holds_.AssumeHeld(started_at_, options_.longest_hold);
+  if (lease_.lease().term > 1 && !gain.continued)
+    holds_.AssumeHeld(gain.others_until, options_.longest_hold);
   loop_.timers().Cancel(timer_);
   timer_ = loop_.timers().Every(kTickInterval, [this] { Tick(); });
   Tick();
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -37,6 +37,7 @@
 class EventLog;
 class EventLoop;
 class LeaseManager;
+struct LeaseGain;
 class ObjectStore;
 class PathMonitor;
 struct OwnerState;
@@ -87,7 +88,7 @@
     on_moves_ = std::move(handler);
   }
   // `continued`: no other host has held the lease since this one held it last.
-  void OnLeaseGained(bool continued);
+  void OnLeaseGained(const LeaseGain& gain);
   void OnLeaseLost();
   void OnViewChanged();
   // `loads` is the busy time per second of each cell of the service's keys.
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -171,10 +171,10 @@
   handlers.on_written = [this](uint64_t revision, MonotonicTime sent_at) {
     view_.NoteWrite(revision, sent_at);
   };
-  handlers.on_gained = [this, self](bool continued) {
+  handlers.on_gained = [this, self](const LeaseGain& gain) {
     if (self->home) UpdateFeedState();
     if (self->home) AnnounceLease();
-    self->ranges->OnLeaseGained(continued);
+    self->ranges->OnLeaseGained(gain);
     if (self->home) AddOtherZones();
     // The first term of a lease has no predecessor.
     if (self->lender != nullptr)
--- a/source/core/ranges/hold_tracker.cc
+++ b/source/core/ranges/hold_tracker.cc
@@ -10,8 +10,8 @@
   return sent_at + lengthened + margin_;
 }
 
-void HoldTracker::AssumeHeld(MonotonicTime now, Duration longest_hold) {
-  assumed_until_ = std::max(assumed_until_, HoldEnd(now, longest_hold));
+void HoldTracker::AssumeHeld(MonotonicTime until, Duration longest_hold) {
+  assumed_until_ = std::max(assumed_until_, HoldEnd(until, longest_hold));
 }
 
 void HoldTracker::OnSent(const UpstreamIncarnation& upstream, MonotonicTime now,
--- a/source/core/ranges/hold_tracker.h
+++ b/source/core/ranges/hold_tracker.h
@@ -37,8 +37,8 @@
       : clock_guard_(clock_guard), margin_(margin) {}
 
   // Assumes that the previous lease holder sent grants of `longest_hold` to
-  // every upstream until `now`.
-  void AssumeHeld(MonotonicTime now, Duration longest_hold);
+  // every upstream until `until`.
+  void AssumeHeld(MonotonicTime until, Duration longest_hold);
   void OnSent(const UpstreamIncarnation& upstream, MonotonicTime now,
               Duration hold);
   void OnUnanswered(const UpstreamIncarnation& upstream, MonotonicTime sent_at,
--- a/source/core/ranges/zone_lease.cc
+++ b/source/core/ranges/zone_lease.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "store/store_revision.h"
+
 namespace mimosadeal {
 
 namespace {
@@ -15,11 +17,13 @@
 }  // namespace
 
 nlohmann::json EncodeZoneLease(const ZoneLease& lease) {
-  return {{"holder", lease.holder},
-          {"process", lease.process},
-          {"address", lease.address},
-          {"term", lease.term},
-          {"renewals", lease.renewals}};
+  nlohmann::json content = {{"holder", lease.holder},
+                            {"process", lease.process},
+                            {"address", lease.address},
+                            {"term", lease.term},
+                            {"renewals", lease.renewals}};
+  if (lease.era.has_value()) content["era"] = *lease.era;
+  return content;
 }
 
 Result<ZoneLease> DecodeZoneLease(const std::string& zone, uint64_t revision,
@@ -44,9 +48,14 @@
   lease.address = content["address"].get<std::string>();
   lease.term = content["term"].get<uint64_t>();
   lease.renewals = content["renewals"].get<uint64_t>();
+  if (is_number("era")) lease.era = content["era"].get<uint64_t>();
   return lease;
 }
 
+bool IsLatestLease(const ZoneLease& lease) {
+  return lease.revision != 0 && lease.era == EraOfRevision(lease.revision);
+}
+
 void ObserveLease(LeaseObservation& observation, uint64_t revision,
                   MonotonicTime now) {
   if (observation.revision == revision && observation.since != kNever) return;
--- a/source/core/ranges/zone_lease.h
+++ b/source/core/ranges/zone_lease.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -25,6 +26,9 @@
   std::string address;    // The holder's inner address.
   uint64_t term = 0;      // Increases with each change of the holder's process.
   uint64_t renewals = 0;  // Increases with each renewal, to change the object.
+  // The store's era in which it was written; missing in leases of former
+  // builds.
+  std::optional<uint64_t> era;
 };
 
 struct ZoneLeaseTiming {
@@ -47,6 +51,10 @@
 Result<ZoneLease> DecodeZoneLease(const std::string& zone, uint64_t revision,
                                   const nlohmann::json& content);
 
+// Returns whether the store was certainly not restored since the lease was
+// written, so that no later holder is lost from it.
+bool IsLatestLease(const ZoneLease& lease);
+
 // What a host that does not hold the lease has read of it.
 struct LeaseObservation {
   uint64_t revision = 0;
--- a/source/integration_tests/recovery_test.cc
+++ b/source/integration_tests/recovery_test.cc
@@ -9,6 +9,7 @@
 namespace mimosadeal {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr uint64_t kSeed = 1;
@@ -17,6 +18,18 @@
 constexpr Duration kRecoveryDeadline = seconds(15);
 constexpr double kQuarter = 0.25;
 
+// A return of all hosts of a small deployment without other faults.
+RecoveryPlan SmallPlan() {
+  RecoveryPlan plan;
+  plan.hosts = 6;
+  plan.keyed = 6;
+  plan.unkeyed = 2;
+  plan.page = 500;
+  plan.change_before = milliseconds(200);
+  plan.down = milliseconds(1000);
+  return plan;
+}
+
 class RecoveryTest : public EntryTest {
  public:
   RecoveryResult RunPlan(uint64_t seed, const RecoveryPlan& plan) {
@@ -51,5 +64,18 @@
   RunPlan(seed, MakeRecoveryPlan(seed, full));
 }
 
+// A new holder waited for the grants of its predecessor from when it got the
+// lease, though the predecessor had ended before the store was back.
+TEST(Recovery, KeysOfNewUpstreamsAreServedInTimeWhenTheStoreReturnsLate) {
+  RecoveryPlan plan = SmallPlan();
+  plan.upstreams = UpstreamsEnd::kNewIds;
+  plan.upstreams_back = plan.down;
+  plan.store = StoreTrouble::kSilent;
+  plan.store_begins = -milliseconds(500);
+  plan.store_ends = plan.down + seconds(6);
+  const RecoveryResult result = RunPlan(kSeed, plan);
+  CHECK(result.quarter_after_return < kRecoveryDeadline);
+}
+
 }  // namespace
 }  // namespace mimosadeal
--- a/source/unit_tests/entry/lease_manager_test.cc
+++ b/source/unit_tests/entry/lease_manager_test.cc
@@ -28,11 +28,12 @@
 
 // A host that may hold the lease. Its hellos are dropped unless `peer` is set.
 struct LeaseHost {
-  LeaseHost(EventLoop& loop, const std::string& name, bool home)
+  LeaseHost(EventLoop& loop, const std::string& name, bool home,
+            const std::string& process_suffix = ".p")
       : store(loop, kStoreAddress, platform::MakeStoreProtocol(),
               milliseconds(400)),
         log(name, 100),
-        process(name + ".p") {
+        process(name + process_suffix) {
     LeaseManagerOptions options;
     options.zone = kZone;
     options.host = name;
@@ -56,7 +57,10 @@
     handlers.new_tenure = [this] {
       return process + "." + std::to_string(++tenures);
     };
-    handlers.on_gained = [this](bool) { ++gained; };
+    handlers.on_gained = [this](const LeaseGain& gain) {
+      ++gained;
+      last_gain = gain;
+    };
     handlers.on_written = [](uint64_t, MonotonicTime) {};
     handlers.on_lost = [this] { ++lost; };
     manager = std::make_unique<LeaseManager>(loop, store, log, options,
@@ -70,6 +74,7 @@
   bool may_hold = true;
   int tenures = 0;
   int gained = 0;
+  LeaseGain last_gain;
   int lost = 0;
   std::unique_ptr<LeaseManager> manager;
 };
@@ -175,6 +180,67 @@
   CHECK(rival.manager->lease().term > term);
 }
 
+// Guards against keys that go unserved until the grants of a holder have
+// expired that had ended long before its successor could take the lease.
+TEST(LeaseManager, ARestartedHostKnowsThatItsFormerProcessHasEnded) {
+  Begin();
+  for (LeaseHost* host : {&rival, &other_zone_rival}) host->may_hold = false;
+  holder.manager->Resign();
+  LeaseHost restarted(loop, "holder", true, ".q");
+  const MonotonicTime created_at = loop.timers().now();
+  store->faults().refuse = true;
+  restarted.manager->Start();
+  RunFor(kTiming.duration);
+  store->faults().refuse = false;
+  CHECK(
+      RunUntil([&] { return restarted.gained > 0; }, std::chrono::seconds(3)));
+  CHECK_FALSE(restarted.last_gain.continued);
+  CHECK(restarted.last_gain.others_until <= created_at);
+}
+
+// As above, for a holder of another host whose lease has expired.
+TEST(LeaseManager, ASuccessorKnowsWhenTheHoldersLeaseExpired) {
+  Begin();
+  other_zone_rival.may_hold = false;
+  // No renewal is on its way then, whose reading would count as the last one.
+  CHECK(RunUntil(
+      [this] {
+        return rival.manager->lease().revision ==
+                   holder.manager->lease().revision &&
+               loop.timers().now() - holder.manager->confirmed_at() <
+                   kTiming.renew / 2;
+      },
+      std::chrono::seconds(2)));
+  rival.peer = nullptr;
+  holder.manager->Resign();
+  const MonotonicTime stopped_at = loop.timers().now();
+  store->faults().refuse = true;
+  RunFor(kTiming.duration * 4);
+  store->faults().refuse = false;
+  CHECK(RunUntil([&] { return rival.gained > 0; }, std::chrono::seconds(3)));
+  CHECK(rival.last_gain.others_until >= stopped_at);
+  CHECK(rival.last_gain.others_until <=
+        stopped_at + kTiming.duration * 2 + kTiming.margin);
+}
+
+// The copy from which the store was restored may lack a later holder.
+TEST(LeaseManager, ALeaseOfAFormerEraDoesNotShowThatAllHoldersHaveEnded) {
+  Begin();
+  for (LeaseHost* host : {&rival, &other_zone_rival}) host->may_hold = false;
+  holder.manager->Resign();
+  store->TakeCopy();
+  LeaseHost restarted(loop, "holder", true, ".q");
+  store->faults().refuse = true;
+  restarted.manager->Start();
+  RunFor(kTiming.duration);
+  const MonotonicTime restored_at = loop.timers().now();
+  store->RestoreCopy();
+  store->faults().refuse = false;
+  CHECK(
+      RunUntil([&] { return restarted.gained > 0; }, std::chrono::seconds(3)));
+  CHECK(restarted.last_gain.others_until >= restored_at);
+}
+
 // A host that stopped must still be replaced at once.
 TEST(LeaseManager, AHolderThatReportsItsStopIsReplacedBeforeItsLeaseExpires) {
   Begin();
--- a/source/unit_tests/ranges/zone_lease_test.cc
+++ b/source/unit_tests/ranges/zone_lease_test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "ranges/hold_tracker.h"
+#include "store/store_revision.h"
 
 namespace mimosadeal {
 namespace {
@@ -64,6 +65,19 @@
   CHECK_FALSE(DecodeZoneLease("north", 1, {{"holder", 3}}).has_value());
 }
 
+TEST(ZoneLease, IsTheLatestOnlyInTheEraInWhichItWasWritten) {
+  ZoneLease lease;
+  const uint64_t revision = MakeStoreRevision(2, 12);
+  auto read = DecodeZoneLease("north", revision, EncodeZoneLease(lease));
+  CHECK_FALSE(IsLatestLease(read.value()));  // A former build's.
+  lease.era = 1;
+  read = DecodeZoneLease("north", revision, EncodeZoneLease(lease));
+  CHECK_FALSE(IsLatestLease(read.value()));
+  lease.era = 2;
+  read = DecodeZoneLease("north", revision, EncodeZoneLease(lease));
+  CHECK(IsLatestLease(read.value()));
+}
+
 TEST_GROUP(HoldTracker) {
   HoldTracker holds{0.025, milliseconds(200)};
   MonotonicTime start{seconds(50)};
