KNOWN-RED: alike requests are refused after several upstreams lost power

Callers that send the same method, path and body have such requests in flight at several upstreams.

Not mended: crashes of copies that were sent before the first crash would have to count once, also across hosts, and reports of crashes do not state when the request was sent.

The hosts of the users' case had all been killed, which clears what they knew, so this is not its cause by itself.

--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -191,6 +191,38 @@
   fixture.CheckRecord();
 }
 
+// Requests that several callers send alike are in flight at several upstreams
+// when these lose power, which shows nothing about the requests.
+TEST(EntryLosses, PopularRequestsAreServedAfterUpstreamsLostPower) {
+  constexpr int alike = 24;
+  fixture.StartDefaultDeployment(2);
+  for (int i = 3; i <= 6; ++i)
+    fixture.AddUpstream("desk-" + std::to_string(i), "desk", "north", 10 + i);
+  fixture.RunFor(seconds(1));
+  std::vector<DeploymentUpstreamOptions> ended;
+  for (auto& [id, upstream] : fixture.upstreams) {
+    upstream->SetWork(milliseconds(500));
+    if (!upstream->options().keyed) ended.push_back(upstream->options());
+  }
+  for (int i = 0; i < alike; ++i)
+    fixture.Start(Host(1 + i % 2), "GET", "/price/popular", -1);
+  fixture.RunFor(milliseconds(250));
+  for (const auto& options : ended) fixture.CrashUpstream(options.id);
+  fixture.RunFor(seconds(2));
+  int index = 60;
+  for (DeploymentUpstreamOptions& options : ended) {
+    options.work = milliseconds(20);
+    fixture.AddUpstream(options, ++index);
+  }
+  fixture.RunFor(seconds(4));
+  for (int i = 0; i < 10; ++i) {
+    CheckServed(
+        fixture.SendAndWait(Host(1 + i % 2), "GET", "/price/other", -1));
+    CheckServed(
+        fixture.SendAndWait(Host(1 + i % 2), "GET", "/price/popular", -1));
+  }
+}
+
 // Guards against use after free: calls to the store and to upstreams for
 // another zone are still pending when the host loses that zone's lease.
 // Sanitizers report the fault reliably; without them it shows only by chance.
