Entry: connections to upstreams use no more descriptors than a host has

Callers saw: a host ended, and with it all requests that it had.

Cause: callers' connections have a limit by the host's descriptors; those to upstreams had a constant of 500 calls and none for idle ones. A request that no upstream answers takes one. libwebsockets refuses a descriptor beyond its limit, and FdWatch answered that with std::abort. Connections closed in favour of new ones keep their descriptors until the next iteration, up to 64 beside the rest.

Why it works: connections to upstreams, idle ones included, have a limit by the descriptors (500, or a quarter of up to 1,800); one service's calls use three quarters of it, so that others are served. Beyond it a request gets 503 before anything was sent. At most a sixteenth of the connections is closed for others at a time. FdWatch closes a descriptor that the loop may not watch and reports it as closed, so no crowd of another kind ends the process there.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -178,6 +178,7 @@
   UpstreamPoolLimits limits;
   limits.text = {64 * 1024, static_cast<size_t>(settings_.max_response_bytes)};
   limits.budget = budget_;
+  limits.max_connections = UpstreamConnectionLimit(settings_);
   limits.connect_timeout = kConnectTimeout;
   limits.slow_connect = kSlowConnect;
   limits.usable_idle_share = kUsableIdleShare;
--- a/source/core/entry/entry_servers.cc
+++ b/source/core/entry/entry_servers.cc
@@ -16,6 +16,11 @@
 // File descriptors for everything but callers' connections: connections to
 // upstreams, the store and other hosts, and the process's own files.
 constexpr size_t kReservedDescriptors = 900;
+// Of kReservedDescriptors, for connections to upstreams.
+constexpr size_t kMaxUpstreamConnections = 500;
+// Hosts with fewer than twice kReservedDescriptors share what they have: half
+// is for callers, and this part for upstreams.
+constexpr size_t kUpstreamDivisor = 4;
 // Readiness probes come once a second, and operators are few.
 constexpr size_t kMaxProbeConnections = 32;
 // Limits on callers until a configuration has been read.
@@ -77,6 +82,13 @@
   return limits;
 }
 
+size_t UpstreamConnectionLimit(const Settings& settings) {
+  const auto descriptors = static_cast<size_t>(settings.max_descriptors);
+  return descriptors > 2 * kReservedDescriptors
+             ? kMaxUpstreamConnections
+             : std::max<size_t>(1, descriptors / kUpstreamDivisor);
+}
+
 ExchangeServerLimits ProbeLimits(const Settings& settings,
                                  const RouteTable* routes) {
   ExchangeServerLimits limits = CallerLimits(settings, routes);
--- a/source/core/entry/entry_servers.h
+++ b/source/core/entry/entry_servers.h
@@ -18,6 +18,8 @@
 // `routes` may be null while no configuration has been read.
 ExchangeServerLimits CallerLimits(const Settings& settings,
                                   const RouteTable* routes);
+// How many connections to upstreams this host may have.
+size_t UpstreamConnectionLimit(const Settings& settings);
 // For servers that callers do not use: of readiness probes, and of operators.
 ExchangeServerLimits ProbeLimits(const Settings& settings,
                                  const RouteTable* routes);
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -20,9 +20,6 @@
 // long enough for a planned move of the key, short enough for the caller to
 // retry in time.
 constexpr int kOwnerWaitDivisor = 3;
-// Calls in flight at all upstreams. Each uses a connection, and the number of
-// descriptors reserved for them is limited.
-constexpr size_t kMaxCallsInFlight = 500;
 // After a failure to connect, an upstream is tried again within 0.25 to 2 s.
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
 // Keys that are still owned in an evacuated zone when its time is up belong to
@@ -246,7 +243,7 @@
     Refuse(pending, RefusalReason::kNotExecuted, kRetryAfterNoOwner);
     return;
   }
-  if (pool_.calls() >= kMaxCallsInFlight) {
+  if (!pool_.MayCall(upstream->record.service)) {
     Refuse(pending, RefusalReason::kOverloaded, kRetryAfterNoUpstream);
     return;
   }
--- a/source/core/entry/request_forwarder_hedging.cc
+++ b/source/core/entry/request_forwarder_hedging.cc
@@ -20,9 +20,8 @@
 // After a refusal the service counts as short of room for this long. A queue of
 // an upstream is worked off in about a second.
 constexpr Duration kShortMemory = std::chrono::seconds(2);
-// Calls in flight at all upstreams above which no second try is sent: half of
-// the connections that are reserved for calls.
-constexpr size_t kMaxCallsForHedge = 250;
+// No second try is sent while calls use this part of the connections.
+constexpr size_t kMaxCallsForHedgeDivisor = 2;
 constexpr double kMedian = 0.5;
 
 }  // namespace
@@ -108,7 +107,9 @@
   input.time_left = pending.give_up_at - now;
   input.typical =
       LatencyAt(latencies_[pending.route->name], kMedian).value_or(Duration());
-  input.service_short = IsShort(service) || pool_.calls() >= kMaxCallsForHedge;
+  input.service_short =
+      IsShort(service) ||
+      pool_.calls() >= pool_.max_connections() / kMaxCallsForHedgeDivisor;
   input.attempts_left =
       tried_before ||
       pending.tried.size() < static_cast<size_t>(pending.route->max_upstreams);
--- a/source/core/entry/upstream_pool.cc
+++ b/source/core/entry/upstream_pool.cc
@@ -1,5 +1,6 @@
 #include "entry/upstream_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/path_monitor.h"
@@ -10,6 +11,8 @@
 
 // Idle connections per upstream.
 constexpr size_t kMaxIdleConnections = 6;
+// Of all connections, those that calls of one service may use.
+constexpr double kServiceShare = 0.75;
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
 // An upstream that has dropped an idle connection resets it within a round
 // trip, which is shorter than this to any zone. A later reset has another
@@ -26,6 +29,7 @@
 
 struct UpstreamPool::Call {
   std::string upstream;
+  std::string service;
   int64_t incarnation = 0;
   std::unique_ptr<ExchangeClient> client;
   Callback callback;
@@ -91,6 +95,7 @@
             ReusableIdleTime(idle_timeout_estimate_, max_idle_time, now))
       return client;
   }
+  MakeRoomForCall();
   ++connections_opened_;
   auto client = std::make_unique<ExchangeClient>(loop_, upstream.record.address,
                                                  limits_.text);
@@ -98,13 +103,45 @@
   return client;
 }
 
+bool UpstreamPool::MayCall(const std::string& service) const {
+  const auto found = calls_by_service_.find(service);
+  const size_t used = found == calls_by_service_.end() ? 0 : found->second;
+  const auto share = static_cast<size_t>(
+      static_cast<double>(limits_.max_connections) * kServiceShare);
+  return calls_.size() < limits_.max_connections &&
+         used < std::max<size_t>(1, share);
+}
+
+void UpstreamPool::NoteCallEnded(const std::string& service) {
+  const auto found = calls_by_service_.find(service);
+  if (--found->second == 0) calls_by_service_.erase(found);
+}
+
+void UpstreamPool::MakeRoomForCall() {
+  const size_t most = calls_.size() + kMaxIdleConnections * upstreams_.size();
+  if (most < limits_.max_connections) return;
+  size_t idle = 0;
+  Upstream* longest = nullptr;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream->idle.empty()) continue;
+    idle += upstream->idle.size();
+    if (longest == nullptr || upstream->idle.front()->idle_since() <
+                                  longest->idle.front()->idle_since())
+      longest = upstream.get();
+  }
+  if (longest != nullptr && calls_.size() + idle >= limits_.max_connections)
+    longest->idle.pop_front();
+}
+
 PoolCallId UpstreamPool::Send(const UpstreamRecord& record,
                               ExchangeRequest request, Callback callback) {
   Upstream& upstream = FindOrAdd(record);
   const PoolCallId id = next_id_++;
   auto call = std::make_unique<Call>();
   call->upstream = record.id;
+  call->service = record.service;
   call->incarnation = record.incarnation;
+  ++calls_by_service_[record.service];
   call->client = TakeConnection(upstream, request.require_new_connection);
   call->started_at = loop_.timers().now();
   if (call->client->reusable())
@@ -129,6 +166,7 @@
   if (found == calls_.end()) return;
   const std::unique_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
+  NoteCallEnded(call->service);
   loop_.timers().Cancel(call->slow_connect_timer);
   NoteIdleReset(*call, result);
   const auto upstream = upstreams_.find(call->upstream);
@@ -195,6 +233,7 @@
   // within a callback of the client.
   const std::shared_ptr<Call> cancelled = std::move(found->second);
   calls_.erase(found);
+  NoteCallEnded(cancelled->service);
   loop_.timers().Cancel(cancelled->slow_connect_timer);
   const bool received = cancelled->client->request_written();
   cancelled->client->Abort();
--- a/source/core/entry/upstream_pool.h
+++ b/source/core/entry/upstream_pool.h
@@ -23,6 +23,8 @@
   HttpMessageLimits text;
   // For the responses that are not complete.
   std::shared_ptr<ByteBudget> budget;
+  // To all upstreams, idle ones too. Idle ones are closed in favour of calls.
+  size_t max_connections = SIZE_MAX;
   Duration connect_timeout{};
   // A connection that takes longer to open shows that the path may be lost.
   Duration slow_connect{};
@@ -69,6 +71,10 @@
 
   // Number of calls in flight. Each uses one connection.
   size_t calls() const { return calls_.size(); }
+  size_t max_connections() const { return limits_.max_connections; }
+  // Whether the service may have another call. A part of the connections is for
+  // other services, in case its upstreams do not respond.
+  bool MayCall(const std::string& service) const;
   uint64_t connections_opened() const { return connections_opened_; }
 
  private:
@@ -81,6 +87,10 @@
   // only a new one.
   std::unique_ptr<ExchangeClient> TakeConnection(Upstream& upstream,
                                                  bool unused);
+  void NoteCallEnded(const std::string& service);
+  // Closes the connection that has been idle longest if there is no room for
+  // another call.
+  void MakeRoomForCall();
   // Records whether a connection to the upstream could be opened.
   void NoteConnection(Upstream& upstream, const ExchangeResult& result);
   // Records that the call's connection takes long to open.
@@ -101,6 +111,7 @@
   IdleTimeoutEstimate idle_timeout_estimate_;
   std::map<std::string, std::unique_ptr<Upstream>> upstreams_;
   std::map<PoolCallId, std::unique_ptr<Call>> calls_;
+  std::map<std::string, size_t> calls_by_service_;  // Without those of none.
 };
 
 }  // namespace mimosadeal
--- a/source/core/net/event_loop.cc
+++ b/source/core/net/event_loop.cc
@@ -16,6 +16,8 @@
 // lws_service does not wait when its timeout is negative, and chooses the
 // timeout itself when it is zero.
 constexpr int kDoNotWait = -1;
+// Descriptors of libwebsockets itself, and what it keeps free.
+constexpr unsigned kOwnDescriptors = 4;
 constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
 
 const std::array<lws_protocols, 2> kDescriptorProtocols = {{
@@ -26,10 +28,13 @@
 }  // namespace
 
 EventLoop::EventLoop(const EventLoopOptions& options)
-    : timers_(BootClock::now) {
+    : timers_(BootClock::now),
+      max_watched_(options.max_descriptors -
+                   std::min(options.max_descriptors, kOwnDescriptors)) {
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.user = this;
   info.fd_limit_per_thread = options.max_descriptors;
   info.max_http_header_pool2 = options.max_header_blocks;
   info.max_http_header_data2 = options.max_header_bytes;
--- a/source/core/net/event_loop.h
+++ b/source/core/net/event_loop.h
@@ -16,6 +16,7 @@
 
 struct EventLoopOptions {
   // Maximum number of open descriptors. Memory for them is reserved at start.
+  // Beyond it FdWatch closes new ones.
   unsigned max_descriptors = 4096;
   // Maximum number of requests whose HTTP headers are held at the same time.
   // Further connections are not read until one of them is done.
@@ -37,6 +38,12 @@
   // listening socket.
   lws_vhost* descriptor_vhost() { return descriptor_vhost_; }
 
+  // Whether another descriptor may be watched. FdWatch notes each that begins
+  // or ends to be.
+  bool MayWatch() const { return watched_ < max_watched_; }
+  void NoteWatched() { ++watched_; }
+  void NoteUnwatched() { --watched_; }
+
   // Runs until Stop is called.
   void Run();
   // Runs one iteration: waits for a ready descriptor or for the next timer,
@@ -57,6 +64,8 @@
   bool ArmTimer();
 
   TimerService timers_;
+  size_t max_watched_;
+  size_t watched_ = 0;  // By libwebsockets, those that it is yet to close too.
   lws_context* context_ = nullptr;
   lws_vhost* descriptor_vhost_ = nullptr;
   std::unique_ptr<FdWatch> timer_watch_;
--- a/source/core/net/exchange_server.cc
+++ b/source/core/net/exchange_server.cc
@@ -20,6 +20,9 @@
 constexpr Duration kLastResponseTimeout = std::chrono::seconds(2);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int kMaxAcceptsPerIteration = 64;
+// Of the connections, how many are closed in favour of new ones at a time.
+// Their descriptors are given back in the next iteration.
+constexpr size_t kFreedDivisor = 16;
 // A body up to this size is copied, so that one call sends it with its head.
 constexpr size_t kMaxCopiedBody = 16 * 1024;
 
@@ -49,13 +52,18 @@
 }
 
 bool ExchangeServer::OnAcceptable() {
-  for (int i = 0; i < kMaxAcceptsPerIteration; ++i) {
+  const size_t max_freed = limits_.max_connections / kFreedDivisor + 1;
+  size_t freed = 0;
+  for (int i = 0; i < kMaxAcceptsPerIteration && freed < max_freed; ++i) {
     const int fd = accept4(listener_->fd(), nullptr, nullptr,
                            SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return false;
-    if (connections_.size() >= limits_.max_connections && !FreeSlot()) {
-      close(fd);
-      continue;
+    if (connections_.size() >= limits_.max_connections) {
+      if (!FreeSlot()) {
+        close(fd);
+        continue;
+      }
+      ++freed;
     }
     const uint64_t id = next_id_++;
     auto connection = std::make_unique<Connection>();
--- a/source/core/net/fd_watch.cc
+++ b/source/core/net/fd_watch.cc
@@ -1,7 +1,9 @@
 #include "net/fd_watch.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 #include <utility>
@@ -15,11 +17,20 @@
     : loop_(loop), fd_(fd), callbacks_(std::move(callbacks)) {
   lws_sock_file_fd_type descriptor{};
   descriptor.filefd = fd;
-  wsi_ = lws_adopt_descriptor_vhost(loop.descriptor_vhost(),
-                                    LWS_ADOPT_RAW_FILE_DESC, descriptor,
-                                    kFdWatchProtocol, nullptr);
-  if (wsi_ == nullptr) std::abort();
-  lws_set_opaque_user_data(wsi_, this);
+  if (loop.MayWatch()) {
+    wsi_ = lws_adopt_descriptor_vhost(loop.descriptor_vhost(),
+                                      LWS_ADOPT_RAW_FILE_DESC, descriptor,
+                                      kFdWatchProtocol, nullptr);
+  }
+  if (wsi_ != nullptr) {
+    loop.NoteWatched();
+    lws_set_opaque_user_data(wsi_, this);
+    return;
+  }
+  // The process cannot do without the others, which are opened at its start.
+  if (callbacks_.on_closed == nullptr) std::abort();
+  close(std::exchange(fd_, -1));
+  ReportClosed(EMFILE);
 }
 
 FdWatch::~FdWatch() {
@@ -63,6 +74,10 @@
     return;
   }
   // Deferred, because libwebsockets is still closing the descriptor.
+  ReportClosed(error);
+}
+
+void FdWatch::ReportClosed(int error) {
   const std::weak_ptr<char> alive = alive_;
   loop_.Post([this, alive, error] {
     if (!alive.expired()) callbacks_.on_closed(error);
@@ -83,6 +98,8 @@
       if (watch->callbacks_.on_writable) watch->RunWritableCallback();
       return 0;
     case LWS_CALLBACK_RAW_CLOSE_FILE:
+      static_cast<EventLoop*>(lws_context_user(lws_get_context(wsi)))
+          ->NoteUnwatched();
       if (watch != nullptr) watch->NoteClosed();
       return 0;
     default:
--- a/source/core/net/fd_watch.h
+++ b/source/core/net/fd_watch.h
@@ -20,9 +20,10 @@
   struct Callbacks {
     std::function<void()> on_readable;
     std::function<void()> on_writable;
-    // libwebsockets closed the descriptor, as it does for an error or a hang-up
-    // that comes without input. `error` is the socket's; 0 if it had none. Runs
-    // once, and from the event loop only.
+    // The descriptor was closed: by libwebsockets, as it does for an error or a
+    // hang-up that comes without input, or because the loop may watch no more.
+    // `error` is the socket's, 0 if it had none, or EMFILE. Runs once, and from
+    // the event loop only.
     std::function<void(int error)> on_closed = nullptr;
   };
 
@@ -31,7 +32,7 @@
   FdWatch(const FdWatch&) = delete;
   FdWatch& operator=(const FdWatch&) = delete;
 
-  // -1 once libwebsockets has closed the descriptor, as the kernel may give its
+  // -1 once the descriptor has been closed, as the kernel may give its
   // number to another one.
   int fd() const { return fd_; }
   // Requests one call of on_writable as soon as the descriptor is writable. May
@@ -44,6 +45,8 @@
 
   void RunWritableCallback();
   void NoteClosed();
+  // Calls on_closed in the next iteration.
+  void ReportClosed(int error);
 
   EventLoop& loop_;
   int fd_;
--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -41,10 +41,14 @@
 // More than the connections that a host with kHostDescriptors accepts.
 constexpr int kSilentSenders = 200;
 constexpr Duration kCrowdTime = seconds(6);
+// Fewer than the connections that a host with kHostDescriptors accepts. Each
+// request that waits takes a connection to an upstream too.
+constexpr int kWaitingSenders = 124;
 // Between callers that send two requests at once.
 constexpr Duration kPipelineInterval = milliseconds(200);
 
 constexpr Duration kPumpInterval = milliseconds(2);
+constexpr Duration kRepeatDelay = milliseconds(100);
 constexpr size_t kPieceBytes = 64 * 1024;
 constexpr size_t kSmallPieceBytes = 1000;
 constexpr size_t kMaxQueuedBytes = 128 * 1024;
@@ -84,7 +88,7 @@
     };
     auto server = ExchangeServer::Listen(
         fixture.loop, address,
-        {{16 * 1024, 2 * kMaxBodyBytes}, seconds(10), seconds(10), 400},
+        {{64 * 1024, 2 * kMaxBodyBytes}, seconds(10), seconds(10), 400},
         std::move(handlers));
     CHECK(server.has_value());
     server_ = std::move(server.value());
@@ -125,7 +129,9 @@
   std::string begin;    // After the headers.
   size_t bytes = 0;     // After `begin`; then nothing more.
   size_t piece = kPieceBytes;
-  bool again = false;  // Connects again when its connection was closed.
+  bool again = false;       // Connects again when its connection was closed.
+  bool repeat = false;      // Sends its request again after each response.
+  std::string behind = "";  // Sent a little after `begin`, before the bytes.
 };
 
 // Callers that send bodies, and read whatever they get.
@@ -150,17 +156,27 @@
     std::unique_ptr<TcpStream> stream = nullptr;
     size_t sent = 0;
     bool ended = false;
+    MonotonicTime answered_at = kForever;
   };
 
   void Connect(Member& member) {
     member.ended = false;
-    member.sent = 0;
     auto stream = TcpStream::Connect(
         loop_, address_,
-        TcpStreamHandlers{[] {}, [](std::string_view) {},
+        TcpStreamHandlers{[] {},
+                          [this, &member](std::string_view) {
+                            if (member.plan.repeat)
+                              member.answered_at = loop_.timers().now();
+                          },
                           [&member](StreamEnd) { member.ended = true; }});
     CHECK(stream.has_value());
     member.stream = std::move(stream.value());
+    Begin(member);
+  }
+
+  void Begin(Member& member) {
+    member.sent = 0;
+    member.answered_at = kForever;
     member.stream->Write(
         RequestHead("POST", "/charge/crowd", member.plan.framing) +
         member.plan.begin);
@@ -169,12 +185,16 @@
   void Pump() {
     for (Member& member : members_) {
       if (member.ended && member.plan.again) Connect(member);
+      if (!member.ended &&
+          loop_.timers().now() - kRepeatDelay >= member.answered_at)
+        Begin(member);
       if (member.ended || member.sent >= member.plan.bytes ||
           member.stream->queued_bytes() > kMaxQueuedBytes) {
         continue;
       }
       const size_t count =
           std::min(member.plan.piece, member.plan.bytes - member.sent);
+      if (member.sent == 0) member.stream->Write(member.plan.behind);
       member.sent += count;
       sent_ += count;
       member.stream->Write(std::string(count, 'x'));
@@ -243,10 +263,10 @@
  public:
   void StartDeployment(Duration work, size_t response_bytes) {
     nlohmann::json configuration = fixture.Configuration(1);
-    configuration["limits"]["maxBodyBytes"] = kMaxBodyBytes;
+    configuration["limits"]["maxBodyBytes"] = max_body_bytes_;
     fixture.extra_settings["host-1"] =
         "[limits]\nmemory_mb = " + std::to_string(kHostMemoryMb) +
-        "\nmax_descriptors = " + std::to_string(kHostDescriptors) + "\n";
+        "\nmax_descriptors = " + std::to_string(host_descriptors_) + "\n";
     fixture.store->Put("config", "main", configuration);
     for (int i = 1; i <= 4; ++i) {
       fixture.AddUpstream("yard-" + std::to_string(i), "yard",
@@ -289,13 +309,16 @@
     CHECK_TEXT(peak > 0 && peak <= kHostMemoryMb * 1024,
                ("peak of " + std::to_string(peak) + " kB").c_str());
     const size_t open = OpenDescriptors(Host(1));
-    CHECK_TEXT(open > 0 && open <= kHostDescriptors,
+    CHECK_TEXT(open > 0 && open <= host_descriptors_,
                (std::to_string(open) + " descriptors").c_str());
     const int key = OwnedKey("yard-1");
     CheckServed(fixture.SendAndWait(Host(1), "GET", "/lookup/a", key));
     fixture.CheckRecord();
   }
 
+  // Set before StartDeployment.
+  size_t host_descriptors_ = kHostDescriptors;
+  size_t max_body_bytes_ = kMaxBodyBytes;
   std::unique_ptr<LargeUpstream> large_;
 };
 
@@ -408,6 +431,17 @@
   CheckHostHolds();
 }
 
+// Guards against connections to upstreams that nothing limits by the host's
+// descriptors: each request that no upstream answers takes one.
+TEST(EntryCrowds, RequestsThatNoUpstreamAnswersDoNotUseUpTheDescriptors) {
+  StartDeployment(seconds(60), 10);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  for (int i = 0; i < kWaitingSenders; ++i)
+    crowd.Add({"content-length: 1\r\n", "x", 0, 0, true, true});
+  fixture.RunFor(kCrowdTime);
+  CheckHostHolds();
+}
+
 // Guards against responses that are kept, without a limit on their sum, for
 // callers that do not read them.
 TEST(EntryCrowds, ResponsesReadSlowlyDoNotExhaustTheHost) {
