Byte budget: one large body leaves room for small requests, and for a total

Callers saw: while one body of the largest size was under way, ordinary requests got 503, those without a body too. By reading, the host could also exceed its memory: the body may take 0.6 of it alone, beside small requests that use their whole 0.375 and full parts of responses.

Cause: small requests were compared with the part's limit, which a lone large body exceeds, so they had no reserve beside it; a request without a body counted one byte. "Alone" looked at large holders only, and no limit was for the sum.

Why it works: small holders have their eighth whatever others hold; a lone large one needs the small ones to keep to it; all parts together hold 0.7 at most. The largest body of 64 MB still fits on 112 MB (ByteBudget.TheLargestBodyAlone...).

--- a/source/core/net/byte_budget.cc
+++ b/source/core/net/byte_budget.cc
@@ -24,6 +24,8 @@
 // Lets one response be as large as while the memory is not known.
 constexpr double kSingleResponseShare = 0.15;
 constexpr double kSingleUnreadShare = 0.2;
+// Limits the sum while a single holder exceeds its part.
+constexpr double kTotalShare = 0.7;
 // Fraction of each part for small holders.
 constexpr double kSmallReserveShare = 0.125;
 // Used while the memory is not known. Buffers that grow, and the gaps that they
@@ -53,6 +55,16 @@
 
 bool IsLarge(size_t bytes) { return bytes > kSmallHolderBytes; }
 
+size_t TotalUsed(const ByteBudget& budget) {
+  size_t used = 0;
+  for (const BytePart& part : budget.parts) used += part.used;
+  return used;
+}
+
+size_t Excess(size_t wanted, size_t limit) {
+  return wanted > limit ? wanted - limit : 0;
+}
+
 }  // namespace
 
 std::string_view ByteUseName(ByteUse use) { return NameOf(kByteUseNames, use); }
@@ -66,6 +78,7 @@
     return budget;
   }
   const double memory = static_cast<double>(memory_mb) * kMebibyte;
+  budget.total_limit = static_cast<size_t>(memory * kTotalShare);
   MutablePart(budget, ByteUse::kRequestBodies) =
       MakePart(memory, kRequestBodiesShare, kSingleBodyShare);
   MutablePart(budget, ByteUse::kUpstreamResponses) =
@@ -83,15 +96,26 @@
                 size_t wanted) {
   const BytePart& part = PartOf(budget, use);
   const size_t others = part.used - held;
+  const size_t other_large = part.large_used - (IsLarge(held) ? held : 0);
   const size_t limit =
       IsLarge(wanted) ? part.limit - part.small_reserve : part.limit;
-  const bool fits = others <= limit && wanted <= limit - others;
-  if (fits) return 0;
-  const size_t other_large = part.large_used - (IsLarge(held) ? held : 0);
-  const bool may_be_alone = wanted <= part.single_limit;
-  if (may_be_alone && other_large == 0 && IsLarge(wanted)) return 0;
-  if (wanted > limit) return may_be_alone ? other_large : SIZE_MAX;
-  return others + wanted - limit;
+  const bool in_reserve =
+      !IsLarge(wanted) && others - other_large + wanted <= part.small_reserve;
+  if (in_reserve) return 0;
+  const size_t above_total =
+      Excess(TotalUsed(budget) - held + wanted, budget.total_limit);
+  const bool may_be_alone = IsLarge(wanted) && wanted <= part.single_limit;
+  if (may_be_alone && (other_large == 0 || wanted > limit)) {
+    const size_t above_alone =
+        Excess(others + wanted, part.single_limit + part.small_reserve);
+    return std::max({other_large, above_alone, above_total});
+  }
+  if (wanted > limit) return SIZE_MAX;
+  return std::max(Excess(others + wanted, limit), above_total);
+}
+
+bool ExceedsTotal(const ByteBudget& budget) {
+  return TotalUsed(budget) > budget.total_limit;
 }
 
 bool MayHold(const ByteBudget& budget, ByteUse use, size_t held,
--- a/source/core/net/byte_budget.h
+++ b/source/core/net/byte_budget.h
@@ -31,9 +31,11 @@
 // What one use may take, in bytes.
 struct BytePart {
   size_t limit = SIZE_MAX;
-  // Of `limit`, for holders of at most kSmallHolderBytes each.
+  // Of `limit`, for holders of at most kSmallHolderBytes each, whatever others
+  // hold.
   size_t small_reserve = 0;
-  // A holder that is alone, but for small ones, may hold this much.
+  // A holder that is alone, but for small ones in their reserve, may hold this
+  // much.
   size_t single_limit = SIZE_MAX;
   size_t used = 0;
   size_t large_used = 0;  // By holders of more than kSmallHolderBytes.
@@ -45,6 +47,8 @@
 
 struct ByteBudget {
   std::array<BytePart, kByteUses> parts;
+  // Of all parts, as single holders may exceed the limits of theirs.
+  size_t total_limit = SIZE_MAX;
 };
 
 // Returns the budget of a host that may use `memory_mb`. 0: the memory is not
@@ -53,6 +57,9 @@
 
 const BytePart& PartOf(const ByteBudget& budget, ByteUse use);
 
+// Whether all holders together exceed the total.
+bool ExceedsTotal(const ByteBudget& budget);
+
 // Whether a holder of `held` bytes may hold `wanted`, which is more.
 bool MayHold(const ByteBudget& budget, ByteUse use, size_t held, size_t wanted);
 // How many bytes others have to give back before it may; 0 if it may now,
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -221,8 +221,12 @@
 bool ExchangeClient::ExceedsBudget() const {
   if (hold_ == nullptr) return false;
   const BytePart& part = PartOf(*budget_, ByteUse::kUpstreamResponses);
-  if (part.holders == 1 && hold_->bytes() <= part.single_limit) return false;
-  return part.used > part.limit && hold_->bytes() * part.holders >= part.used;
+  if (part.used <= part.small_reserve) return false;
+  const bool above_total = ExceedsTotal(*budget_);
+  if (part.holders == 1 && hold_->bytes() <= part.single_limit)
+    return above_total;
+  return (above_total || part.used > part.limit) &&
+         hold_->bytes() * part.holders >= part.used;
 }
 
 void ExchangeClient::Complete(ParsedHttpResponse text) {
--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -44,6 +44,13 @@
 // Fewer than the connections that a host with kHostDescriptors accepts. Each
 // request that waits takes a connection to an upstream too.
 constexpr int kWaitingSenders = 124;
+// Of an ordinary size; an input that holds it is not given back.
+constexpr size_t kMediumBodyBytes = 60'000;
+// The most that a host may keep of one body, less 2 MB.
+constexpr size_t kLoneBodyBytes = size_t{36} * 1024 * 1024;
+constexpr size_t kLonePieceBytes = 12'000;  // It takes about 6 s.
+constexpr int kSendersBesideLoneBody = 40;
+constexpr int kReadersBesideLoneBody = 80;
 // Between callers that send two requests at once.
 constexpr Duration kPipelineInterval = milliseconds(200);
 
@@ -442,6 +449,31 @@
   CheckHostHolds();
 }
 
+// Guards against parts of the budget that may be used up at the same time, and
+// against small requests that are refused beside a large one.
+TEST(EntryCrowds, TheLargestBodyBesideOtherCrowdsDoesNotExhaustTheHost) {
+  max_body_bytes_ = kLoneBodyBytes;
+  StartDeployment(milliseconds(20), kResponseBytes);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  crowd.Add({"content-length: " + std::to_string(kLoneBodyBytes) + "\r\n", "",
+             kLoneBodyBytes - 1, kLonePieceBytes, true});
+  for (int i = 0; i < kSendersBesideLoneBody; ++i) {
+    crowd.Add({"content-length: " + std::to_string(kMediumBodyBytes) + "\r\n",
+               "", kMediumBodyBytes - 1, kPieceBytes, true});
+  }
+  ReaderCrowd readers(fixture.loop, Host(1).callers);
+  while (readers.size() < kReadersBesideLoneBody) {
+    for (int i = 0; i < kReadersPerStep; ++i)
+      readers.Add(readers.size() % 4 != 0);
+    fixture.RunFor(milliseconds(40));
+  }
+  fixture.RunFor(kCrowdTime);
+  CHECK(large_->responses() > 0);
+  CheckServed(fixture.SendAndWait(Host(1), "POST", "/charge/a", -1,
+                                  std::string(kSmallPieceBytes, 'x')));
+  CheckHostHolds();
+}
+
 // Guards against responses that are kept, without a limit on their sum, for
 // callers that do not read them.
 TEST(EntryCrowds, ResponsesReadSlowlyDoNotExhaustTheHost) {
--- a/source/unit_tests/net/byte_budget_test.cc
+++ b/source/unit_tests/net/byte_budget_test.cc
@@ -61,6 +61,42 @@
   CHECK_FALSE(MayHold(*budget, kBodies, 0, kSmallHolderBytes + 1));
 }
 
+TEST(ByteBudget, SmallRequestsFitBesideTheLargestBody) {
+  const auto budget = Budget(112);
+  ByteHold largest(budget, kBodies);
+  largest.Set(64 * kMb);
+  std::vector<std::unique_ptr<ByteHold>> holds;
+  while (MayHold(*budget, kBodies, 0, kSmallHolderBytes)) {
+    holds.push_back(std::make_unique<ByteHold>(budget, kBodies));
+    holds.back()->Set(kSmallHolderBytes);
+  }
+  LONGS_EQUAL(PartOf(*budget, kBodies).small_reserve / kSmallHolderBytes,
+              holds.size());
+}
+
+TEST(ByteBudget, TheLargestBodyDoesNotFitBesideSmallOnesThatUseTheWholePart) {
+  const auto budget = Budget(112);
+  std::vector<std::unique_ptr<ByteHold>> holds;
+  while (MayHold(*budget, kBodies, 0, kSmallHolderBytes)) {
+    holds.push_back(std::make_unique<ByteHold>(budget, kBodies));
+    holds.back()->Set(kSmallHolderBytes);
+  }
+  const size_t shortage = Shortage(*budget, kBodies, 0, 64 * kMb);
+  CHECK(shortage > 0 && shortage < PartOf(*budget, kBodies).used);
+}
+
+TEST(ByteBudget, TheLargestBodyAndUnreadResponsesShareTheTotal) {
+  const auto budget = Budget(112);
+  ByteHold largest(budget, kBodies);
+  largest.Set(64 * kMb);
+  ByteHold unread(budget, kUnread);
+  while (MayHold(*budget, kUnread, unread.bytes(), unread.bytes() + kMb))
+    unread.Set(unread.bytes() + kMb);
+  CHECK(unread.bytes() > 4 * kMb);
+  CHECK(PartOf(*budget, kUnread).used < PartOf(*budget, kUnread).limit);
+  CHECK_FALSE(ExceedsTotal(*budget));
+}
+
 TEST(ByteBudget, TheSumOfSmallRequestsIsLimitedToo) {
   const auto budget = Budget(64);
   std::vector<std::unique_ptr<ByteHold>> holds;
