Callers: idle connections keep a small input buffer only

Callers saw: callers that had sent one ordinary request behind another, and stay connected, took a host over its memory.

Cause: an input of up to 64 kB stayed with its connection once its bytes were parsed, and the budget counted the content, none, instead of the buffer.

A request's head fits in 4 kB for ordinary callers; larger ones take the buffer anew.

--- a/source/core/net/http_codec.h
+++ b/source/core/net/http_codec.h
@@ -18,7 +18,7 @@
 
 // Parsers leave an input buffer of at most this capacity to the next bytes, and
 // give the memory of a larger one back.
-inline constexpr size_t kMaxKeptInputBytes = size_t{64} * 1024;
+inline constexpr size_t kMaxKeptInputBytes = size_t{4} * 1024;
 
 enum class ParseState : uint8_t { kNeedMore, kDone, kMalformed, kTooLarge };
 
--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -44,6 +44,10 @@
 // Fewer than the connections that a host with kHostDescriptors accepts. Each
 // request that waits takes a connection to an upstream too.
 constexpr int kWaitingSenders = 124;
+// A host with these accepts as many callers, for each MB of its memory, as one
+// of the smallest size, which has 112 MB and 2870 descriptors.
+constexpr size_t kDescriptorsOfSmallHosts = 2025;
+constexpr int kIdleSenders = 1100;
 // Of an ordinary size; an input that holds it is not given back.
 constexpr size_t kMediumBodyBytes = 60'000;
 // The most that a host may keep of one body, less 2 MB.
@@ -449,6 +453,24 @@
   CheckHostHolds();
 }
 
+// Guards against connections that keep a buffer, counted by nothing, after the
+// request that it held was answered.
+TEST(EntryCrowds, BuffersOfIdleConnectionsDoNotExhaustTheHost) {
+  host_descriptors_ = kDescriptorsOfSmallHosts;
+  StartDeployment(milliseconds(150), 10);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  const std::string length =
+      "content-length: " + std::to_string(kMediumBodyBytes) + "\r\n";
+  for (int i = 0; i < kIdleSenders; ++i) {
+    crowd.Add({"content-length: 1\r\n", "x", kMediumBodyBytes, kPieceBytes,
+               false, false, RequestHead("POST", "/charge/behind", length)});
+    if (i % kReadersPerStep == 0) fixture.RunFor(milliseconds(20));
+  }
+  fixture.RunFor(seconds(1));
+  CHECK(large_->responses() > kIdleSenders);
+  CheckHostHolds();
+}
+
 // Guards against parts of the budget that may be used up at the same time, and
 // against small requests that are refused beside a large one.
 TEST(EntryCrowds, TheLargestBodyBesideOtherCrowdsDoesNotExhaustTheHost) {
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -214,6 +214,16 @@
   CHECK(text.capacity() < body_bytes / 16);
 }
 
+TEST(HttpCodec, ASmallParsedBodyLeavesLittleMemoryInTheInput) {
+  constexpr size_t body_bytes = size_t{60} * 1000;
+  std::string text = "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: " +
+                     std::to_string(body_bytes) + "\r\n\r\n" +
+                     std::string(body_bytes, 'x');
+  HttpRequestParser parser({1024, body_bytes});
+  CHECK(parser.Feed(text) == ParseState::kDone);
+  CHECK(text.capacity() <= kMaxKeptInputBytes);
+}
+
 TEST(HttpCodec, HopByHopHeadersAreRecognised) {
   CHECK(IsHopByHopHeader("connection"));
   CHECK(IsHopByHopHeader("transfer-encoding"));
