--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -41,10 +41,25 @@
 // More than the connections that a host with kHostDescriptors accepts.
 constexpr int kSilentSenders = 200;
 constexpr Duration kCrowdTime = seconds(6);
+// Fewer than the connections that a host with kHostDescriptors accepts. Each
+// request that waits takes a connection to an upstream too.
+constexpr int kWaitingSenders = 124;
+// A host with these accepts as many callers, for each MB of its memory, as one
+// of the smallest size, which has 112 MB and 2870 descriptors.
+constexpr size_t kDescriptorsOfSmallHosts = 2025;
+constexpr int kIdleSenders = 1100;
+// Of an ordinary size; an input that holds it is not given back.
+constexpr size_t kMediumBodyBytes = 60'000;
+// The most that a host may keep of one body, less 2 MB.
+constexpr size_t kLoneBodyBytes = size_t{36} * 1024 * 1024;
+constexpr size_t kLonePieceBytes = 12'000;  // It takes about 6 s.
+constexpr int kSendersBesideLoneBody = 40;
+constexpr int kReadersBesideLoneBody = 80;
 // Between callers that send two requests at once.
 constexpr Duration kPipelineInterval = milliseconds(200);
 
 constexpr Duration kPumpInterval = milliseconds(2);
+constexpr Duration kRepeatDelay = milliseconds(100);
 constexpr size_t kPieceBytes = 64 * 1024;
 constexpr size_t kSmallPieceBytes = 1000;
 constexpr size_t kMaxQueuedBytes = 128 * 1024;
@@ -84,7 +99,7 @@
     };
     auto server = ExchangeServer::Listen(
         fixture.loop, address,
-        {{16 * 1024, 2 * kMaxBodyBytes}, seconds(10), seconds(10), 400},
+        {{64 * 1024, 2 * kMaxBodyBytes}, seconds(10), seconds(10), 400},
         std::move(handlers));
     CHECK(server.has_value());
     server_ = std::move(server.value());
@@ -125,7 +140,9 @@
   std::string begin;    // After the headers.
   size_t bytes = 0;     // After `begin`; then nothing more.
   size_t piece = kPieceBytes;
-  bool again = false;  // Connects again when its connection was closed.
+  bool again = false;       // Connects again when its connection was closed.
+  bool repeat = false;      // Sends its request again after each response.
+  std::string behind = "";  // Sent a little after `begin`, before the bytes.
 };
 
 // Callers that send bodies, and read whatever they get.
@@ -150,17 +167,27 @@
     std::unique_ptr<TcpStream> stream = nullptr;
     size_t sent = 0;
     bool ended = false;
+    MonotonicTime answered_at = kForever;
   };
 
   void Connect(Member& member) {
     member.ended = false;
-    member.sent = 0;
     auto stream = TcpStream::Connect(
         loop_, address_,
-        TcpStreamHandlers{[] {}, [](std::string_view) {},
+        TcpStreamHandlers{[] {},
+                          [this, &member](std::string_view) {
+                            if (member.plan.repeat)
+                              member.answered_at = loop_.timers().now();
+                          },
                           [&member](StreamEnd) { member.ended = true; }});
     CHECK(stream.has_value());
     member.stream = std::move(stream.value());
+    Begin(member);
+  }
+
+  void Begin(Member& member) {
+    member.sent = 0;
+    member.answered_at = kForever;
     member.stream->Write(
         RequestHead("POST", "/charge/crowd", member.plan.framing) +
         member.plan.begin);
@@ -169,12 +196,16 @@
   void Pump() {
     for (Member& member : members_) {
       if (member.ended && member.plan.again) Connect(member);
+      if (!member.ended &&
+          loop_.timers().now() - kRepeatDelay >= member.answered_at)
+        Begin(member);
       if (member.ended || member.sent >= member.plan.bytes ||
           member.stream->queued_bytes() > kMaxQueuedBytes) {
         continue;
       }
       const size_t count =
           std::min(member.plan.piece, member.plan.bytes - member.sent);
+      if (member.sent == 0) member.stream->Write(member.plan.behind);
       member.sent += count;
       sent_ += count;
       member.stream->Write(std::string(count, 'x'));
@@ -243,10 +274,10 @@
  public:
   void StartDeployment(Duration work, size_t response_bytes) {
     nlohmann::json configuration = fixture.Configuration(1);
-    configuration["limits"]["maxBodyBytes"] = kMaxBodyBytes;
+    configuration["limits"]["maxBodyBytes"] = max_body_bytes_;
     fixture.extra_settings["host-1"] =
         "[limits]\nmemory_mb = " + std::to_string(kHostMemoryMb) +
-        "\nmax_descriptors = " + std::to_string(kHostDescriptors) + "\n";
+        "\nmax_descriptors = " + std::to_string(host_descriptors_) + "\n";
     fixture.store->Put("config", "main", configuration);
     for (int i = 1; i <= 4; ++i) {
       fixture.AddUpstream("yard-" + std::to_string(i), "yard",
@@ -289,13 +320,16 @@
     CHECK_TEXT(peak > 0 && peak <= kHostMemoryMb * 1024,
                ("peak of " + std::to_string(peak) + " kB").c_str());
     const size_t open = OpenDescriptors(Host(1));
-    CHECK_TEXT(open > 0 && open <= kHostDescriptors,
+    CHECK_TEXT(open > 0 && open <= host_descriptors_,
                (std::to_string(open) + " descriptors").c_str());
     const int key = OwnedKey("yard-1");
     CheckServed(fixture.SendAndWait(Host(1), "GET", "/lookup/a", key));
     fixture.CheckRecord();
   }
 
+  // Set before StartDeployment.
+  size_t host_descriptors_ = kHostDescriptors;
+  size_t max_body_bytes_ = kMaxBodyBytes;
   std::unique_ptr<LargeUpstream> large_;
 };
 
@@ -408,6 +442,60 @@
   CheckHostHolds();
 }
 
+// Guards against connections to upstreams that nothing limits by the host's
+// descriptors: each request that no upstream answers takes one.
+TEST(EntryCrowds, RequestsThatNoUpstreamAnswersDoNotUseUpTheDescriptors) {
+  StartDeployment(seconds(60), 10);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  for (int i = 0; i < kWaitingSenders; ++i)
+    crowd.Add({"content-length: 1\r\n", "x", 0, 0, true, true});
+  fixture.RunFor(kCrowdTime);
+  CheckHostHolds();
+}
+
+// Guards against connections that keep a buffer, counted by nothing, after the
+// request that it held was answered.
+TEST(EntryCrowds, BuffersOfIdleConnectionsDoNotExhaustTheHost) {
+  host_descriptors_ = kDescriptorsOfSmallHosts;
+  StartDeployment(milliseconds(150), 10);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  const std::string length =
+      "content-length: " + std::to_string(kMediumBodyBytes) + "\r\n";
+  for (int i = 0; i < kIdleSenders; ++i) {
+    crowd.Add({"content-length: 1\r\n", "x", kMediumBodyBytes, kPieceBytes,
+               false, false, RequestHead("POST", "/charge/behind", length)});
+    if (i % kReadersPerStep == 0) fixture.RunFor(milliseconds(20));
+  }
+  fixture.RunFor(seconds(1));
+  CHECK(large_->responses() > kIdleSenders);
+  CheckHostHolds();
+}
+
+// Guards against parts of the budget that may be used up at the same time, and
+// against small requests that are refused beside a large one.
+TEST(EntryCrowds, TheLargestBodyBesideOtherCrowdsDoesNotExhaustTheHost) {
+  max_body_bytes_ = kLoneBodyBytes;
+  StartDeployment(milliseconds(20), kResponseBytes);
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  crowd.Add({"content-length: " + std::to_string(kLoneBodyBytes) + "\r\n", "",
+             kLoneBodyBytes - 1, kLonePieceBytes, true});
+  for (int i = 0; i < kSendersBesideLoneBody; ++i) {
+    crowd.Add({"content-length: " + std::to_string(kMediumBodyBytes) + "\r\n",
+               "", kMediumBodyBytes - 1, kPieceBytes, true});
+  }
+  ReaderCrowd readers(fixture.loop, Host(1).callers);
+  while (readers.size() < kReadersBesideLoneBody) {
+    for (int i = 0; i < kReadersPerStep; ++i)
+      readers.Add(readers.size() % 4 != 0);
+    fixture.RunFor(milliseconds(40));
+  }
+  fixture.RunFor(kCrowdTime);
+  CHECK(large_->responses() > 0);
+  CheckServed(fixture.SendAndWait(Host(1), "POST", "/charge/a", -1,
+                                  std::string(kSmallPieceBytes, 'x')));
+  CheckHostHolds();
+}
+
 // Guards against responses that are kept, without a limit on their sum, for
 // callers that do not read them.
 TEST(EntryCrowds, ResponsesReadSlowlyDoNotExhaustTheHost) {
