--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -28,9 +28,8 @@
 constexpr uint16_t kUpstreamPort = 18401;
 // Checking every 64th key is enough to find a range that is not held.
 constexpr int kKeyStep = 64;
-// Twenty-one hosts keep up to six connections to each of 29 upstreams, and
-// crowds open thousands of their own.
-constexpr unsigned kMaxDescriptors = 4096;
+// Twenty-one hosts keep up to six connections to each of 29 upstreams, and a
+// crowd has up to 1,100 callers.
 constexpr unsigned kMaxDescriptors = 4096;
 constexpr int kKeys = 65536;
 constexpr Duration kStartLimit = std::chrono::seconds(15);
