Leases: a late takeover does not hide when the former holder ended

Cause: the first takeover took effect late, so the lease named the same process when it was taken again, and what was known of the holder before it was dropped. A late takeover is never acted on, so the authority of all others ended when it did for that attempt, unless another host has held the lease since or the store was restored.

Evidence: LeaseManager.ALateTakeoverDoesNotHideWhenTheFormerHolderEnded failed without the change (others_until after the start of the host) and passes with it, once each; all 13 tests of LeaseManager passed.

--- a/source/core/entry/lease_manager_store.cc
+++ b/source/core/entry/lease_manager_store.cc
@@ -170,11 +170,12 @@
       observation_.revision == lease_.revision) {
     until = std::min(until, LeaseExpiry(observation_, options_.timing));
   }
-  const bool own_former_process =
-      lease_.holder == options_.host && !IsOwnTenure(lease_.process);
-  return own_former_process && IsLatestLease(lease_)
-             ? std::min(until, created_at_)
-             : until;
+  if (lease_.holder != options_.host || !IsLatestLease(lease_)) return until;
+  if (!IsOwnTenure(lease_.process)) return std::min(until, created_at_);
+  // A takeover of this process took effect late, and no other host has acted
+  // since it was attempted.
+  const bool never_gained = other_held_ && others_until_ != kNever;
+  return never_gained ? std::min(until, others_until_) : until;
 }
 
 void LeaseManager::Renew() {
--- a/source/unit_tests/entry/lease_manager_test.cc
+++ b/source/unit_tests/entry/lease_manager_test.cc
@@ -198,6 +198,23 @@
   CHECK(restarted.last_gain.others_until <= created_at);
 }
 
+// As above, if its own takeovers take effect late and without a response.
+TEST(LeaseManager, ALateTakeoverDoesNotHideWhenTheFormerHolderEnded) {
+  Begin();
+  for (LeaseHost* host : {&rival, &other_zone_rival}) host->may_hold = false;
+  holder.manager->Resign();
+  LeaseHost restarted(loop, "holder", true, ".q");
+  const MonotonicTime created_at = loop.timers().now();
+  store->faults().late_writes = 2;
+  store->faults().late_write_delay = kTiming.duration;
+  restarted.manager->Start();
+  CHECK(
+      RunUntil([&] { return restarted.gained > 0; }, std::chrono::seconds(6)));
+  LONGS_EQUAL(0, store->faults().late_writes);
+  CHECK(restarted.tenures > 1);
+  CHECK(restarted.last_gain.others_until <= created_at);
+}
+
 // As above, for a holder of another host whose lease has expired.
 TEST(LeaseManager, ASuccessorKnowsWhenTheHoldersLeaseExpired) {
   Begin();
