Callers: count header lines by the memory that they take

Callers saw: requests with thousands of short header lines, within the header's limit, took a host over its memory while they waited for their upstreams.

Cause: the budget counted bodies. A line of 4 bytes takes two strings in the request and in the attempt, about 130 bytes in each.

Why it works: a head, and trailers, count 96 bytes a line and twice their text, from the end of the head until the response, so they are refused with 503 as bodies are. An attempt drops its copy of the lines once they are serialized. An ordinary head counts about 1 kB, so it stays within what small requests have.

--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -98,6 +98,7 @@
         SerializeRequestHead(request_.method, request_.target, request_.headers,
                              std::string_view(request_.shared_body).size());
   }
+  request_.headers = {};
   request_.body = {};
   reused_ = stream_ != nullptr;
   if (!reused_ && !Connect(request_.connect_timeout)) {
--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -61,7 +61,8 @@
   if (budget_ == nullptr) return true;
   const size_t wanted = InputBytes(connection.input) +
                         (connection.parser->header_done()
-                             ? connection.parser->expected_body_bytes()
+                             ? connection.parser->head_bytes() +
+                                   connection.parser->expected_body_bytes()
                              : 0);
   ByteHold& hold = *connection.request_hold;
   if (wanted <= hold.bytes() ||
--- a/source/core/net/http_codec.cc
+++ b/source/core/net/http_codec.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cctype>
+#include <iterator>
 
 #include "net/growing_body.h"
 
@@ -44,9 +45,28 @@
   return lower;
 }
 
+// What a header line takes beside its text: two strings, or a node of the
+// parser.
+constexpr size_t kBytesPerHeaderLine = 96;
+// Of the text: in the request, and serialized for an upstream.
+constexpr size_t kCopiesOfHead = 2;
+
+template <typename Fields>
+size_t HeadBytes(const Fields& fields) {
+  size_t text = fields.target().size();
+  size_t lines = 0;
+  for (const auto& field : fields) {
+    text += field.name_string().size() + field.value().size();
+    ++lines;
+  }
+  return lines * kBytesPerHeaderLine + text * kCopiesOfHead;
+}
+
 template <typename Fields>
 HttpHeaders CopyHeaders(const Fields& fields) {
   HttpHeaders headers;
+  headers.reserve(
+      static_cast<size_t>(std::distance(fields.begin(), fields.end())));
   for (const auto& field : fields) {
     const auto name = field.name_string();
     const auto value = field.value();
@@ -144,6 +164,9 @@
   boost::beast::error_code error;
   const ParseState state =
       FeedParser(impl_->parser, impl_->limits, input, error);
+  // Trailers are kept among the header lines.
+  if (header_done() && (head_bytes_ == 0 || state == ParseState::kDone))
+    head_bytes_ = HeadBytes(impl_->parser.get());
   if (state == ParseState::kTooLarge) {
     refusal_status_ =
         error == http::error::header_limit ? kHeaderTooLarge : kContentTooLarge;
--- a/source/core/net/http_codec.h
+++ b/source/core/net/http_codec.h
@@ -52,6 +52,9 @@
   // After header_done: the length that the header states for the body, or, if
   // it states none, what its growing buffer takes at the most.
   size_t expected_body_bytes() const;
+  // After header_done: what the header lines take while the request waits for
+  // its response. A short line takes many times its length.
+  size_t head_bytes() const { return head_bytes_; }
   // Whether the caller waits for "100 Continue" before it sends the body.
   bool expects_continue() const;
   // Returns the request. Call only once, after kDone.
@@ -63,6 +66,7 @@
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
+  size_t head_bytes_ = 0;
   int refusal_status_ = 400;
 };
 
--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -44,11 +44,14 @@
 // Fewer than the connections that a host with kHostDescriptors accepts. Each
 // request that waits takes a connection to an upstream too.
 constexpr int kWaitingSenders = 124;
+// Header lines of 4 bytes each, together below the header's limit.
+constexpr int kHeaderLines = 3900;
+constexpr int kHeadSenders = 120;
 // A host with these accepts as many callers, for each MB of its memory, as one
 // of the smallest size, which has 112 MB and 2870 descriptors.
 constexpr size_t kDescriptorsOfSmallHosts = 2025;
 constexpr int kIdleSenders = 1100;
-// Of an ordinary size; an input that holds it is not given back.
+// Of an ordinary size, sent whole.
 constexpr size_t kMediumBodyBytes = 60'000;
 // The most that a host may keep of one body, less 2 MB.
 constexpr size_t kLoneBodyBytes = size_t{36} * 1024 * 1024;
@@ -453,6 +456,19 @@
   CheckHostHolds();
 }
 
+// Guards against heads that nothing counts while their requests wait: each
+// short header line takes many times its length.
+TEST(EntryCrowds, HeadsOfManyShortLinesDoNotExhaustTheHost) {
+  StartDeployment(seconds(1), 10);
+  std::string lines;
+  for (int i = 0; i < kHeaderLines; ++i) lines += "a:\r\n";
+  SenderCrowd crowd(fixture.loop, Host(1).callers);
+  for (int i = 0; i < kHeadSenders; ++i)
+    crowd.Add({"content-length: 1\r\n" + lines, "x", 0, 0, true, true});
+  fixture.RunFor(kCrowdTime);
+  CheckHostHolds();
+}
+
 // Guards against connections that keep a buffer, counted by nothing, after the
 // request that it held was answered.
 TEST(EntryCrowds, BuffersOfIdleConnectionsDoNotExhaustTheHost) {
--- a/source/unit_tests/net/http_codec_test.cc
+++ b/source/unit_tests/net/http_codec_test.cc
@@ -224,6 +224,28 @@
   CHECK(text.capacity() <= kMaxKeptInputBytes);
 }
 
+TEST(HttpCodec, ShortHeaderLinesCountMoreThanTheirLength) {
+  constexpr size_t lines = 1000;
+  std::string head = "GET / HTTP/1.1\r\n";
+  for (size_t i = 0; i < lines; ++i) head += "a:\r\n";
+  std::string text = head + "\r\n";
+  HttpRequestParser parser({16 * 1024, 0});
+  CHECK(parser.Feed(text) == ParseState::kDone);
+  CHECK(parser.head_bytes() >= lines * sizeof(HttpHeader));
+}
+
+TEST(HttpCodec, TrailersCountAsTheHeadDoes) {
+  constexpr size_t lines = 1000;
+  std::string trailers;
+  for (size_t i = 0; i < lines; ++i) trailers += "a:\r\n";
+  std::string text =
+      "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" +
+      trailers + "\r\n";
+  HttpRequestParser parser({16 * 1024, 16});
+  CHECK(parser.Feed(text) == ParseState::kDone);
+  CHECK(parser.head_bytes() >= lines * sizeof(HttpHeader));
+}
+
 TEST(HttpCodec, HopByHopHeadersAreRecognised) {
   CHECK(IsHopByHopHeader("connection"));
   CHECK(IsHopByHopHeader("transfer-encoding"));
