Callers: a refused caller that has gone gives its place to a new one

Callers saw: ordinary callers were turned away while callers that had been refused connected again and again.

Cause: a connection whose last response was sent stays for up to 2 s, until its end is read. FreeSlot did not take it for another caller, though nobody was there any more; under load the end is read late.

No test of its own.

--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -171,8 +171,8 @@
   const auto usable = [now](const Connection& one) {
     const bool writing = one.stream->queued_bytes() > 0;
     if (writing || one.reading()) return one.progress.stalled;
-    return one.exchange == 0 && !one.closing &&
-           now - one.state_since >= kMinIdleToClose &&
+    if (one.closing) return one.stream->PeerHasClosed();
+    return one.exchange == 0 && now - one.state_since >= kMinIdleToClose &&
            !one.stream->HasUnreadData();
   };
   for (const auto& [id, connection] : connections_) {
