--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -61,7 +61,8 @@
   if (budget_ == nullptr) return true;
   const size_t wanted = InputBytes(connection.input) +
                         (connection.parser->header_done()
-                             ? connection.parser->expected_body_bytes()
+                             ? connection.parser->head_bytes() +
+                                   connection.parser->expected_body_bytes()
                              : 0);
   ByteHold& hold = *connection.request_hold;
   if (wanted <= hold.bytes() ||
@@ -170,8 +171,8 @@
   const auto usable = [now](const Connection& one) {
     const bool writing = one.stream->queued_bytes() > 0;
     if (writing || one.reading()) return one.progress.stalled;
-    return one.exchange == 0 && !one.closing &&
-           now - one.state_since >= kMinIdleToClose &&
+    if (one.closing) return one.stream->PeerHasClosed();
+    return one.exchange == 0 && now - one.state_since >= kMinIdleToClose &&
            !one.stream->HasUnreadData();
   };
   for (const auto& [id, connection] : connections_) {
