--- a/source/integration_tests/entry_crowds_test.cc
+++ b/source/integration_tests/entry_crowds_test.cc
@@ -3,21 +3,13 @@
 // descriptors, or keep it from serving an ordinary request afterwards.
 //
 // They check only what does not depend on the speed of the machine.
+#include "entry_crowds.h"
+
 #include <CppUTest/TestHarness.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
-#include <filesystem>
-#include <fstream>
-#include <list>
 #include <string>
 
 #include "entry_fixture.h"
-#include "net/exchange_server.h"
-#include "net/tcp_stream.h"
 
 namespace mimosadeal {
 namespace {
@@ -44,200 +36,7 @@
 // Between callers that send two requests at once.
 constexpr Duration kPipelineInterval = milliseconds(200);
 
-constexpr Duration kPumpInterval = milliseconds(2);
-constexpr size_t kPieceBytes = 64 * 1024;
 constexpr size_t kSmallPieceBytes = 1000;
-constexpr size_t kMaxQueuedBytes = 128 * 1024;
-constexpr Duration kSlowReadInterval = milliseconds(200);
-constexpr size_t kSlowReadBytes = 1000;
-constexpr int kSmallReceiveBuffer = 4096;
-// Of an ordinary network. Loopback's own lets the kernel take whole responses.
-constexpr int kSegmentBytes = 1400;
-
-std::string RequestHead(const std::string& method, const std::string& target,
-                        const std::string& framing) {
-  static int number = 0;
-  return method + " " + target +
-         " HTTP/1.1\r\nhost: lots.example\r\nx-request-id: crowd-" +
-         std::to_string(++number) + "\r\nx-request-deadline-ms: 5000\r\n" +
-         framing + "\r\n";
-}
-
-// An upstream of the service "desk" that reads bodies of any allowed size and
-// responds after `work` with a body of `response_bytes`.
-class LargeUpstream {
- public:
-  LargeUpstream(EntryFixture& fixture, const SocketAddress& address,
-                Duration work, size_t response_bytes)
-      : fixture_(fixture), work_(work), body_(response_bytes, 'x') {
-    HttpServerHandlers handlers;
-    handlers.on_request = [this](ExchangeId exchange, HttpRequest&& request) {
-      const std::string id(FindHeader(request.headers, "x-request-id"));
-      fixture_.loop.timers().After(
-          work_, [this, exchange, id] { Send(exchange, id); });
-    };
-    handlers.on_abandoned = [](ExchangeId) {};
-    handlers.make_refusal = [](int status, const std::string&) {
-      HttpResponse response;
-      response.status = status;
-      return response;
-    };
-    auto server = ExchangeServer::Listen(
-        fixture.loop, address,
-        {{16 * 1024, 2 * kMaxBodyBytes}, seconds(10), seconds(10), 400},
-        std::move(handlers));
-    CHECK(server.has_value());
-    server_ = std::move(server.value());
-    fixture.store->Put("servers", "large-1",
-                       {{"service", "desk"},
-                        {"address", address.ToString()},
-                        {"zone", "north"},
-                        {"version", "v1"},
-                        {"slots", 2 * kReaders},
-                        {"state", "ready"},
-                        {"warmupLeft", "0ms"},
-                        {"seq", 1},
-                        {"born", 1}});
-  }
-
-  int responses() const { return responses_; }
-
- private:
-  void Send(ExchangeId exchange, const std::string& id) {
-    ++responses_;
-    HttpResponse response;
-    response.headers = {{"x-request-id", id},
-                        {"x-response-signature", "s-" + id}};
-    response.body = body_;
-    server_->Respond(exchange, response);
-  }
-
-  EntryFixture& fixture_;
-  Duration work_;
-  std::string body_;
-  std::unique_ptr<ExchangeServer> server_;
-  int responses_ = 0;
-};
-
-// What each caller of a crowd sends, over and over if its connection is closed.
-struct SenderPlan {
-  std::string framing;  // Header lines.
-  std::string begin;    // After the headers.
-  size_t bytes = 0;     // After `begin`; then nothing more.
-  size_t piece = kPieceBytes;
-  bool again = false;  // Connects again when its connection was closed.
-};
-
-// Callers that send bodies, and read whatever they get.
-class SenderCrowd {
- public:
-  SenderCrowd(EventLoop& loop, SocketAddress address)
-      : loop_(loop), address_(std::move(address)) {
-    timer_ = loop_.timers().Every(kPumpInterval, [this] { Pump(); });
-  }
-  ~SenderCrowd() { loop_.timers().Cancel(timer_); }
-  SenderCrowd(const SenderCrowd&) = delete;
-  SenderCrowd& operator=(const SenderCrowd&) = delete;
-
-  void Add(const SenderPlan& plan) {
-    Connect(members_.emplace_back(Member{plan}));
-  }
-  uint64_t sent() const { return sent_; }
-
- private:
-  struct Member {
-    SenderPlan plan;
-    std::unique_ptr<TcpStream> stream = nullptr;
-    size_t sent = 0;
-    bool ended = false;
-  };
-
-  void Connect(Member& member) {
-    member.ended = false;
-    member.sent = 0;
-    auto stream = TcpStream::Connect(
-        loop_, address_,
-        TcpStreamHandlers{[] {}, [](std::string_view) {},
-                          [&member](StreamEnd) { member.ended = true; }});
-    CHECK(stream.has_value());
-    member.stream = std::move(stream.value());
-    member.stream->Write(
-        RequestHead("POST", "/charge/crowd", member.plan.framing) +
-        member.plan.begin);
-  }
-
-  void Pump() {
-    for (Member& member : members_) {
-      if (member.ended && member.plan.again) Connect(member);
-      if (member.ended || member.sent >= member.plan.bytes ||
-          member.stream->queued_bytes() > kMaxQueuedBytes) {
-        continue;
-      }
-      const size_t count =
-          std::min(member.plan.piece, member.plan.bytes - member.sent);
-      member.sent += count;
-      sent_ += count;
-      member.stream->Write(std::string(count, 'x'));
-    }
-  }
-
-  EventLoop& loop_;
-  SocketAddress address_;
-  std::list<Member> members_;
-  uint64_t timer_ = 0;
-  uint64_t sent_ = 0;
-};
-
-// Callers that ask for large responses and read them slowly, or not at all.
-class ReaderCrowd {
- public:
-  ReaderCrowd(EventLoop& loop, SocketAddress address)
-      : loop_(loop), address_(std::move(address)) {
-    timer_ = loop_.timers().Every(kSlowReadInterval, [this] { ReadSome(); });
-  }
-  ~ReaderCrowd() {
-    loop_.timers().Cancel(timer_);
-    for (const Member& member : members_) close(member.fd);
-  }
-  ReaderCrowd(const ReaderCrowd&) = delete;
-  ReaderCrowd& operator=(const ReaderCrowd&) = delete;
-
-  void Add(bool reads) {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
-               sizeof(kSmallReceiveBuffer));
-    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
-               sizeof(kSegmentBytes));
-    const NativeAddress native = ToNative(address_).value();
-    // The kernel of the host accepts the connection, so neither call waits.
-    connect(fd, reinterpret_cast<const sockaddr*>(&native.storage),
-            native.length);
-    const std::string head = RequestHead("GET", "/price/crowd", "");
-    CHECK(send(fd, head.data(), head.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(head.size()));
-    members_.push_back({fd, reads});
-  }
-  size_t size() const { return members_.size(); }
-
- private:
-  struct Member {
-    int fd = -1;
-    bool reads = false;
-  };
-
-  void ReadSome() {
-    std::array<char, kSlowReadBytes> buffer;
-    for (const Member& member : members_) {
-      if (member.reads)
-        recv(member.fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
-    }
-  }
-
-  EventLoop& loop_;
-  SocketAddress address_;
-  std::vector<Member> members_;
-  uint64_t timer_ = 0;
-};
 
 class EntryCrowdsTest : public EntryTest {
  public:
@@ -254,32 +53,12 @@
     }
     SocketAddress address = fixture.upstreams.at("yard-1")->options().address;
     ++address.port;
-    large_ =
-        std::make_unique<LargeUpstream>(fixture, address, work, response_bytes);
+    large_ = std::make_unique<LargeUpstream>(fixture, address, work,
+                                             response_bytes, 2 * kMaxBodyBytes);
     fixture.StartHosts(2);
     fixture.RunFor(kChangeDeadline);
   }
 
-  // The peak of the host's memory in use.
-  static size_t PeakMemoryKb(const EntryProcess& host) {
-    std::ifstream status("/proc/" + std::to_string(host.process.pid()) +
-                         "/status");
-    std::string word;
-    while (status >> word) {
-      size_t kilobytes = 0;
-      if (word == "VmHWM:" && status >> kilobytes) return kilobytes;
-    }
-    return 0;
-  }
-
-  static size_t OpenDescriptors(const EntryProcess& host) {
-    std::error_code error;
-    const std::filesystem::directory_iterator files(
-        "/proc/" + std::to_string(host.process.pid()) + "/fd", error);
-    return error ? 0
-                 : static_cast<size_t>(std::distance(begin(files), end(files)));
-  }
-
   // The crowd's connections are still open. The host must be alive, have kept
   // to its memory and descriptors, and serve one ordinary request.
   void CheckHostHolds() {
