Connections: what arrived before a reset is read although output is queued

Callers saw: 502 in place of an upstream's own response, such as a refusal that promises that the request has not run, when the upstream responded to a long upload early and reset the connection while the rest waited to be sent.

Cause: poll(2) then reports input, output, error and hang-up at once, and libwebsockets runs the callback for output first. It took SO_ERROR and ended the stream before what had arrived was read. Class: one source of truth that is consumed by whoever asks first.

The error is kept as the failure of the stream's sends, what has arrived is read, and then the stream ends with that failure. A receive that finds 0 after it is no orderly end, so a response without a length is still none.

--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -146,7 +146,11 @@
   socklen_t length = sizeof(error);
   getsockopt(watch_->fd(), SOL_SOCKET, SO_ERROR, &error, &length);
   if (error != 0) {
-    End(EndOf(error));
+    send_failure_ = EndOf(error);
+    // What arrived before is passed on first, such as an early response.
+    const std::weak_ptr<char> alive = alive_;
+    if (!connecting_) OnReadable();
+    if (!alive.expired() && !ended_) End(send_failure_);
     return;
   }
   if (!connecting_) {
--- a/source/unit_tests/net/stream_error_test.cc
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr int kMaxIterations = 50;
+constexpr size_t kMoreThanTheKernelTakes = 32 * 1024 * 1024;
 
 // The two ends of a TCP connection; the test owns both descriptors.
 struct TcpPair {
@@ -117,6 +118,32 @@
   STRCMP_EQUAL("part", received.c_str());
 }
 
+// Guards against a complete response that is lost: the peer responds to a long
+// request early, and resets the connection on which more is to be sent.
+TEST(StreamError, WhatArrivedBeforeAResetIsReadAlthoughOutputIsQueued) {
+  TcpPair connection;
+  std::string received;
+  bool ended = false;
+  StreamEnd how = StreamEnd::kNone;
+  TcpStream stream(
+      loop, connection.near,
+      {nullptr, [&received](std::string_view bytes) { received += bytes; },
+       [&](StreamEnd end) {
+         ended = true;
+         how = end;
+       }});
+  stream.Write(std::string(kMoreThanTheKernelTakes, 'x'));
+  CHECK(stream.queued_bytes() > 0);
+  CHECK_EQUAL(5, send(connection.far, "whole", 5, MSG_NOSIGNAL));
+  const linger reset_on_close = {1, 0};
+  setsockopt(connection.far, SOL_SOCKET, SO_LINGER, &reset_on_close,
+             sizeof(reset_on_close));
+  close(connection.far);
+  RunUntil(ended);
+  STRCMP_EQUAL("whole", received.c_str());
+  STRCMP_EQUAL("reset", std::string(StreamEndName(how)).c_str());
+}
+
 // Guards against a connection to another host that stays in use although
 // nothing is sent on it any more.
 TEST(StreamError, APeerConnectionClosedByTheLoopIsReportedAsClosed) {
