Test: a whole refusal before a reset reaches the client

Here a client uploads 16 MB, and the stand-in responds with a whole 503 10 ms later and resets the connection.

Without the delay it passed before, too: the reset then meets a send.

--- a/source/standins/resetting_upstream.cc
+++ b/source/standins/resetting_upstream.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kPollMs = 20;
+// After it, a client with more to send waits for room in the kernel.
+constexpr int kRefusalDelayMs = 10;
 constexpr size_t kMaxHeadBytes = 16 * 1024;
 
 // Returns what arrives until the end of a request's head, or before it an empty
@@ -38,8 +40,11 @@
 
 }  // namespace
 
-ResettingUpstream::ResettingUpstream(const SocketAddress& address)
-    : listener_(ListenTcp(address).value()), thread_([this] { Run(); }) {}
+ResettingUpstream::ResettingUpstream(const SocketAddress& address,
+                                     EarlyResponse response)
+    : listener_(ListenTcp(address).value()),
+      response_(response),
+      thread_([this] { Run(); }) {}
 
 ResettingUpstream::~ResettingUpstream() {
   stopping_ = true;
@@ -58,9 +63,15 @@
 
 void ResettingUpstream::RespondTo(int fd) {
   const std::string head = ReceiveHead(fd);
-  const std::string response = "HTTP/1.1 200 OK\r\n" + IdLine(head) +
-                               "x-response-signature: s\r\n\r\n"
-                               "part of the body";
+  const std::string response =
+      response_ == EarlyResponse::kWholeRefusal
+          ? "HTTP/1.1 503 Service Unavailable\r\n" + IdLine(head) +
+                "x-not-executed: 1\r\ncontent-length: 4\r\n\r\nbusy"
+          : "HTTP/1.1 200 OK\r\n" + IdLine(head) +
+                "x-response-signature: s\r\n\r\n"
+                "part of the body";
+  if (response_ == EarlyResponse::kWholeRefusal)
+    poll(nullptr, 0, kRefusalDelayMs);
   // Hosts also open connections on which they send nothing.
   if (!head.empty() &&
       send(fd, response.data(), response.size(), MSG_NOSIGNAL) > 0)
--- a/source/unit_tests/net/early_response_test.cc
+++ b/source/unit_tests/net/early_response_test.cc
@@ -59,5 +59,19 @@
   CHECK(upstream.responses() > 0);
 }
 
+// Guards against a refusal, and with it the promise that the request has not
+// run, that is lost with the connection.
+TEST(EarlyResponse, AWholeRefusalBeforeAResetIsReceived) {
+  const ResettingUpstream upstream(kAddress, EarlyResponse::kWholeRefusal);
+  const SharedBody body(std::string(kUploadBytes, 'x'));
+  for (int i = 0; i < kUploads; ++i) {
+    const ExchangeResult result = Upload(body);
+    const std::string upload = "upload " + std::to_string(i);
+    CHECK_TEXT(result.failure == ClientFailure::kNone, upload.c_str());
+    LONGS_EQUAL_TEXT(503, result.response.status, upload.c_str());
+    STRCMP_EQUAL_TEXT("busy", result.response.body.c_str(), upload.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace mimosadeal
