--- a/source/integration_tests/recovery.cc
+++ b/source/integration_tests/recovery.cc
@@ -183,9 +183,10 @@
   }
   CHECK(fixture_.RunUntil([this] { return fixture_.EveryKeyIsHeld(); },
                           kStartLimit));
-  for (const auto& [name, host] : fixture_.hosts)
-    CHECK(
-        fixture_.RunUntil([&] { return fixture_.Ready(*host); }, kStartLimit));
+  for (const auto& entry : fixture_.hosts) {
+    CHECK(fixture_.RunUntil([&] { return fixture_.Ready(*entry.second); },
+                            kStartLimit));
+  }
 }
 
 void Recovery::At(Duration after, std::function<void()> action) {
