Ranges: keep the keys of a silent owner that accepts connections for 3 s

Callers got 421 and 503 for most keys when upstreams left grants unanswered for seconds though they served requests.

Cause: two grants in a row without a reply counted as the end of an owner. It was told to release all its keys, which then waited 3 to 5 s for what it might still hold, and the others got more ranges than they had room for.

Class: a short silence on one channel taken for the end of a process that answers on others.

An owner that accepts connections is given up after 3 s now, one that does not after 1.5 s as before. The keys of an owner that has stopped cannot move earlier than its holds end, 4.3 s.

Evidence: EntryLosses.AnOwnerThatLeavesTwoGrantsUnansweredKeepsItsKeys failed before (4 releases, none expected) and passes, once each; EntryLosses and EntryGenerations passed once; EntryMoves did not end within 75 s (9 tests had run, no failure printed).

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -25,6 +25,10 @@
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(700);
 // An upstream that did not respond within this time gets no further ranges.
 constexpr Duration kSilenceMemory = std::chrono::seconds(10);
+// Silence after which the keys of an owner that accepts connections move. Four
+// grants without a response; shorter than a hold, before whose end the keys of
+// an owner that has stopped cannot move anyway.
+constexpr Duration kReachedOwnerTimeout = std::chrono::milliseconds(3000);
 // A grant with a shorter hold is not worth sending.
 constexpr Duration kMinHold = std::chrono::milliseconds(200);
 
@@ -230,7 +234,9 @@
     } else if (listed->availability == UpstreamAvailability::kDraining) {
       Evacuate(service, planned, range_owner, "the upstream is leaving");
     } else if (state.silent_since != kNever &&
-               now - state.silent_since >= options_.owner_timeout &&
+               now - state.silent_since >= (paths_.IsUnreached(listed->record)
+                                                ? options_.owner_timeout
+                                                : kReachedOwnerTimeout) &&
                !paths_.IsCutOff(service.name)) {
       Evacuate(service, planned, range_owner, "the upstream does not respond");
     }
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -206,5 +206,21 @@
   fixture.CheckRecord();
 }
 
+// Guards against owners that lose all their keys for the time of a hold because
+// two grants in a row stay unanswered, although they serve.
+TEST(EntryLosses, AnOwnerThatLeavesTwoGrantsUnansweredKeepsItsKeys) {
+  fixture.StartDefaultDeployment(2);
+  fixture.RunFor(seconds(1));
+  DeploymentUpstream& owner = *fixture.upstreams.at("yard-1");
+  const size_t releases = owner.releases().size();
+  owner.faults().ignore_grants = true;
+  fixture.RunFor(seconds(2));
+  owner.faults().ignore_grants = false;
+  fixture.RunFor(seconds(2));
+  LONGS_EQUAL(releases, owner.releases().size());
+  CHECK(fixture.EveryKeyIsHeld());
+  fixture.CheckRecord();
+}
+
 }  // namespace
 }  // namespace mimosadeal
