--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -279,13 +279,13 @@
   message.method = std::move(request.method);
   message.target = std::move(request.target);
   message.headers = ToWire(request.headers);
-  SharedBody body = request.shared_body.empty()
-                        ? SharedBody(std::move(request.body))
-                        : std::move(request.shared_body);
+  const SharedBody body = request.shared_body.empty()
+                              ? SharedBody(std::move(request.body))
+                              : std::move(request.shared_body);
   Call& call = calls_[id];
   call.callback = std::move(callback);
   call.helper = ChooseHelper(upstream.service, std::string_view(body).size());
-  if (!SendRequest(call, message, std::move(body))) {
+  if (!SendRequest(call, message, body)) {
     loop_.Post([this, id] {
       RelayResult unsent;
       unsent.exchange.failure = ClientFailure::kNotConnected;
@@ -305,7 +305,7 @@
 }
 
 bool ExchangeRelay::SendRequest(Call& call, const RelayRequest& message,
-                                SharedBody body) {
+                                const SharedBody& body) {
   if (call.helper.empty()) return false;
   call.connection = transport_->ConnectionTo(call.helper);
   if (call.connection != kNoConnection &&
--- a/source/core/entry/exchange_relay.h
+++ b/source/core/entry/exchange_relay.h
@@ -139,7 +139,8 @@
   // length, or an empty text.
   std::string ChooseHelper(const std::string& service, size_t body_bytes);
   // Returns whether the request was passed to the connection.
-  bool SendRequest(Call& call, const RelayRequest& message, SharedBody body);
+  bool SendRequest(Call& call, const RelayRequest& message,
+                   const SharedBody& body);
   void OnReply(RelayReply&& reply);
   void OnDeclined(const Call& call, const RelayReply& reply);
   void Complete(RelayCallId id, RelayResult result);
--- a/source/core/inner/inner_transport.h
+++ b/source/core/inner/inner_transport.h
@@ -77,11 +77,11 @@
   // which is empty in it. Keeps the text where it is until it is sent.
   template <typename Message>
   bool SendShared(ConnectionId id, const Message& message,
-                  std::shared_ptr<const std::string> last_field,
+                  const std::shared_ptr<const std::string>& last_field,
                   FrameLimit limit) {
     const size_t length = last_field == nullptr ? 0 : last_field->size();
     return SendSharedBody(id, Message::kType, EncodeBodyBefore(message, length),
-                          std::move(last_field), limit);
+                          last_field, limit);
   }
   // Whether Send would send a long message to the peer at `address`.
   bool HasRoom(const std::string& address, size_t body_bytes) const;
