Alike requests are served again after several upstreams lost power

Cause: each upstream's end counted as an independent crash of the request, though all had one cause.

If all crashes of a request are recorded within 3.5 s, which a host needs to confirm a crash, one such request is sent as a trial 4 s after the first crash, without a retry. A response clears the request; a crash lies beyond the 3.5 s and keeps it refused for 60 s, as before. The Retry-After of the refusals states the time of the trial.

--- a/source/core/balance/crash_suspects.cc
+++ b/source/core/balance/crash_suspects.cc
@@ -10,7 +10,9 @@
                                 const std::string& upstream_incarnation,
                                 MonotonicTime now) {
   Evict(now);
-  Suspect& suspect = suspects_[fingerprint];
+  const auto [found, added] = suspects_.try_emplace(fingerprint);
+  Suspect& suspect = found->second;
+  if (added) suspect.first_crash = now;
   suspect.latest_crash = now;
   return suspect.crashed_incarnations.insert(upstream_incarnation).second;
 }
@@ -31,6 +33,24 @@
          now - found->second.latest_crash < policy_.retention;
 }
 
+SuspectDecision CrashSuspects::Decide(uint64_t fingerprint, MonotonicTime now) {
+  if (!ShouldRefuse(fingerprint, now)) return {};
+  Suspect& suspect = suspects_.at(fingerprint);
+  if (suspect.latest_crash - suspect.first_crash > policy_.common_cause_time)
+    return {SuspectVerdict::kRefuse, kNever};
+  const MonotonicTime last = suspect.latest_trial == kNever
+                                 ? suspect.first_crash
+                                 : suspect.latest_trial;
+  const MonotonicTime next_trial = last + policy_.trial_interval;
+  if (now < next_trial) return {SuspectVerdict::kRefuse, next_trial};
+  suspect.latest_trial = now;
+  return {SuspectVerdict::kTrial, now + policy_.trial_interval};
+}
+
+void CrashSuspects::Clear(uint64_t fingerprint) {
+  suspects_.erase(fingerprint);
+}
+
 void CrashSuspects::Evict(MonotonicTime now) {
   std::erase_if(suspects_, [this, now](const auto& entry) {
     return now - entry.second.latest_crash >= policy_.retention;
--- a/source/core/balance/crash_suspects.h
+++ b/source/core/balance/crash_suspects.h
@@ -1,7 +1,8 @@
 // Tracks requests that may crash the upstreams that run them (suspects). A
 // request that is in flight when its upstream crashes is recorded by its
 // fingerprint. A request that was in flight at several crashes is no longer
-// sent.
+// sent. If all of them fell into a short time, for example because a zone lost
+// power, the request may not be their cause: one request is sent as a trial.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +20,19 @@
   size_t crashes_to_refuse = 0;
   Duration retention{};  // Since the latest crash.
   size_t max_suspects = 0;
+  // Crashes that are recorded within this time may have one common cause.
+  Duration common_cause_time{};
+  // Between the first crash and a trial, and between two trials. Longer than
+  // common_cause_time, so that the crash of a trial counts as a separate one.
+  Duration trial_interval{};
+};
+
+enum class SuspectVerdict { kSend, kTrial, kRefuse };
+
+struct SuspectDecision {
+  SuspectVerdict verdict = SuspectVerdict::kSend;
+  // When the next trial may be sent; kNever if there will be none.
+  MonotonicTime next_trial = kNever;
 };
 
 class CrashSuspects {
@@ -32,11 +46,17 @@
   // flight.
   std::set<std::string> CrashedIncarnations(uint64_t fingerprint) const;
   bool ShouldRefuse(uint64_t fingerprint, MonotonicTime now) const;
+  // Decides on a request and records its trial.
+  SuspectDecision Decide(uint64_t fingerprint, MonotonicTime now);
+  // An upstream has responded to the request's trial.
+  void Clear(uint64_t fingerprint);
 
  private:
   struct Suspect {
     std::set<std::string> crashed_incarnations;
+    MonotonicTime first_crash = kNever;
     MonotonicTime latest_crash = kNever;
+    MonotonicTime latest_trial = kNever;
   };
 
   // Removes expired suspects, and the oldest ones to make room for another.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -54,8 +54,10 @@
 // moves of keys take half a second.
 constexpr Duration kLongestUsedBound = std::chrono::seconds(2);
 // The platform allows a request to crash three upstreams. Its callers retry
-// such a request for less than a minute.
-constexpr CrashSuspectPolicy kCrashPolicy = {3, std::chrono::seconds(60), 4096};
+// such a request for less than a minute. Hosts confirm a crash within 3 s.
+constexpr CrashSuspectPolicy kCrashPolicy = {3, std::chrono::seconds(60), 4096,
+                                             std::chrono::milliseconds(3500),
+                                             std::chrono::seconds(4)};
 // How long a stopping host still accepts connections. The platform sends it new
 // callers until two readiness probes, 1 s apart, have failed.
 constexpr Duration kStopAcceptingAfter = std::chrono::milliseconds(3000);
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -27,8 +27,6 @@
 constexpr Duration kRetryAfterEvacuated = std::chrono::milliseconds(1000);
 // A host reads its first configuration within about 1 s of its start.
 constexpr Duration kRetryAfterNoConfiguration = std::chrono::milliseconds(500);
-// Longer than any caller waits, because the request should not be retried.
-constexpr Duration kRetryAfterSuspect = std::chrono::seconds(30);
 // Callers honour a Retry-After of at most a third of the time that they have
 // left.
 constexpr int kRetryAfterDivisor = 3;
@@ -108,10 +106,7 @@
   pending.fingerprint =
       RequestFingerprint(pending.request.method, pending.request.host,
                          pending.request.target, pending.request.body);
-  if (suspects_.ShouldRefuse(pending.fingerprint, pending.received)) {
-    Refuse(pending, RefusalReason::kSuspect, kRetryAfterSuspect);
-    return;
-  }
+  if (!PassesSuspects(pending)) return;
   if (round_robin_version_ != pending.routes->version) {
     round_robin_version_ = pending.routes->version;
     round_robin_states_.clear();
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -352,6 +352,8 @@
                  const ExchangeResult& result, bool relayed);
   // The upstream did not run the request: sends it elsewhere, waits or refuses.
   void OnNotRun(PendingRequest& pending, const UpstreamResponse& answer);
+  // Returns false if the request was refused because of earlier crashes.
+  bool PassesSuspects(PendingRequest& pending);
   void ProbeForCrash(uint64_t fingerprint, const UpstreamRecord& upstream);
   // The upstream refused a connection at `refused_at`. Notes a crash once its
   // registration has ended, or if this host reached another upstream of the
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -26,6 +26,8 @@
 // The registration of an upstream that crashed goes within three of its
 // reports.
 constexpr Duration kCrashConfirmTime = std::chrono::seconds(3);
+// Longer than any caller waits, because the request should not be retried.
+constexpr Duration kRetryAfterSuspect = std::chrono::seconds(30);
 // A higher limit, per second, counts as none: an upstream gets fewer requests,
 // and asking for permits would only cost time.
 constexpr double kMaxLimit = 1000;
@@ -73,6 +75,12 @@
   switch (answer.kind) {
     case ResponseKind::kUpstreamResponse:
       EndOtherTry(pending);
+      if (pending.trial) {
+        suspects_.Clear(pending.fingerprint);
+        log_.LogStateChange(
+            "suspect.cleared",
+            {{"fingerprint", pending.fingerprint}, {"upstream", upstream.id}});
+      }
       if (answer.response.status < kServerErrors) NoteLatency(pending);
       if (load != nullptr)
         OnServiceTime(*load, now - pending.sent_at, pending.waiting_ahead);
@@ -186,13 +194,32 @@
   const bool ended_early = result.failure == ClientFailure::kClosed &&
                            !result.response_started && !relayed;
   if (ended_early) CheckForCrash(pending.fingerprint, upstream);
-  if (pending.idempotent() && pending.sends < pending.route->max_upstreams) {
+  if (pending.idempotent() && !pending.trial &&
+      pending.sends < pending.route->max_upstreams) {
     TrySend(pending);
     return;
   }
   Refuse(pending, RefusalReason::kLostAnswer);
 }
 
+bool RequestForwarder::PassesSuspects(PendingRequest& pending) {
+  const SuspectDecision decision =
+      suspects_.Decide(pending.fingerprint, pending.received);
+  if (decision.verdict == SuspectVerdict::kRefuse) {
+    const Duration retry_after = decision.next_trial == kNever
+                                     ? kRetryAfterSuspect
+                                     : decision.next_trial - pending.received;
+    Refuse(pending, RefusalReason::kSuspect, retry_after);
+    return false;
+  }
+  pending.trial = decision.verdict == SuspectVerdict::kTrial;
+  if (pending.trial) {
+    log_.LogStateChange("suspect.trial", {{"fingerprint", pending.fingerprint},
+                                          {"id", pending.request.id}});
+  }
+  return true;
+}
+
 void RequestForwarder::CheckForCrash(uint64_t fingerprint,
                                      const UpstreamRecord& upstream) {
   loop_.timers().After(kCrashProbeDelay, [this, fingerprint, upstream] {
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -112,6 +112,7 @@
   uint64_t give_up_timer = 0;
   uint64_t wait_timer = 0;
   uint64_t fingerprint = 0;
+  bool trial = false;  // See SuspectVerdict; it is not retried.
 
   bool idempotent() const {
     return route->idempotency == Idempotency::kIdempotent;
--- a/source/unit_tests/balance/balance_test.cc
+++ b/source/unit_tests/balance/balance_test.cc
@@ -166,7 +166,7 @@
 }
 
 TEST_GROUP(CrashSuspects) {
-  CrashSuspects suspects{{3, seconds(60), 100}};
+  CrashSuspects suspects{{3, seconds(60), 100, seconds(3), seconds(4)}};
   MonotonicTime now{seconds(10)};
 };
 
@@ -186,6 +186,45 @@
   CHECK_FALSE(suspects.ShouldRefuse(1, now));
 }
 
+// Guards against the loss of requests of a popular kind for a minute, because
+// several upstreams lost power while each had such requests in flight.
+TEST(CrashSuspects, ATrialClearsARequestWhoseCrashesMayHaveACommonCause) {
+  for (const char* upstream : {"u1/1", "u2/1", "u3/1", "u4/1"})
+    suspects.RecordCrash(1, upstream, now);
+  SuspectDecision decision = suspects.Decide(1, now + seconds(1));
+  CHECK(decision.verdict == SuspectVerdict::kRefuse);
+  CHECK(decision.next_trial == now + seconds(4));
+  const MonotonicTime trial = now + seconds(4);
+  CHECK(suspects.Decide(1, trial).verdict == SuspectVerdict::kTrial);
+  decision = suspects.Decide(1, trial + seconds(3));
+  CHECK(decision.verdict == SuspectVerdict::kRefuse);
+  CHECK(decision.next_trial == trial + seconds(4));
+  suspects.Clear(1);
+  CHECK(suspects.Decide(1, trial + seconds(3)).verdict ==
+        SuspectVerdict::kSend);
+}
+
+TEST(CrashSuspects, ARequestWhoseTrialEndsWithACrashGetsNoOther) {
+  for (const char* upstream : {"u1/1", "u2/1", "u3/1"})
+    suspects.RecordCrash(1, upstream, now);
+  const MonotonicTime trial = now + seconds(4);
+  CHECK(suspects.Decide(1, trial).verdict == SuspectVerdict::kTrial);
+  suspects.RecordCrash(1, "u1/2", trial + milliseconds(100));
+  for (int i = 1; i < 60; ++i) {
+    const SuspectDecision decision = suspects.Decide(1, trial + seconds(i));
+    CHECK(decision.verdict == SuspectVerdict::kRefuse);
+    CHECK(decision.next_trial == kNever);
+  }
+}
+
+TEST(CrashSuspects, ARequestAtCrashesThatLieApartGetsNoTrial) {
+  suspects.RecordCrash(1, "u1/1", now);
+  suspects.RecordCrash(1, "u2/1", now + seconds(2));
+  suspects.RecordCrash(1, "u3/1", now + seconds(4));
+  CHECK(suspects.Decide(1, now + seconds(50)).verdict ==
+        SuspectVerdict::kRefuse);
+}
+
 TEST(CrashSuspects, TheNumberOfSuspectsIsBounded) {
   for (uint64_t i = 0; i < 1000; ++i)
     suspects.RecordCrash(i, "u", now + milliseconds(static_cast<int64_t>(i)));
