A request that ran at one try is not reported as not run by its retry

Requests that are not idempotent are not retried and were not affected.

Cause: only a second try beside the first one (hedging) was remembered as one that may have run, not a try that was followed by a retry.

The request remembers it now, for both.

--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -384,7 +384,7 @@
 void RequestForwarder::Refuse(PendingRequest& pending, RefusalReason reason,
                               Duration retry_after) {
   // An earlier try may have run, so the caller must not be told otherwise.
-  if (pending.hedge.may_have_run && reason != RefusalReason::kTimeout)
+  if (pending.may_have_run && reason != RefusalReason::kTimeout)
     reason = RefusalReason::kLostAnswer;
   NoteRefusal(pending, reason);
   Refusal refusal;
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -98,7 +98,7 @@
 
 bool RequestForwarder::CancelCall(PendingRequest& pending) {
   const bool other_received =
-      CancelOtherTry(pending, "cancelled") || pending.hedge.may_have_run;
+      CancelOtherTry(pending, "cancelled") || pending.may_have_run;
   const PoolCallId call = std::exchange(pending.call, 0);
   const RelayCallId relay_call = std::exchange(pending.relay_call, 0);
   if (call != 0) return pool_.Cancel(call) || other_received;
--- a/source/core/entry/request_forwarder_hedging.cc
+++ b/source/core/entry/request_forwarder_hedging.cc
@@ -202,7 +202,7 @@
   const bool stated_not_run =
       answer != nullptr && answer->kind != ResponseKind::kCorrupt;
   const bool written = answer != nullptr || result.request_written;
-  if (written && !stated_not_run) hedge.may_have_run = true;
+  if (written && !stated_not_run) pending.may_have_run = true;
   const bool second = pending.try_number == hedge.second_try;
   if (second) metrics_.ObserveHedge("failed");
   log_.LogRequest("request.try-ended",
--- a/source/core/entry/request_forwarder_responses.cc
+++ b/source/core/entry/request_forwarder_responses.cc
@@ -190,6 +190,7 @@
     }
     return;
   }
+  pending.may_have_run = true;
   // A host that relayed the request checks that itself.
   const bool ended_early = result.failure == ClientFailure::kClosed &&
                            !result.response_started && !relayed;
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -56,8 +56,6 @@
   bool sent = false;
   // Number of the second try; see PendingRequest::try_number.
   int second_try = 0;
-  // A try that ended before the other one may have run.
-  bool may_have_run = false;
   // The other try in flight, with the fields of PendingRequest of these names.
   // Invariant: if its call is not 0, neither is that of PendingRequest.
   int try_number = 0;
@@ -105,6 +103,7 @@
   RelayCallId relay_call = 0;      // As `call`, through another host.
   std::string called;              // Upstream of the last call.
   bool newly_tried = false;        // That call added it to `tried`.
+  bool may_have_run = false;       // At a call that has ended.
   MonotonicTime sent_at = kNever;
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
--- a/source/integration_tests/entry_promises_test.cc
+++ b/source/integration_tests/entry_promises_test.cc
@@ -129,6 +129,24 @@
 // A host with neither the store nor a feed must not respond that a route does
 // not exist, because a configuration with that route may have been acknowledged
 // meanwhile.
+// Guards against a refusal that promises that a request has not run, although
+// its first try has run and only its retry was refused.
+TEST(EntryPromises, ARequestThatRanAtItsFirstTryIsNotReportedAsNotRun) {
+  fixture.StartDefaultDeployment(1);
+  fixture.upstreams.at("desk-1")->faults().lose_responses = true;
+  fixture.upstreams.at("desk-2")->faults().rest_seconds = "0.05";
+  int begun = 0;
+  for (int i = 0; i < 20; ++i) {
+    const CallerResponse response =
+        fixture.SendAndWait(Host(1), "GET", "/price/a", -1);
+    fixture.RunFor(milliseconds(100));
+    if (RunCount(fixture.last_request_id) == 0) continue;
+    ++begun;
+    LONGS_EQUAL(502, response.status);
+  }
+  CHECK(begun > 0);
+}
+
 TEST(EntryPromises, AHostThatMayBeOutdatedDoesNotReportAMissingRoute) {
   fixture.StartDefaultDeployment(4);
   EntryProcess& follower = Follower();
