Tests: a network stays reserved until the hosts on it have ended

A test process that is ended by a signal leaves its hosts running, or stopping for 3 s. The next test process could reserve the same loopback network: its hosts failed to bind ("binding 127.219.7.1:18413 failed: Address already in use") and the deployment did not start in 15 s. Traced by the logs of one failure of EntryPromises: the former host's last line is of 0.3 s after the new one's start.

Cause: the lock that reserves the network was closed in the hosts. They inherit it now.

--- a/source/integration_tests/entry_fixture.cc
+++ b/source/integration_tests/entry_fixture.cc
@@ -43,8 +43,9 @@
     const int number = first + static_cast<int>((getpid() + i) % count);
     const std::string path =
         "/tmp/mimosadeal-network-" + std::to_string(number);
-    const int fd = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
-    // Stays open, and so locked, until the process exits.
+    // Stays open, and so locked, until this process and the hosts that it
+    // started, which inherit it, have exited.
+    const int fd = open(path.c_str(), O_CREAT | O_RDWR, 0600);
     if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) return number;
     if (fd >= 0) close(fd);
   }
