--- a/source/integration_tests/entry_paths_test.cc
+++ b/source/integration_tests/entry_paths_test.cc
@@ -121,6 +121,9 @@
 
 TEST_GROUP_BASE(EntryPaths, EntryPathsTest){};
 
+// A group of its own, because each takes up to 45 s.
+TEST_GROUP_BASE(EntryLongCuts, EntryPathsTest){};
+
 // A host without paths refused all requests, though other hosts had paths.
 TEST(EntryPaths, CallersOfAHostWithRefusedPathsAreServed) {
   StartLinkedDeployment(4);
@@ -176,7 +179,7 @@
 }
 
 // The silence of an earlier ownership counted against the next one at once.
-TEST(EntryPaths, AnUpstreamThatWasSilentBeforeKeepsTheKeysThatItGetsLater) {
+TEST(EntryLongCuts, AnUpstreamThatWasSilentBeforeKeepsTheKeysThatItGetsLater) {
   StartLinkedDeployment(4);
   const auto set_silent = [this](bool silent) {
     for (const char* id : {"yard-1", "yard-2"})
@@ -203,7 +206,7 @@
 
 // Owners that were silent for longer than their holds got no grant any more,
 // and as all were silent, no other upstream got their keys.
-TEST(EntryPaths, KeysAreServedSoonAfterAllHostsLostTheirPathsForLong) {
+TEST(EntryLongCuts, KeysAreServedSoonAfterAllHostsLostTheirPathsForLong) {
   StartLinkedDeployment(4);
   std::vector<std::string> all;
   for (const auto& [name, host] : fixture.hosts) all.push_back(name);
@@ -219,7 +222,7 @@
 }
 
 // As above, with a zone that has no other to give its keys to.
-TEST(EntryPaths, KeysOfAnOnlyZoneAreServedSoonAfterItsHostLostItsPaths) {
+TEST(EntryLongCuts, KeysOfAnOnlyZoneAreServedSoonAfterItsHostLostItsPaths) {
   StartOnlyZone();
   for (const UpstreamCut cut : {UpstreamCut::kSilent, UpstreamCut::kRefused}) {
     Cut({"host-1"}, cut);
@@ -233,7 +236,7 @@
 }
 
 // As above, while the upstreams accept connections and do not respond.
-TEST(EntryPaths, KeysOfAnOnlyZoneAreServedSoonAfterItsOwnersWereSilent) {
+TEST(EntryLongCuts, KeysOfAnOnlyZoneAreServedSoonAfterItsOwnersWereSilent) {
   StartOnlyZone();
   const auto set_silent = [this](bool silent) {
     for (auto& [id, upstream] : fixture.upstreams)
