Ranges: count a grant's hold from when it may still arrive

Callers could be served by two owners of a key at a time, for 0.2 to 0.4 s by the constants, when a path delayed grants by 0.6 s and their owner did not release its keys (lost path, or no response to releases).

Cause: a grant's hold counts from its arrival. HoldTracker took each grant to arrive within 0.2 s of when it was handed to its connection. But it is given up only after 0.7 s, and a connection that has just been opened for it, as after each grant without a response, may write it until then.

The tracker now adds the 0.7 s to the 0.2 s for the way, for the grants of this host and for those that its predecessor may have sent until the end of its authority. A silent owner's holds are shorter by as much, so that none extends what it may already hold. After 0.7 s the connection is reset, which discards what the kernel has not delivered.

Cost: keys of an owner that is dead without a sign wait up to 5.0 s in place of 4.3 s, those of a former holder's owners 11.2 s in place of 10.5 s, and a silent owner is asked about every 1.8 s in place of 1.2 s.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -22,6 +22,8 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(200);
 // Between two grants of one range, even if the first one failed.
 constexpr Duration kMinGrantInterval = std::chrono::milliseconds(100);
+// After it a grant without a response is given up. Until then it may be written
+// to a connection that was opened for it.
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(700);
 // An upstream that did not respond within this time gets no further ranges.
 constexpr Duration kSilenceMemory = std::chrono::seconds(10);
@@ -32,8 +34,10 @@
 // A grant with a shorter hold is not worth sending.
 constexpr Duration kMinHold = std::chrono::milliseconds(200);
 // Hold of a grant that finds out whether a silent owner responds again. Short,
-// because its keys cannot move before it has expired.
-constexpr Duration kProbeHold = std::chrono::milliseconds(800);
+// because neither can its keys move nor is it asked again before the hold has
+// expired; longer than kTickInterval, after which a grant with a usual hold
+// follows a response.
+constexpr Duration kProbeHold = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -50,7 +54,7 @@
       log_(log),
       options_(std::move(options)),
       commands_(loop, protocol),
-      holds_(options_.clock_guard, options_.margin) {}
+      holds_(options_.clock_guard, kGrantTimeout + options_.margin) {}
 
 RangeManager::~RangeManager() {
   loop_.timers().Cancel(timer_);
@@ -278,7 +282,9 @@
   const MonotonicTime now = loop_.timers().now();
   const MonotonicTime free_at = holds_.FreeAt(range_owner);
   if (now >= free_at) return kProbeHold;
-  return std::min(options_.hold, free_at - now - options_.margin * 2);
+  // The second margin covers the owner's clock.
+  return std::min(options_.hold,
+                  free_at - now - kGrantTimeout - options_.margin * 2);
 }
 
 void RangeManager::RenewGrants(Service& service) {
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -49,7 +49,7 @@
   Duration longest_hold{};
   Duration renew{};        // Between renewals of a grant.
   double clock_guard = 0;  // See HoldTracker.
-  Duration margin{};       // See HoldTracker.
+  Duration margin{};       // From writing a grant to its arrival.
   // For which an earlier lease holder may act after its last confirmed renewal.
   Duration lease_duration{};
   // For which an owner does not reply to grants before its keys move.
