--- a/source/integration_tests/entry_holds_test.cc
+++ b/source/integration_tests/entry_holds_test.cc
@@ -18,6 +18,16 @@
 constexpr int kSlowPathMs = 600;
 // Longer than a hold and its margins.
 constexpr Duration kHoldEnd = seconds(5);
+// From a write of the lease that the store confirmed, while no later one is:
+// shortly before the grants become those of the longest hold, 1.1 s.
+constexpr Duration kBeforeLastGrants = milliseconds(1000);
+// The same, after the first of these grants and before it is given up.
+constexpr Duration kAfterFirstLastGrant = milliseconds(1500);
+// After the end of a host's process, its kernel may still deliver what was
+// written, for 2 s.
+constexpr Duration kKernelDelivery = milliseconds(1500);
+// Of keys after all hosts have returned.
+constexpr Duration kRecoveryDeadline = seconds(15);
 constexpr int kLastSampledKey = 65535;
 constexpr int kKeyStep = 512;
 constexpr Duration kRequestInterval = milliseconds(20);
@@ -103,5 +113,48 @@
   CheckKeysMoveFrom("yard-1", kHoldEnd + seconds(3));
 }
 
+// Guards against two owners: a restarted host took its former process's last
+// grants to have arrived by its own start, though the kernel may deliver them
+// later.
+TEST(EntryHolds, AGrantThatArrivesAfterTheEndOfItsSenderIsWaitedFor) {
+  fixture.AddDefaultUpstreams();
+  fixture.link_upstreams = true;
+  fixture.StartHosts(2);
+  fixture.RunFor(seconds(1));
+  const auto lease = [this] {
+    return fixture.store->Find("zone-leases", "north")
+        ->at("metadata")
+        .at("rev");
+  };
+  const auto before = lease();
+  CHECK(fixture.RunUntil([&] { return lease() != before; }, seconds(2)));
+  const MonotonicTime confirmed_at = fixture.loop.timers().now();
+  const auto run_until = [&](Duration after) {
+    fixture.RunFor(confirmed_at + after - fixture.loop.timers().now());
+  };
+  fixture.store->faults().silent = true;
+  run_until(kBeforeLastGrants);
+  LinkFaults cut;
+  cut.cut_forward = true;
+  SetPath("host-1", "yard-1", cut);
+  run_until(kAfterFirstLastGrant);
+  for (const auto& [name, host] : fixture.hosts) host->process.Signal(9);
+  for (const auto& [name, host] : fixture.hosts) host->process.Kill();
+  fixture.store->Remove("servers", "yard-1");
+  fixture.upstreams.at("yard-1")->faults().ignore_releases = true;
+  fixture.store->faults().silent = false;
+  for (const auto& [name, host] : fixture.hosts)
+    fixture.AddHost(name, host->zone);
+  const MonotonicTime back_at = fixture.loop.timers().now();
+  fixture.RunFor(kKernelDelivery);
+  const int grants = fixture.upstreams.at("yard-1")->grants();
+  SetPath("host-1", "yard-1", {});
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.upstreams.at("yard-1")->grants() > grants; },
+      seconds(1)));
+  CheckKeysMoveFrom("yard-1",
+                    back_at + kRecoveryDeadline - fixture.loop.timers().now());
+}
+
 }  // namespace
 }  // namespace mimosadeal
