Grants are discarded when the process that sent them ends

The connections that carry grants and releases have SO_LINGER {1, 0} now: at the end of their process, or any close, they are reset, and the kernel drops what it has not delivered.

EntryHolds.NoGrantArrivesAfterTheEndOfItsSender, in place of AGrantThatArrivesAfterTheEndOfItsSenderIsWaitedFor: the grant must not arrive at all, and no two upstreams may hold the keys, as before. The stand-in drops what a cut path holds back when its sender's connection is reset, as a kernel drops what it would send again.

--- a/source/core/entry/key_command_client.cc
+++ b/source/core/entry/key_command_client.cc
@@ -71,6 +71,8 @@
     channel->address = upstream.address;
     channel->client = std::make_unique<ExchangeClient>(loop_, upstream.address,
                                                        kCommandLimits);
+    // A grant must not arrive after the end of the process that sent it.
+    channel->client->DiscardUnsentOnClose();
   }
   if (channel->queue.size() >= kMaxQueuedCommands) {
     loop_.Post([callback = std::move(command.callback)] {
--- a/source/core/entry/lease_manager.h
+++ b/source/core/entry/lease_manager.h
@@ -52,9 +52,6 @@
   bool continued = false;
   // By then the authority of all other holders had ended.
   MonotonicTime others_until = kNever;
-  // It ended by then because the last holder's process had. Its host may still
-  // deliver what the process sent.
-  bool process_ended = false;
 };
 
 struct LeaseManagerHandlers {
@@ -133,10 +130,9 @@
   void TryTakeover();
   void TakeOverIfFree();
   void TakeOver();
-  // Sets in gain_ the time by which the authority of the holder that the lease
-  // names, and of all before it, has ended. To be called when it may be taken
-  // over.
-  void NoteOthersEnd();
+  // Returns the time by which the authority of the holder that the lease names,
+  // and of all before it, has ended. To be called when it may be taken over.
+  MonotonicTime OthersUntil() const;
   void Renew();
   Duration NextAttemptDelay(MonotonicTime now) const;
   void WriteLease(ZoneLease next);
@@ -179,7 +175,7 @@
   // host is known to have taken the lease.
   bool reacquiring_ = false;
   bool other_held_ = true;  // Another process held it since this one did.
-  LeaseGain gain_;          // Of the last attempt to take the lease over.
+  MonotonicTime others_until_ = kNever;  // For the last takeover.
   bool write_pending_ = false;
   int read_failures_ = 0;  // Consecutive failed reads and takeovers.
   bool read_pending_ = false;
--- a/source/core/entry/lease_manager_store.cc
+++ b/source/core/entry/lease_manager_store.cc
@@ -152,7 +152,7 @@
 
 void LeaseManager::TakeOver() {
   if (write_pending_ || read_pending_ || !handlers_.may_hold()) return;
-  NoteOthersEnd();
+  others_until_ = OthersUntil();
   tenure_ = handlers_.new_tenure();
   ZoneLease next = lease_;
   next.holder = options_.host;
@@ -163,26 +163,19 @@
   WriteLease(next);
 }
 
-void LeaseManager::NoteOthersEnd() {
-  const LeaseGain former = gain_;
-  gain_ = {};
-  gain_.others_until = loop_.timers().now();
-  if (lease_.revision == 0) return;
-  gain_.process_ended = holder_ended_;
+MonotonicTime LeaseManager::OthersUntil() const {
+  MonotonicTime until = loop_.timers().now();
+  if (lease_.revision == 0) return until;
   if (observation_.since != kNever &&
       observation_.revision == lease_.revision) {
-    const MonotonicTime expiry = LeaseExpiry(observation_, options_.timing);
-    if (expiry < gain_.others_until) gain_ = {false, expiry, false};
+    until = std::min(until, LeaseExpiry(observation_, options_.timing));
   }
-  if (lease_.holder != options_.host || !IsLatestLease(lease_)) return;
-  const bool own = IsOwnTenure(lease_.process);
-  if (!own && created_at_ < gain_.others_until)
-    gain_ = {false, created_at_, true};
+  if (lease_.holder != options_.host || !IsLatestLease(lease_)) return until;
+  if (!IsOwnTenure(lease_.process)) return std::min(until, created_at_);
   // A takeover of this process took effect late, and no other host has acted
   // since it was attempted.
-  const bool never_gained = other_held_ && former.others_until != kNever;
-  if (own && never_gained && former.others_until < gain_.others_until)
-    gain_ = former;
+  const bool never_gained = other_held_ && others_until_ != kNever;
+  return never_gained ? std::min(until, others_until_) : until;
 }
 
 void LeaseManager::Renew() {
@@ -233,15 +226,14 @@
   gained_ = true;
   reacquiring_ = false;
   last_status_at_ = loop_.timers().now();
-  gain_.continued = !std::exchange(other_held_, false);
+  const bool continued = !std::exchange(other_held_, false);
   log_.LogStateChange("lease.gained", {{"zone", options_.zone},
                                        {"term", lease_.term},
                                        {"tenure", tenure_},
-                                       {"takeover", !gain_.continued},
+                                       {"takeover", !continued},
                                        {"others_ended_ms_ago",
-                                        last_status_at_ - gain_.others_until},
-                                       {"process_ended", gain_.process_ended}});
-  handlers_.on_gained(gain_);
+                                        last_status_at_ - others_until_}});
+  handlers_.on_gained({continued, others_until_});
   EndExpiredTenure();
 }
 
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -25,9 +25,6 @@
 // After it a grant without a response is given up. Until then it may be written
 // to a connection that was opened for it.
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(700);
-// For which a kernel delivers what a process had written when it ended: the
-// user timeout of TcpStream, counted from the first retransmission 0.2 s later.
-constexpr Duration kDeliveryAfterEnd = std::chrono::milliseconds(2200);
 // An upstream that did not respond within this time gets no further ranges.
 constexpr Duration kSilenceMemory = std::chrono::seconds(10);
 // Silence after which the keys of an owner that accepts connections move. Four
@@ -86,14 +83,8 @@
   // A lease with term 1 has no earlier holder whose grants may still be valid.
   // If no other host has held the lease since this one did, holds_ has all
   // grants.
-  if (lease_.lease().term > 1 && !gain.continued) {
-    // A process that has ended writes no grant any more.
-    holds_.AssumeHeld(
-        gain.others_until + (gain.process_ended
-                                 ? kDeliveryAfterEnd - kGrantTimeout
-                                 : Duration::zero()),
-        options_.longest_hold);
-  }
+  if (lease_.lease().term > 1 && !gain.continued)
+    holds_.AssumeHeld(gain.others_until, options_.longest_hold);
   loop_.timers().Cancel(timer_);
   timer_ = loop_.timers().Every(kTickInterval, [this] { Tick(); });
   Tick();
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -137,6 +137,7 @@
                         [this](StreamEnd end) { OnEnd(end); }});
   if (!stream.has_value()) return false;
   stream_ = std::move(stream.value());
+  if (discards_unsent_) stream_->DiscardUnsentOnClose();
   connected_ = false;
   connect_started_at_ = loop_.timers().now();
   if (timeout > Duration::zero()) {
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -76,6 +76,9 @@
   // Also limits the responses of this client by a budget that it shares. Beyond
   // the limit those responses fail that are larger than the mean.
   void ShareBudget(std::shared_ptr<ByteBudget> budget);
+  // What is unsent when this process ends does not reach the peer. To be called
+  // before a connection is opened.
+  void DiscardUnsentOnClose() { discards_unsent_ = true; }
   ExchangeClient(const ExchangeClient&) = delete;
   ExchangeClient& operator=(const ExchangeClient&) = delete;
 
@@ -146,6 +149,7 @@
   // that it closes the connection.
   bool must_not_reuse_ = false;
   bool lost_while_idle_ = false;
+  bool discards_unsent_ = false;
   // Bytes of earlier requests on this connection.
   uint64_t bytes_sent_before_ = 0;
   MonotonicTime idle_since_ = kNever;
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -190,11 +190,16 @@
   }
 }
 
-void TcpStream::DiscardUnsent() {
+void TcpStream::DiscardUnsentOnClose() {
   if (ended_) return;
   const linger reset_on_close = {1, 0};
   setsockopt(watch_->fd(), SOL_SOCKET, SO_LINGER, &reset_on_close,
              sizeof(reset_on_close));
+}
+
+void TcpStream::DiscardUnsent() {
+  if (ended_) return;
+  DiscardUnsentOnClose();
   // libwebsockets shuts its sockets down before it closes them, which would
   // still send what is queued. Connecting to AF_UNSPEC resets the connection at
   // once.
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -61,6 +61,9 @@
   // Resets the connection, which discards the bytes that the peer has not
   // received. After an ordinary close the kernel would keep sending them.
   void DiscardUnsent();
+  // The same as soon as the connection is closed, also by the end of this
+  // process.
+  void DiscardUnsentOnClose();
   // Whether the peer has closed the connection and every byte before its end
   // has been read.
   bool PeerHasClosed() const;
--- a/source/integration_tests/entry_holds_test.cc
+++ b/source/integration_tests/entry_holds_test.cc
@@ -23,8 +23,8 @@
 constexpr Duration kBeforeLastGrants = milliseconds(1000);
 // The same, after the first of these grants and before it is given up.
 constexpr Duration kAfterFirstLastGrant = milliseconds(1500);
-// After the end of a host's process, its kernel may still deliver what was
-// written, for 2 s.
+// For which a kernel goes on delivering what an ended process had written: less
+// than the 2 s of TCP_USER_TIMEOUT.
 constexpr Duration kKernelDelivery = milliseconds(1500);
 // Of keys after all hosts have returned.
 constexpr Duration kRecoveryDeadline = seconds(15);
@@ -114,9 +114,9 @@
 }
 
 // Guards against two owners: a restarted host took its former process's last
-// grants to have arrived by its own start, though the kernel may deliver them
+// grants to have arrived by its own start, though the kernel delivered them
 // later.
-TEST(EntryHolds, AGrantThatArrivesAfterTheEndOfItsSenderIsWaitedFor) {
+TEST(EntryHolds, NoGrantArrivesAfterTheEndOfItsSender) {
   fixture.AddDefaultUpstreams();
   fixture.link_upstreams = true;
   fixture.StartHosts(2);
@@ -149,9 +149,8 @@
   fixture.RunFor(kKernelDelivery);
   const int grants = fixture.upstreams.at("yard-1")->grants();
   SetPath("host-1", "yard-1", {});
-  CHECK(fixture.RunUntil(
-      [&] { return fixture.upstreams.at("yard-1")->grants() > grants; },
-      seconds(1)));
+  fixture.RunFor(seconds(1));
+  LONGS_EQUAL(grants, fixture.upstreams.at("yard-1")->grants());
   CheckKeysMoveFrom("yard-1",
                     back_at + kRecoveryDeadline - fixture.loop.timers().now());
 }
--- a/source/standins/fault_links.cc
+++ b/source/standins/fault_links.cc
@@ -142,6 +142,9 @@
   const ssize_t count = recv(source.fd(), buffer.data(), buffer.size(), 0);
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (count <= 0) {
+    // What did not get through is lost with the sender's connection.
+    if (count < 0 && (forward ? faults_.cut_forward : faults_.cut_backward))
+      (forward ? stream.forward : stream.backward).clear();
     // A cut direction holds back the end of the connection as well as data.
     if (forward ? faults_.cut_forward : faults_.cut_backward) {
       (forward ? stream.client : stream.target).reset();
--- a/source/unit_tests/entry/lease_manager_test.cc
+++ b/source/unit_tests/entry/lease_manager_test.cc
@@ -196,7 +196,6 @@
       RunUntil([&] { return restarted.gained > 0; }, std::chrono::seconds(3)));
   CHECK_FALSE(restarted.last_gain.continued);
   CHECK(restarted.last_gain.others_until <= created_at);
-  CHECK(restarted.last_gain.process_ended);
 }
 
 // As above, if its own takeovers take effect late and without a response.
@@ -214,7 +213,6 @@
   LONGS_EQUAL(0, store->faults().late_writes);
   CHECK(restarted.tenures > 1);
   CHECK(restarted.last_gain.others_until <= created_at);
-  CHECK(restarted.last_gain.process_ended);
 }
 
 // As above, for a holder of another host whose lease has expired.
@@ -240,7 +238,6 @@
   CHECK(rival.last_gain.others_until >= stopped_at);
   CHECK(rival.last_gain.others_until <=
         stopped_at + kTiming.duration * 2 + kTiming.margin);
-  CHECK_FALSE(rival.last_gain.process_ended);
 }
 
 // The copy from which the store was restored may lack a later holder.
@@ -338,7 +335,6 @@
   rival.manager->OnStatus(status);
   CHECK(RunUntil([this] { return rival.manager->active(); },
                  kHolderTimeout - milliseconds(50)));
-  CHECK(rival.last_gain.process_ended);
 }
 
 // Guards against two lease holders: the store may have accepted a takeover
