--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -138,6 +138,8 @@
   // or if the store has another one since, which this host does not take up.
   const nlohmann::json* ConfigurationDocument() const;
   const UpstreamDirectory& directory() const { return directory_; }
+  // Returns null if the configuration does not have it, or there is none yet.
+  const ServiceConfig* ServiceOf(const ListedUpstream& upstream) const;
   // Returns the newest table that this host knows, or null when the service has
   // none yet. After the store was restored from a copy it may be newer than the
   // store's.
@@ -203,8 +205,6 @@
   // Replaces the upstream's address if the settings say so.
   void RouteUpstream(UpstreamRecord& record) const;
   void OnRegistration(const StoredObject& object, const ChangeBound& bound);
-  // Returns null if the configuration does not have it.
-  const ServiceConfig* ServiceOf(const ListedUpstream& upstream) const;
   // Logs that an upstream has turned cold. `stated_before`: the end of its
   // coldness as it was known before.
   void LogColdness(const ListedUpstream& listed, MonotonicTime stated_before);
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -224,6 +224,8 @@
 void ZoneCoordinator::AddOtherZones() {
   if (resigned_) return;
   for (const auto& [id, listed] : view_.directory().all()) {
+    // Another writer may register upstreams of services that do not exist.
+    if (view_.ServiceOf(listed) == nullptr) continue;
     const std::string& name = listed.record.zone;
     if (!zones_.contains(name)) AddZone(name, false);
   }
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -14,8 +14,28 @@
 // requests are served.
 constexpr Duration kRecoveryDeadline = seconds(15);
 
+// A host takes over a zone without hosts after 4 s of silence and at most 1 s
+// more.
+constexpr Duration kZoneTakeoverTime = seconds(6);
+
 TEST_GROUP_BASE(EntryLosses, EntryTest){};
 
+void RestartAllHosts(EntryFixture& fixture) {
+  for (const auto& [name, host] : fixture.hosts) host->process.Kill();
+  fixture.RunFor(milliseconds(1000));
+  for (const auto& [name, host] : fixture.hosts)
+    fixture.AddHost(name, host->zone);
+}
+
+// Returns a registration with all fields, at an address where nobody listens.
+nlohmann::json Registration(const std::string& service,
+                            const std::string& zone) {
+  return {{"service", service}, {"address", "127.0.9.9:9"},
+          {"zone", zone},       {"version", "v1"},
+          {"slots", 2},         {"state", "ready"},
+          {"seq", 1},           {"born", 1767225600000}};
+}
+
 TEST(EntryLosses, RequestsAreServedWhileTheStoreDoesNotRespond) {
   fixture.StartDefaultDeployment(3);
   fixture.store->faults().silent = true;
@@ -191,6 +211,77 @@
   fixture.CheckRecord();
 }
 
+// Guards against calls to the store by a path that names another place than one
+// object: hosts kept a lease for each zone that an entry named.
+TEST(EntryLosses, AnEntryWhoseZoneIsNoNameMakesNoCallsToTheStore) {
+  fixture.StartDefaultDeployment(2);
+  int number = 0;
+  for (const char* zone : {"", ".", "..", "a/b"}) {
+    fixture.store->Put("servers", "other-" + std::to_string(++number),
+                       Registration("desk", zone));
+  }
+  RestartAllHosts(fixture);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         kRecoveryDeadline));
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/price/") == 0; },
+                         kRecoveryDeadline));
+  fixture.RunFor(kZoneTakeoverTime);
+  LONGS_EQUAL(0, fixture.store->misplaced_calls());
+  LONGS_EQUAL(0, CountFailures("GET", "/lookup/"));
+  fixture.CheckRecord();
+}
+
+// Guards against leases for zones that only entries of services that do not
+// exist name: their renewals used up the calls that the store allows.
+TEST(EntryLosses, EntriesOfUnknownServicesMakeNoZones) {
+  constexpr int entries = 50;
+  fixture.StartDefaultDeployment(2);
+  const auto count_writes = [&] {
+    const uint64_t before = fixture.store->writes();
+    fixture.RunFor(seconds(4));
+    return fixture.store->writes() - before;
+  };
+  const auto zone = [](int i) { return "zone-" + std::to_string(i); };
+  const uint64_t usual = count_writes();
+  for (int i = 0; i < entries; ++i) {
+    fixture.store->Put("servers", "other-" + std::to_string(i),
+                       Registration("elsewhere", zone(i)));
+  }
+  RestartAllHosts(fixture);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         kRecoveryDeadline));
+  fixture.RunFor(kZoneTakeoverTime);
+  const uint64_t writes = count_writes();
+  // The keys may move meanwhile, which takes some writes. Fifty leases take
+  // hundreds.
+  constexpr uint64_t table_writes = 20;
+  CHECK_TEXT(
+      writes <= usual + table_writes,
+      (std::to_string(writes) + " writes in place of " + std::to_string(usual))
+          .c_str());
+  for (int i = 0; i < entries; ++i)
+    CHECK(fixture.store->Find("zone-leases", zone(i)) == nullptr);
+  fixture.CheckRecord();
+}
+
+TEST(EntryLosses, AZoneOfAServiceHasALeaseFromItsConfigurationOn) {
+  fixture.StartDefaultDeployment(2);
+  fixture.AddUpstream("desk-5", "desk", "west", 30);
+  fixture.store->Put("servers", "shed-1", Registration("shed", "east"));
+  const auto has_lease = [&](const std::string& zone) {
+    return fixture.store->Find("zone-leases", zone) != nullptr;
+  };
+  CHECK(fixture.RunUntil([&] { return has_lease("west"); }, kRecoveryDeadline));
+  fixture.RunFor(kZoneTakeoverTime);
+  CHECK_FALSE(has_lease("east"));
+  nlohmann::json configuration = fixture.Configuration(2);
+  configuration["services"].push_back(
+      {{"name", "shed"}, {"healthPath", "/health"}, {"maxConnections", 100}});
+  fixture.store->Put("config", "main", configuration);
+  CHECK(fixture.RunUntil([&] { return has_lease("east"); }, kRecoveryDeadline));
+  fixture.CheckRecord();
+}
+
 // Requests that several callers send alike are in flight at several upstreams
 // when these lose power, which shows nothing about the requests.
 TEST(EntryLosses, PopularRequestsAreServedAfterUpstreamsLostPower) {
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -50,6 +50,11 @@
   return decoded;
 }
 
+bool IsMisplaced(const std::string& name) {
+  return name.empty() || name == "." || name == ".." ||
+         name.find('/') != std::string::npos;
+}
+
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> values;
   size_t at = 0;
@@ -157,6 +162,7 @@
     name =
         DecodeUrl(std::string_view(kind).substr(slash + 1), PlusSign::kItself);
     kind.resize(slash);
+    if (IsMisplaced(name)) ++misplaced_calls_;
   }
   if (request.method == "GET") {
     OnRead(id, kind, name, ParseQuery(request.query));
@@ -227,7 +233,10 @@
   const nlohmann::json body =
       nlohmann::json::parse(request.body, nullptr, false);
   const bool create = request.method == "POST";
-  if (create) name = body["metadata"]["name"].get<std::string>();
+  if (create) {
+    name = body["metadata"]["name"].get<std::string>();
+    if (IsMisplaced(name)) ++misplaced_calls_;
+  }
   if (faults_.late_writes > 0) {
     --faults_.late_writes;
     WriteLate(request, kind, name);
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -70,6 +70,9 @@
   StoreFaults& faults() { return faults_; }
   uint64_t calls() const { return calls_; }
   uint64_t writes() const { return writes_; }
+  // Calls for one object whose name a server or proxy may read as another place
+  // of the path: empty, "." or "..", or with a "/".
+  uint64_t misplaced_calls() const { return misplaced_calls_; }
 
  private:
   struct Event {
@@ -117,6 +120,7 @@
   uint64_t oldest_revision_ = 0;
   uint64_t calls_ = 0;
   uint64_t writes_ = 0;
+  uint64_t misplaced_calls_ = 0;
   uint64_t era_ = 1;  // Incremented by each restore.
   Objects objects_;
   Objects copy_;
--- a/source/unit_tests/platform/upstream_codec_test.cc
+++ b/source/unit_tests/platform/upstream_codec_test.cc
@@ -55,6 +55,30 @@
                port);
 }
 
+// Guards against a zone that is read as another place where it stands in a
+// path.
+TEST(PlatformUpstream, AZoneThatIsNoNameIsRejected) {
+  const auto in_zone = [](const std::string& zone) {
+    std::string text = kRegistration;
+    const std::string field = R"("zone":"north")";
+    return ReadRegistration(Registration(text.replace(
+        text.find(field), field.size(), R"("zone":")" + zone + "\"")));
+  };
+  for (const std::string& zone :
+       {std::string(), std::string("."), std::string(".."), std::string("/"),
+        std::string("a/b"), std::string("../x"), std::string(R"(a\u0000)"),
+        std::string(R"(a\nb)"), std::string(R"(\u007f)"),
+        std::string(257, 'z')}) {
+    CHECK_TEXT(!in_zone(zone).has_value(), zone.c_str());
+  }
+  for (const std::string& zone :
+       {std::string("..."), std::string(".north"), std::string("a.b"),
+        std::string("north 1"), std::string("a&b+c#d%41"),
+        std::string(R"(\u00e9)"), std::string(256, 'z')}) {
+    CHECK_TEXT(in_zone(zone).has_value(), zone.c_str());
+  }
+}
+
 TEST(PlatformUpstream, ARequestCarriesTheUpstreamAndTheTimeLeft) {
   CallerRequest request;
   request.id = "9c41";
