Store: a response that cannot be read is no outage

Callers would see: while the store's responses about the registry cannot be read as a whole, no host takes over the lease of a holder that went silent, and the hosts of its zone read nothing else from the store, so keys of lost owners stay unserved.

Cause: a malformed response counted as a failed call, and so as an unreachable store. The registry's watch is the one that probes for all others, and a takeover waits until the store is reachable. Class: one error code for "no response" and "a response that is of no use".

Evidence, before: EntryLosses.ALeaseIsTakenOverWhileTheRegistryCannotBeRead, no takeover within 8 s; UnreadableChanges.AStoreThatRespondsIsReachable failed.

A malformed response shows that the store is reachable, and is logged as view.malformed. The call is still repeated with the usual growing delay, the copy stays as it was, and the time of the last usable response (answered_at) does not move, so a holder without one feeds no others.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -148,6 +148,10 @@
     log_.LogRequest("view.left-out", {{"watch", NameOf(kViewKindNames, kind)},
                                       {"objects", uint64_t{count}}});
   };
+  handlers.on_malformed = [this, kind](const std::string& reason) {
+    log_.LogRequest("view.malformed", {{"watch", NameOf(kViewKindNames, kind)},
+                                       {"reason", reason}});
+  };
   // While the store is unreachable, only the registry's watch retries.
   if (kind != ViewKind::kRegistry)
     handlers.may_retry = [this] { return store_reachable(); };
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -242,6 +242,10 @@
 void KindWatcher::OnSuccess() {
   retry_delay_ = timing_.first_retry;
   answered_at_ = loop_.timers().now();
+  NoteReachable();
+}
+
+void KindWatcher::NoteReachable() {
   if (reachable_) return;
   reachable_ = true;
   reachable_since_ = loop_.timers().now();
@@ -249,7 +253,10 @@
 }
 
 void KindWatcher::OnFailure(const Error& error) {
-  if (reachable_) {
+  if (error.code == ErrorCode::kMalformed) {
+    NoteReachable();
+    if (handlers_.on_malformed) handlers_.on_malformed(DescribeError(error));
+  } else if (reachable_) {
     reachable_ = false;
     if (handlers_.on_reachable)
       handlers_.on_reachable(false, DescribeError(error));
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -53,7 +53,8 @@
   std::function<void()> on_synced;
   // The store sent an update, which may be fed to other hosts.
   std::function<void(const KindUpdate&)> on_update;
-  // The store became unreachable, for `reason`, or reachable again.
+  // The store became unreachable, for `reason`, or reachable again. A response
+  // that cannot be read shows that it is reachable.
   std::function<void(bool reachable, const std::string& reason)> on_reachable;
   // Returns whether to retry after a failed call. Empty means always.
   std::function<bool()> may_retry;
@@ -62,6 +63,9 @@
   // A response had objects without a readable name or revision, which were left
   // out.
   std::function<void(size_t count)> on_left_out;
+  // The store sent a response that cannot be read, for `reason`. The call is
+  // repeated.
+  std::function<void(const std::string& reason)> on_malformed;
 };
 
 struct KindWatcherTiming {
@@ -142,6 +146,7 @@
   void OnFailure(const Error& error);
   void Retry();
   void OnSuccess();
+  void NoteReachable();
   void Schedule(Duration delay, std::function<void()> next);
 
   EventLoop& loop_;
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -211,6 +211,26 @@
   fixture.CheckRecord();
 }
 
+// Guards against responses about the registry that cannot be read and count as
+// an outage of the store, during which no host takes over a lost holder's
+// lease.
+TEST(EntryLosses, ALeaseIsTakenOverWhileTheRegistryCannotBeRead) {
+  fixture.StartDefaultDeployment(4);
+  fixture.store->faults().malformed_kind = "servers";
+  fixture.store->CancelWatches();
+  fixture.RunFor(kChangeDeadline);
+  const std::string holder = fixture.LeaseHolder("north");
+  fixture.hosts.at(holder)->process.Kill();
+  CHECK(fixture.RunUntil([&] { return fixture.LeaseHolder("north") != holder; },
+                         seconds(8)));
+  fixture.store->faults().malformed_kind.clear();
+  fixture.RunFor(kChangeDeadline);
+  fixture.hosts.erase(holder);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         seconds(8)));
+  fixture.CheckRecord();
+}
+
 // Guards against calls to the store by a path that names another place than one
 // object: hosts kept a lease for each zone that an entry named.
 TEST(EntryLosses, AnEntryWhoseZoneIsNoNameMakesNoCallsToTheStore) {
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -184,6 +184,10 @@
     }
     return;
   }
+  if (kind == faults_.malformed_kind) {
+    Respond(id, 200, nlohmann::json::object());
+    return;
+  }
   if (!query.contains("watch")) {
     const auto after = query.find("after");
     OnList(id, kind, after == query.end() ? "" : after->second);
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -35,6 +35,8 @@
   size_t max_watch_events = 0;
   // A page of a list has at most this many objects.
   size_t max_page_objects = 500;
+  // Lists and watches of this kind get a response without their members.
+  std::string malformed_kind;
 };
 
 class DeploymentStore {
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -30,7 +30,7 @@
          last_bound = bound;
          if (object.deleted) removed.push_back(object.name);
        },
-       nullptr, nullptr, nullptr, nullptr, nullptr, nullptr}};
+       nullptr, nullptr, nullptr, nullptr, nullptr, nullptr, nullptr}};
 
   StoredObject Object(const std::string& name, uint64_t revision,
                       bool deleted = false) {
@@ -238,7 +238,7 @@
        [this](bool reachable, const std::string&) {
          if (!reachable) ++lost;
        },
-       nullptr, nullptr, [this](size_t count) { left_out += count; }}};
+       nullptr, nullptr, [this](size_t count) { left_out += count; }, nullptr}};
 
   // Runs the loop until the store has got that many calls, for at most a
   // second.
@@ -295,6 +295,36 @@
   LONGS_EQUAL(1, watcher.objects().size());
 }
 
+// Guards against a response that cannot be read and counts as an outage, during
+// which other watchers and takeovers wait.
+TEST(UnreadableChanges, AStoreThatRespondsIsReachable) {
+  texts.bodies = {R"({"items":[{}],"more":true,"asOf":3})", "no JSON",
+                  R"({"items":[],"asOf":3})", R"({"events":7,"asOf":4})",
+                  R"({"events":[],"asOf":4})"};
+  std::vector<std::string> reasons;
+  KindWatcherHandlers handlers;
+  handlers.on_reachable = [this](bool reachable, const std::string&) {
+    if (!reachable) ++lost;
+  };
+  handlers.on_malformed = [&](const std::string& reason) {
+    reasons.push_back(reason);
+  };
+  KindWatcher quick(
+      loop, store, "things",
+      {std::chrono::seconds(5), Duration::zero(), std::chrono::milliseconds(10),
+       std::chrono::milliseconds(20)},
+      std::move(handlers));
+  quick.Start();
+  RunUntilCalls(6);
+  STRCMP_EQUAL("", texts.queries[2].c_str());
+  STRCMP_EQUAL("watch=3&waitMs=5000", texts.queries[4].c_str());
+  STRCMP_EQUAL("watch=4&waitMs=5000", texts.queries[5].c_str());
+  LONGS_EQUAL(0, lost);
+  LONGS_EQUAL(3, reasons.size());
+  CHECK(quick.reachable());
+  CHECK(quick.synced());
+}
+
 TEST_GROUP(DelayedWatch) {
   EventLoop loop{{32, 8, 65536}};
   SocketAddress address{"127.0.4.2", 18500};
