Store: a list goes on after a name that is no UTF-8

Callers would see: while an entry of another writer stands under a name that is no UTF-8, and the registry has pages enough that one holds no readable name, or ends with that entry, hosts that start serve nothing.

Cause: a page whose names cannot be read had no place to go on after, and failed the list. If the store sends U+FFFD for the bytes, as libraries for JSON do, the list asked for the page after that text, which sorts before the name itself: the same page came again, which fails the list since. Class: a place that is known only by its encoded form.

PROTOCOL.md: bodies are JSON, and `after` is "a name". It does not exclude such names: an entry may have "bytes that can't be read", and names stand percent-encoded in paths. An object without a name, or with one that is no string, cannot occur by it, and still fails its page if no other name follows.

Evidence, before: ObjectStore.AListContinuesAfterNamesThatAreNoUtf8, PlatformOddInput.AListGoesOnAfterANameThatCannotBeRead and EntryLosses.AnEntryWhoseNameIsNoTextHidesNoOthers (not served within 15 s) failed. All pass now (two runs of the last). Both forms are tested: bytes as they are, and U+FFFD. AnEntryWhoseContentIsNoRegistrationHidesNoOthers (a number, null, lists, missing fields; one object a page) passed before as well: the name is enough.

The list goes on after the name's readable part and the byte 0xFF, which is in no UTF-8 and sorts after all that is. Names are listed in order, so what this passes over begins alike and goes on beyond ASCII. A store that takes the byte for something else sends the same page again, and the list fails as before.

--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -1,5 +1,6 @@
 #include "store/object_store.h"
 
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,17 @@
       unknown ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable, text);
 }
 
+// Returns the position of the page after one that ended at `last` and began
+// after it as well. JSON cannot carry names that are no UTF-8, so the store may
+// have sent U+FFFD in place of bytes that sort after it.
+std::string SkipReplacedBytes(std::string last) {
+  constexpr std::string_view replacement = "\xef\xbf\xbd";
+  const size_t at = last.find(replacement);
+  if (at == std::string::npos) return last;
+  last.resize(at);
+  return last + kAfterUtf8;
+}
+
 void SetEra(std::vector<StoredObject>& objects, uint64_t era) {
   for (StoredObject& object : objects)
     object.revision = MakeStoreRevision(era, object.revision);
@@ -159,7 +171,9 @@
     for (StoredObject& object : page.value().objects)
       collected.objects.push_back(std::move(object));
     collected.unreadable += page.value().unreadable;
-    collected.next = page.value().next;
+    collected.next = collected.next == page.value().next
+                         ? SkipReplacedBytes(std::move(page.value().next))
+                         : std::move(page.value().next);
     if (collected.next.empty()) {
       callback(std::move(collected));
     } else {
--- a/source/core/store/stored_object.h
+++ b/source/core/store/stored_object.h
@@ -16,6 +16,9 @@
   nlohmann::json content;  // Null if it could not be read.
 };
 
+// A byte that is in no UTF-8 text, and sorts after all that are.
+inline constexpr char kAfterUtf8 = '\xff';
+
 // One page of a list. `next` is the position of the next page, empty on the
 // last page.
 struct ObjectPage {
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -211,6 +211,42 @@
   fixture.CheckRecord();
 }
 
+// Guards against hosts that never have the whole registry, because the name at
+// the end of a page cannot be read or is not the store's.
+TEST(EntryLosses, AnEntryWhoseNameIsNoTextHidesNoOthers) {
+  for (const bool raw : {false, true}) {
+    if (!raw) fixture.StartDefaultDeployment(2);
+    fixture.store->faults().max_page_objects = 1;
+    fixture.store->faults().raw_names = raw;
+    for (const char* name : {"a\xff", "e\xc0\xaf", "\xff"}) {
+      fixture.store->Remove("servers", name);
+      fixture.store->Put("servers", name, Registration("elsewhere", "north"));
+    }
+    RestartAllHosts(fixture);
+    CHECK_TEXT(
+        fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         kRecoveryDeadline),
+        raw ? "as it is" : "replaced");
+  }
+  fixture.CheckRecord();
+}
+
+TEST(EntryLosses, AnEntryWhoseContentIsNoRegistrationHidesNoOthers) {
+  fixture.StartDefaultDeployment(2);
+  fixture.store->faults().max_page_objects = 1;
+  int number = 0;
+  for (const char* content :
+       {"7", "null", "[]", "[[]]", "\"text\"", "{}", R"({"service":"yard"})",
+        R"({"service":7,"address":[],"zone":{},"slots":"2","state":null})"}) {
+    fixture.store->Put("servers", "other-" + std::to_string(++number),
+                       nlohmann::json::parse(content));
+  }
+  RestartAllHosts(fixture);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         kRecoveryDeadline));
+  fixture.CheckRecord();
+}
+
 // Guards against responses about the registry that cannot be read and count as
 // an outage of the store, during which no host takes over a lost holder's
 // lease.
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -26,6 +26,36 @@
   }
 }
 
+// Stands for a byte that is to be sent as it is, in two hexadecimal digits that
+// follow.
+constexpr std::string_view kByteMark = "(byte)";
+
+// Returns the text with marks in place of the bytes beyond ASCII.
+std::string MarkBytes(const std::string& text) {
+  constexpr char hex_digits[] = "0123456789abcdef";
+  std::string marked;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x80) {
+      marked += c;
+      continue;
+    }
+    marked += kByteMark;
+    marked += hex_digits[byte >> 4];
+    marked += hex_digits[byte & 0xf];
+  }
+  return marked;
+}
+
+void ReplaceByteMarks(std::string& json) {
+  for (size_t at = json.find(kByteMark); at != std::string::npos;
+       at = json.find(kByteMark, at)) {
+    const std::string digits = json.substr(at + kByteMark.size(), 2);
+    json.replace(at, kByteMark.size() + digits.size(), 1,
+                 static_cast<char>(std::stoi(digits, nullptr, 16)));
+  }
+}
+
 // What "+" stands for: a blank in a query, itself in a path.
 enum class PlusSign : uint8_t { kItself, kBlank };
 
@@ -107,8 +137,10 @@
   HttpResponse response;
   response.status = status;
   response.headers = {{"Store-Era", std::to_string(era_)}};
-  response.body = body.dump();
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   SpoilUnreadableText(response.body);
+  ReplaceByteMarks(response.body);
   server_->Respond(id, response);
 }
 
@@ -292,7 +324,9 @@
   nlohmann::json& object = objects_[kind][name];
   if (!object.is_null() && object["spec"] == spec) return;
   ++revision_;
-  object = {{"metadata", {{"name", name}, {"rev", revision_}}},
+  object = {{"metadata",
+             {{"name", faults_.raw_names ? MarkBytes(name) : name},
+              {"rev", revision_}}},
             {"spec", std::move(spec)}};
   NotifyWatches(kind, object, false);
 }
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -35,6 +35,9 @@
   size_t max_watch_events = 0;
   // A page of a list has at most this many objects.
   size_t max_page_objects = 500;
+  // Names that are put from then on are sent byte by byte, whether they are
+  // UTF-8 or not. Otherwise U+FFFD replaces the bytes that are not.
+  bool raw_names = false;
   // Lists and watches of this kind get a response without their members.
   std::string malformed_kind;
 };
--- a/source/unit_tests/platform/odd_input_test.cc
+++ b/source/unit_tests/platform/odd_input_test.cc
@@ -40,6 +40,27 @@
             .code == ErrorCode::kMalformed);
 }
 
+// Guards against a list that ends at a page none of whose names can be read.
+// The next page is the one after all names that continue the readable part.
+TEST(PlatformOddInput, AListGoesOnAfterANameThatCannotBeRead) {
+  const auto next = [this](const std::string& name) {
+    const auto page = store.read_page(
+        Response(200, R"({"items":[{"metadata":{"name":)" + name +
+                          R"(,"rev":1}}],"more":true,"asOf":9})"),
+        SIZE_MAX);
+    return page.has_value() ? page.value().next : "(malformed)";
+  };
+  STRCMP_EQUAL("\xff", next("\"\xff\"").c_str());
+  STRCMP_EQUAL("ab\xff", next("\"ab\xe2\x82\"").c_str());
+  STRCMP_EQUAL("a\"/\\\xff", next(R"("a\"\/\\\ud800x")").c_str());
+  STRCMP_EQUAL("aA\n\xff", next(R"("a\u0041\n\u00e9)"
+                                "\xff\"")
+                               .c_str());
+  STRCMP_EQUAL("a\x01z", next("\"a\x01z\"").c_str());
+  for (const char* name : {"7", "null", "\"\"", R"("a\x")", R"("a\u00")", "[]"})
+    STRCMP_EQUAL_TEXT("(malformed)", next(name).c_str(), name);
+}
+
 // Guards against one odd object, of another writer, that makes a whole list
 // unreadable or ends the process.
 TEST(PlatformOddInput, OneUnreadableObjectHidesNoOthers) {
--- a/source/unit_tests/store/object_store_test.cc
+++ b/source/unit_tests/store/object_store_test.cc
@@ -68,6 +68,34 @@
   LONGS_EQUAL(names.size(), listed.value().objects.size());
 }
 
+// Guards against a list that ends at a name that JSON cannot carry, which
+// follows all other names or stands between them.
+TEST(ObjectStore, AListContinuesAfterNamesThatAreNoUtf8) {
+  const std::set<std::string> sound = {"a", "ab", "b", "b\"x", "b\"y", "z"};
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (const std::string& name : sound)
+    standin.value()->Put(kKind, name, nlohmann::json::object());
+  for (const bool raw : {false, true}) {
+    standin.value()->faults().raw_names = raw;
+    for (const char* odd : {"\xff", "a\xff", "a\xc0\xaf", "b\"x\xed\xa0\x80",
+                            "\xfe\xff", "\xff\xff"}) {
+      standin.value()->Remove(kKind, odd);
+      standin.value()->Put(kKind, odd, nlohmann::json::object());
+    }
+    for (const size_t page_objects : {1, 2, 3, 4}) {
+      standin.value()->faults().max_page_objects = page_objects;
+      const Result<ObjectPage> listed = ListAll();
+      CHECK_TEXT(listed.has_value(), raw ? "as it is" : "replaced");
+      std::set<std::string> names;
+      for (const StoredObject& object : listed.value().objects)
+        names.insert(object.name);
+      for (const std::string& name : sound)
+        CHECK_TEXT(names.contains(name), name.c_str());
+    }
+  }
+}
+
 TEST(ObjectStore, AnObjectIsReadAndWrittenByAnOddName) {
   auto standin = DeploymentStore::Start(loop, kAddress);
   CHECK(standin.has_value());
