Store: a lost page of a list is requested again

Callers would see: while responses of the store are lost and the registry has several pages, hosts that start serve nothing for long: each loss costs all pages that were read.

Cause: a list began anew with any response that was lost. Class: work that is kept only if all of it succeeds.

AListEndsWhenNoPageFollows guards the bound.

A page after the first is requested up to twice more, at once; the pages before show that the store responded. The list keeps the revision of its first page, and its time is that of its beginning, so the copy claims no more than before. An outage that begins during a list shows up to 3 s (two calls' time-outs) later.

--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -20,6 +20,9 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr size_t kMaxIdleConnections = 3;
 constexpr Duration kMaxIdleTime = std::chrono::seconds(5);
+// A page of a list is requested again after this many lost responses in a row,
+// as a list that began anew would cost all pages again.
+constexpr int kMaxLostResponses = 2;
 
 Error MakeFailure(const ExchangeResult& result, bool is_write) {
   const std::string text = "no response from the store: " +
@@ -135,27 +138,27 @@
 }
 
 void ObjectStore::List(const std::string& kind, Callback<ObjectPage> callback) {
-  ContinueList(kind, {}, {}, std::move(callback));
+  ContinueList(kind, {}, std::move(callback));
 }
 
-void ObjectStore::ContinueList(const std::string& kind, ObjectPage collected,
-                               std::set<std::string> positions,
+void ObjectStore::ContinueList(const std::string& kind, ListProgress list,
                                Callback<ObjectPage> callback) {
-  if (!positions.insert(collected.next).second) {
-    callback(MakeError(
-        ErrorCode::kMalformed,
-        "the pages of a list repeat after \"" + collected.next + "\""));
-    return;
-  }
   ++counts_.reads;
-  ExchangeRequest request = protocol_.list(kind, collected.next);
+  ExchangeRequest request = protocol_.list(kind, list.collected.next);
   request.timeout = call_timeout_;
-  auto done = [this, kind, collected = std::move(collected),
-               positions = std::move(positions),
+  auto done = [this, kind, list = std::move(list),
                callback =
                    std::move(callback)](const ExchangeResult& result) mutable {
+    ObjectPage& collected = list.collected;
     if (result.failure != ClientFailure::kNone) {
-      callback(MakeFailure(result, false));
+      // The store has responded to the pages before.
+      const bool again =
+          !collected.next.empty() && ++list.lost_responses <= kMaxLostResponses;
+      if (again) {
+        ContinueList(kind, std::move(list), std::move(callback));
+      } else {
+        callback(MakeFailure(result, false));
+      }
       return;
     }
     Result<ObjectPage> page =
@@ -164,6 +167,7 @@
       callback(page.error());
       return;
     }
+    list.lost_responses = 0;
     // The first page's revision: a watch from it reports every change that
     // later pages may lack.
     if (collected.store_revision == 0)
@@ -176,9 +180,12 @@
                          : std::move(page.value().next);
     if (collected.next.empty()) {
       callback(std::move(collected));
+    } else if (!list.positions.insert(collected.next).second) {
+      callback(MakeError(
+          ErrorCode::kMalformed,
+          "the pages of a list repeat after \"" + collected.next + "\""));
     } else {
-      ContinueList(kind, std::move(collected), std::move(positions),
-                   std::move(callback));
+      ContinueList(kind, std::move(list), std::move(callback));
     }
   };
   Start(std::move(request), false, std::move(done));
--- a/source/core/store/object_store.h
+++ b/source/core/store/object_store.h
@@ -83,11 +83,16 @@
  private:
   struct Call;
 
+  struct ListProgress {
+    ObjectPage collected;
+    std::set<std::string> positions;  // Those that pages began after.
+    int lost_responses = 0;           // In a row, to the same page.
+  };
+
   void Start(ExchangeRequest request, bool is_watch,
              std::function<void(const ExchangeResult&)> done);
-  // `positions`: those that pages of this list began after.
-  void ContinueList(const std::string& kind, ObjectPage collected,
-                    std::set<std::string> positions,
+  // Requests the page after those that the list has.
+  void ContinueList(const std::string& kind, ListProgress list,
                     Callback<ObjectPage> callback);
   void NoteEra(const HttpResponse& response);
   // Returns the era of what the response says. Errors: kUnavailable if it is
--- a/source/integration_tests/entry_losses_test.cc
+++ b/source/integration_tests/entry_losses_test.cc
@@ -231,6 +231,23 @@
   fixture.CheckRecord();
 }
 
+// Guards against hosts that begin the list of the registry anew with each
+// response that is lost, and never have the whole.
+TEST(EntryLosses, ALongRegistryIsReadWhileResponsesAreLost) {
+  constexpr int entries = 20;
+  fixture.StartDefaultDeployment(2);
+  for (int i = 0; i < entries; ++i) {
+    fixture.store->Put("servers", "other-" + std::to_string(i),
+                       Registration("elsewhere", "north"));
+  }
+  fixture.store->faults().max_page_objects = 1;
+  fixture.store->faults().lost_list_interval = 4;
+  RestartAllHosts(fixture);
+  CHECK(fixture.RunUntil([&] { return CountFailures("GET", "/lookup/") == 0; },
+                         kRecoveryDeadline));
+  fixture.CheckRecord();
+}
+
 TEST(EntryLosses, AnEntryWhoseContentIsNoRegistrationHidesNoOthers) {
   fixture.StartDefaultDeployment(2);
   fixture.store->faults().max_page_objects = 1;
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -237,6 +237,12 @@
 
 void DeploymentStore::OnList(ExchangeId id, const std::string& kind,
                              const std::string& after) {
+  ++lists_;
+  if (faults_.lost_list_interval != 0 &&
+      lists_ % faults_.lost_list_interval == 0) {
+    server_->Drop(id);
+    return;
+  }
   const auto& objects = objects_[kind];
   nlohmann::json items = nlohmann::json::array();
   auto next = objects.upper_bound(after);
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -35,6 +35,8 @@
   size_t max_watch_events = 0;
   // A page of a list has at most this many objects.
   size_t max_page_objects = 500;
+  // Every list response whose number is a multiple of this is lost; 0 for none.
+  uint64_t lost_list_interval = 0;
   // Names that are put from then on are sent byte by byte, whether they are
   // UTF-8 or not. Otherwise U+FFFD replaces the bytes that are not.
   bool raw_names = false;
@@ -126,6 +128,7 @@
   uint64_t calls_ = 0;
   uint64_t writes_ = 0;
   uint64_t misplaced_calls_ = 0;
+  uint64_t lists_ = 0;
   uint64_t era_ = 1;  // Incremented by each restore.
   Objects objects_;
   Objects copy_;
--- a/source/unit_tests/store/object_store_test.cc
+++ b/source/unit_tests/store/object_store_test.cc
@@ -120,6 +120,45 @@
   }
 }
 
+// Guards against a list that begins anew with each lost response, and is never
+// complete if it has more pages than the store sends in a row.
+TEST(ObjectStore, AListOutlastsLostPages) {
+  constexpr int objects = 10;
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (int i = 0; i < objects; ++i)
+    standin.value()->Put(kKind, "a" + std::to_string(i), {{"n", i}});
+  standin.value()->faults().max_page_objects = 1;
+  standin.value()->faults().lost_list_interval = 4;
+  const Result<ObjectPage> listed = ListAll();
+  CHECK(listed.has_value());
+  LONGS_EQUAL(objects, listed.value().objects.size());
+}
+
+// A store that responds no longer is not asked for the same page without end.
+TEST(ObjectStore, AListEndsWhenNoPageFollows) {
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (const char* name : {"a", "b"})
+    standin.value()->Put(kKind, name, nlohmann::json::object());
+  standin.value()->faults().max_page_objects = 1;
+  standin.value()->faults().lost_list_interval = 1;
+  CHECK(ListAll().error().code == ErrorCode::kUnavailable);
+  LONGS_EQUAL(1, standin.value()->calls());
+  bool done = false;
+  store.List(kKind, [&](Result<ObjectPage> page) {
+    CHECK(page.error().code == ErrorCode::kUnavailable);
+    done = true;
+  });
+  standin.value()->faults().lost_list_interval = 0;
+  const uint64_t first_page = standin.value()->calls() + 1;
+  while (standin.value()->calls() < first_page) loop.RunOnce();
+  standin.value()->faults().lost_list_interval = 1;
+  RunUntil(done);
+  // The second page three times.
+  LONGS_EQUAL(first_page + 3, standin.value()->calls());
+}
+
 // Guards against a list without end, which would also take memory without end.
 TEST(ObjectStore, AListWhosePagesRepeatFails) {
   int calls = 0;
