--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -26,6 +26,36 @@
   }
 }
 
+// Stands for a byte that is to be sent as it is, in two hexadecimal digits that
+// follow.
+constexpr std::string_view kByteMark = "(byte)";
+
+// Returns the text with marks in place of the bytes beyond ASCII.
+std::string MarkBytes(const std::string& text) {
+  constexpr char hex_digits[] = "0123456789abcdef";
+  std::string marked;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x80) {
+      marked += c;
+      continue;
+    }
+    marked += kByteMark;
+    marked += hex_digits[byte >> 4];
+    marked += hex_digits[byte & 0xf];
+  }
+  return marked;
+}
+
+void ReplaceByteMarks(std::string& json) {
+  for (size_t at = json.find(kByteMark); at != std::string::npos;
+       at = json.find(kByteMark, at)) {
+    const std::string digits = json.substr(at + kByteMark.size(), 2);
+    json.replace(at, kByteMark.size() + digits.size(), 1,
+                 static_cast<char>(std::stoi(digits, nullptr, 16)));
+  }
+}
+
 // What "+" stands for: a blank in a query, itself in a path.
 enum class PlusSign : uint8_t { kItself, kBlank };
 
@@ -50,6 +80,11 @@
   return decoded;
 }
 
+bool IsMisplaced(const std::string& name) {
+  return name.empty() || name == "." || name == ".." ||
+         name.find('/') != std::string::npos;
+}
+
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> values;
   size_t at = 0;
@@ -102,8 +137,10 @@
   HttpResponse response;
   response.status = status;
   response.headers = {{"Store-Era", std::to_string(era_)}};
-  response.body = body.dump();
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   SpoilUnreadableText(response.body);
+  ReplaceByteMarks(response.body);
   server_->Respond(id, response);
 }
 
@@ -157,6 +194,7 @@
     name =
         DecodeUrl(std::string_view(kind).substr(slash + 1), PlusSign::kItself);
     kind.resize(slash);
+    if (IsMisplaced(name)) ++misplaced_calls_;
   }
   if (request.method == "GET") {
     OnRead(id, kind, name, ParseQuery(request.query));
@@ -178,6 +216,10 @@
     }
     return;
   }
+  if (kind == faults_.malformed_kind) {
+    Respond(id, 200, nlohmann::json::object());
+    return;
+  }
   if (!query.contains("watch")) {
     const auto after = query.find("after");
     OnList(id, kind, after == query.end() ? "" : after->second);
@@ -195,6 +237,12 @@
 
 void DeploymentStore::OnList(ExchangeId id, const std::string& kind,
                              const std::string& after) {
+  ++lists_;
+  if (faults_.lost_list_interval != 0 &&
+      lists_ % faults_.lost_list_interval == 0) {
+    server_->Drop(id);
+    return;
+  }
   const auto& objects = objects_[kind];
   nlohmann::json items = nlohmann::json::array();
   auto next = objects.upper_bound(after);
@@ -227,7 +275,10 @@
   const nlohmann::json body =
       nlohmann::json::parse(request.body, nullptr, false);
   const bool create = request.method == "POST";
-  if (create) name = body["metadata"]["name"].get<std::string>();
+  if (create) {
+    name = body["metadata"]["name"].get<std::string>();
+    if (IsMisplaced(name)) ++misplaced_calls_;
+  }
   if (faults_.late_writes > 0) {
     --faults_.late_writes;
     WriteLate(request, kind, name);
@@ -279,7 +330,9 @@
   nlohmann::json& object = objects_[kind][name];
   if (!object.is_null() && object["spec"] == spec) return;
   ++revision_;
-  object = {{"metadata", {{"name", name}, {"rev", revision_}}},
+  object = {{"metadata",
+             {{"name", faults_.raw_names ? MarkBytes(name) : name},
+              {"rev", revision_}}},
             {"spec", std::move(spec)}};
   NotifyWatches(kind, object, false);
 }
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -35,6 +35,13 @@
   size_t max_watch_events = 0;
   // A page of a list has at most this many objects.
   size_t max_page_objects = 500;
+  // Every list response whose number is a multiple of this is lost; 0 for none.
+  uint64_t lost_list_interval = 0;
+  // Names that are put from then on are sent byte by byte, whether they are
+  // UTF-8 or not. Otherwise U+FFFD replaces the bytes that are not.
+  bool raw_names = false;
+  // Lists and watches of this kind get a response without their members.
+  std::string malformed_kind;
 };
 
 class DeploymentStore {
@@ -70,6 +77,9 @@
   StoreFaults& faults() { return faults_; }
   uint64_t calls() const { return calls_; }
   uint64_t writes() const { return writes_; }
+  // Calls for one object whose name a server or proxy may read as another place
+  // of the path: empty, "." or "..", or with a "/".
+  uint64_t misplaced_calls() const { return misplaced_calls_; }
 
  private:
   struct Event {
@@ -117,6 +127,8 @@
   uint64_t oldest_revision_ = 0;
   uint64_t calls_ = 0;
   uint64_t writes_ = 0;
+  uint64_t misplaced_calls_ = 0;
+  uint64_t lists_ = 0;
   uint64_t era_ = 1;  // Incremented by each restore.
   Objects objects_;
   Objects copy_;
--- a/source/unit_tests/store/object_store_test.cc
+++ b/source/unit_tests/store/object_store_test.cc
@@ -68,6 +68,34 @@
   LONGS_EQUAL(names.size(), listed.value().objects.size());
 }
 
+// Guards against a list that ends at a name that JSON cannot carry, which
+// follows all other names or stands between them.
+TEST(ObjectStore, AListContinuesAfterNamesThatAreNoUtf8) {
+  const std::set<std::string> sound = {"a", "ab", "b", "b\"x", "b\"y", "z"};
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (const std::string& name : sound)
+    standin.value()->Put(kKind, name, nlohmann::json::object());
+  for (const bool raw : {false, true}) {
+    standin.value()->faults().raw_names = raw;
+    for (const char* odd : {"\xff", "a\xff", "a\xc0\xaf", "b\"x\xed\xa0\x80",
+                            "\xfe\xff", "\xff\xff"}) {
+      standin.value()->Remove(kKind, odd);
+      standin.value()->Put(kKind, odd, nlohmann::json::object());
+    }
+    for (const size_t page_objects : {1, 2, 3, 4}) {
+      standin.value()->faults().max_page_objects = page_objects;
+      const Result<ObjectPage> listed = ListAll();
+      CHECK_TEXT(listed.has_value(), raw ? "as it is" : "replaced");
+      std::set<std::string> names;
+      for (const StoredObject& object : listed.value().objects)
+        names.insert(object.name);
+      for (const std::string& name : sound)
+        CHECK_TEXT(names.contains(name), name.c_str());
+    }
+  }
+}
+
 TEST(ObjectStore, AnObjectIsReadAndWrittenByAnOddName) {
   auto standin = DeploymentStore::Start(loop, kAddress);
   CHECK(standin.has_value());
@@ -92,6 +120,45 @@
   }
 }
 
+// Guards against a list that begins anew with each lost response, and is never
+// complete if it has more pages than the store sends in a row.
+TEST(ObjectStore, AListOutlastsLostPages) {
+  constexpr int objects = 10;
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (int i = 0; i < objects; ++i)
+    standin.value()->Put(kKind, "a" + std::to_string(i), {{"n", i}});
+  standin.value()->faults().max_page_objects = 1;
+  standin.value()->faults().lost_list_interval = 4;
+  const Result<ObjectPage> listed = ListAll();
+  CHECK(listed.has_value());
+  LONGS_EQUAL(objects, listed.value().objects.size());
+}
+
+// A store that responds no longer is not asked for the same page without end.
+TEST(ObjectStore, AListEndsWhenNoPageFollows) {
+  auto standin = DeploymentStore::Start(loop, kAddress);
+  CHECK(standin.has_value());
+  for (const char* name : {"a", "b"})
+    standin.value()->Put(kKind, name, nlohmann::json::object());
+  standin.value()->faults().max_page_objects = 1;
+  standin.value()->faults().lost_list_interval = 1;
+  CHECK(ListAll().error().code == ErrorCode::kUnavailable);
+  LONGS_EQUAL(1, standin.value()->calls());
+  bool done = false;
+  store.List(kKind, [&](Result<ObjectPage> page) {
+    CHECK(page.error().code == ErrorCode::kUnavailable);
+    done = true;
+  });
+  standin.value()->faults().lost_list_interval = 0;
+  const uint64_t first_page = standin.value()->calls() + 1;
+  while (standin.value()->calls() < first_page) loop.RunOnce();
+  standin.value()->faults().lost_list_interval = 1;
+  RunUntil(done);
+  // The second page three times.
+  LONGS_EQUAL(first_page + 3, standin.value()->calls());
+}
+
 // Guards against a list without end, which would also take memory without end.
 TEST(ObjectStore, AListWhosePagesRepeatFails) {
   int calls = 0;
