Read nothing more from a disconnected connection

Seen by callers: none observed; found by reading. A host that helps others could end up declining their long requests (503 to the callers of a host without paths) until its restart.

Cause: InnerTransport::Disconnect reported the end at once, but destroyed the PeerConnection only by Post. From a timer (DropSilentHelpers, CloseStalled) a pass of the event loop lies between, in which the connection was still read. A long frame that began then took a hold under an id whose end had been reported, so nothing gave it back; a relayed request was executed, though its reply could go nowhere.

Evidence: the new unit test disconnects from a timer while bytes wait in the kernel.

--- a/source/core/inner/inner_transport.cc
+++ b/source/core/inner/inner_transport.cc
@@ -104,6 +104,8 @@
   // callback of the connection.
   std::shared_ptr<PeerConnection> closed = std::move(connections_.at(id));
   connections_.erase(id);
+  // Until then it must report nothing, as nobody would undo what that causes.
+  closed->Abandon();
   loop_.Post([closed] {});
   handlers_.on_disconnected(id);
 }
--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -179,6 +179,11 @@
   return true;
 }
 
+void PeerConnection::Abandon() {
+  closed_ = true;
+  watch_.reset();
+}
+
 void PeerConnection::Close(Error error) {
   if (closed_) return;
   closed_ = true;
--- a/source/core/inner/peer_connection.h
+++ b/source/core/inner/peer_connection.h
@@ -68,6 +68,9 @@
   }
   // Whether the kernel has not accepted any byte of output yet.
   bool nothing_sent() const { return !any_sent_; }
+  // Closes the connection: it reads, sends and reports nothing more. May be
+  // called from its callbacks.
+  void Abandon();
 
  private:
   void OnReadable();
--- a/source/unit_tests/inner/inner_transport_test.cc
+++ b/source/unit_tests/inner/inner_transport_test.cc
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 #include "net/event_loop.h"
 #include "net/tcp_stream.h"
 
@@ -84,5 +87,51 @@
   CHECK(read == std::vector<size_t>({10, 20, 200'000, 30}));
 }
 
+// A connection was read once more after it had been disconnected: what was held
+// for a long frame that began then stayed held.
+TEST(InnerTransport, AConnectionThatWasDisconnectedReportsNothingMore) {
+  EventLoop loop({64, 16, 8192});
+  std::vector<std::string> reports;
+  ConnectionId connection = kNoConnection;
+  InnerTransportOptions options;
+  options.address = {kAddress.ip, static_cast<uint16_t>(kAddress.port + 2)};
+  options.limits = {1024 * 1024, 64 * 1024};
+  InnerTransportHandlers handlers;
+  handlers.on_frame = [&](ConnectionId id, const Frame&) {
+    connection = id;
+    reports.emplace_back("frame");
+  };
+  handlers.on_datagram = [](const Frame&) {};
+  handlers.on_disconnected = [&](ConnectionId) {
+    reports.emplace_back("disconnected");
+  };
+  handlers.on_long_frame = [&](ConnectionId, const FrameStart&,
+                               std::string_view) {
+    reports.emplace_back("long frame");
+    return std::optional<bool>(true);
+  };
+  auto made = InnerTransport::Listen(loop, options, std::move(handlers));
+  CHECK(made.has_value());
+  TcpStreamHandlers peer;
+  peer.on_data = [](std::string_view) {};
+  peer.on_end = [](StreamEnd) {};
+  auto stream = TcpStream::Connect(loop, options.address, std::move(peer));
+  CHECK(stream.has_value());
+  std::string bytes;
+  AppendFrame(MessageType::kHello, EncodeBody(Hello{"peer"}), bytes);
+  stream.value()->Write(bytes);
+  const auto tick = loop.timers().Every(std::chrono::milliseconds(5), [] {});
+  for (int i = 0; i < kMaxIterations && reports.empty(); ++i) loop.RunOnce();
+  AppendFrame(MessageType::kRelayRequest, std::string(300'000, 'x'), bytes);
+  bytes.resize(bytes.size() - 290'000);
+  loop.timers().After(Duration::zero(), [&] {
+    stream.value()->Write(bytes);
+    made.value()->Disconnect(connection);
+  });
+  for (int i = 0; i < 5; ++i) loop.RunOnce();
+  loop.timers().Cancel(tick);
+  CHECK(reports == std::vector<std::string>({"frame", "disconnected"}));
+}
+
 }  // namespace
 }  // namespace mimosadeal
