Bound how long a silent host's messages keep room

Seen by callers: none observed; found by reading. A host whose peers lost power or were frozen amid long messages declined the long requests of others until its restart or their thaw (503 to callers of hosts without paths); bodies queued to a host that reads nothing took room from the asking host's own callers.

Cause: connections between hosts had no bound in time. A hold on a long message that arrives ended only with the message or its connection, and nothing is sent on that connection that could fail.

Change: InnerTransport checks its connections once a second. A relayed message of which nothing arrived in five checks is given up as one that finds no room: hold and buffer are given back, the request is declined (it was never decoded, so it has not run), the rest is dropped as it comes, and the connection stays, so the short messages behind it are read. Long messages of other types are not given up. A connection that keeps over 64 kB of bodies of which the kernel takes nothing in five checks is closed. Checks are counted, not their time: a host that was frozen itself reads first what arrived meanwhile. Messages on the wire are unchanged.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -281,6 +281,11 @@
                                   std::string_view begun) {
     return relay_->OnLongFrame(connection, start, begun);
   };
+  handlers.on_silent_frame = [this](ConnectionId connection,
+                                    const FrameStart& start,
+                                    std::string_view begun) {
+    return relay_->OnSilentFrame(connection, start, begun);
+  };
   handlers.on_room_loan = [this](const RoomLoan& loan) {
     if (room_ != nullptr) room_->OnLoan(loan);
   };
--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -398,19 +398,43 @@
   log_.LogRequest("relay.no-room",
                   {{"type", NameOf(kMessageTypeNames, start.type)},
                    {"bytes", static_cast<uint64_t>(start.body_bytes)}});
-  if (is_request) {
-    Decline(connection, *id, RelayStatus::kDeclined, ClientFailure::kTooLarge);
+  RefuseLong(connection, start.type, *id, "no room");
+  return false;
+}
+
+bool ExchangeRelay::OnSilentFrame(ConnectionId connection,
+                                  const FrameStart& start,
+                                  std::string_view begun) {
+  // Others cannot be missed while the connection lives.
+  if (start.type != MessageType::kRelayRequest &&
+      start.type != MessageType::kRelayReply) {
     return false;
   }
-  loop_.Post([this, id = *id] {
-    metrics_.ObserveRelayed("no room");
+  const std::optional<uint64_t> id = PeekRelayId(begun);
+  if (!id.has_value()) return false;
+  arriving_.erase(connection);
+  log_.LogRequest("relay.silent",
+                  {{"type", NameOf(kMessageTypeNames, start.type)},
+                   {"bytes", static_cast<uint64_t>(start.body_bytes)},
+                   {"arrived", static_cast<uint64_t>(begun.size())}});
+  RefuseLong(connection, start.type, *id, "silent");
+  return true;
+}
+
+void ExchangeRelay::RefuseLong(ConnectionId connection, MessageType type,
+                               uint64_t id, std::string_view outcome) {
+  if (type == MessageType::kRelayRequest) {
+    Decline(connection, id, RelayStatus::kDeclined, ClientFailure::kTooLarge);
+    return;
+  }
+  loop_.Post([this, id, outcome = std::string(outcome)] {
+    metrics_.ObserveRelayed(outcome);
     RelayResult result;
     result.exchange.failure = ClientFailure::kTooLarge;
     result.exchange.request_written = true;
     result.exchange.response_started = true;
     Complete(id, std::move(result));
   });
-  return false;
 }
 
 void ExchangeRelay::OnDisconnected(ConnectionId connection) {
--- a/source/core/entry/exchange_relay.h
+++ b/source/core/entry/exchange_relay.h
@@ -94,6 +94,10 @@
   std::optional<bool> OnLongFrame(ConnectionId connection,
                                   const FrameStart& start,
                                   std::string_view begun);
+  // Whether to give up a long message of which nothing more arrives. Replies
+  // for it then.
+  bool OnSilentFrame(ConnectionId connection, const FrameStart& start,
+                     std::string_view begun);
   void OnDisconnected(ConnectionId connection);
   // The paths of this host changed: looks for helpers if it needs them.
   void OnPathsChanged();
@@ -149,6 +153,9 @@
   // Gives up the helpers that no longer reply to probes.
   void DropSilentHelpers();
   void OnRequest(ConnectionId connection, RelayRequest request, size_t bytes);
+  // Replies for a long message that is not read, or fails the call it is for.
+  void RefuseLong(ConnectionId connection, MessageType type, uint64_t id,
+                  std::string_view outcome);
   // Returns a hold on the bytes of a request, or null if there is no room.
   std::shared_ptr<ByteHold> HoldRequest(ConnectionId connection, size_t bytes);
   void Decline(ConnectionId connection, uint64_t id, RelayStatus status,
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -113,6 +113,10 @@
       [self](ConnectionId id, const FrameStart& start, std::string_view begun) {
         return self->handlers_.on_long_frame(id, start, begun);
       };
+  transport_handlers.on_silent_frame =
+      [self](ConnectionId id, const FrameStart& start, std::string_view begun) {
+        return self->handlers_.on_silent_frame(id, start, begun);
+      };
   BOOST_OUTCOME_TRY(made,
                     InnerTransport::Listen(loop, std::move(transport),
                                            std::move(transport_handlers)));
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -64,6 +64,9 @@
   std::function<std::optional<bool>(ConnectionId, const FrameStart&,
                                     std::string_view begun)>
       on_long_frame;
+  // See InnerTransportHandlers::on_silent_frame.
+  std::function<bool(ConnectionId, const FrameStart&, std::string_view begun)>
+      on_silent_frame;
   std::function<void(ConnectionId)> on_disconnected;
   // Room that was lent to this host.
   std::function<void(const RoomLoan&)> on_room_loan;
--- a/source/core/inner/inner_transport.cc
+++ b/source/core/inner/inner_transport.cc
@@ -32,7 +32,7 @@
       options_(std::move(options)),
       handlers_(std::move(handlers)) {}
 
-InnerTransport::~InnerTransport() = default;
+InnerTransport::~InnerTransport() { loop_.timers().Cancel(check_timer_); }
 
 Result<std::unique_ptr<InnerTransport>> InnerTransport::Listen(
     EventLoop& loop, InnerTransportOptions options,
@@ -46,6 +46,8 @@
       loop, tcp, FdWatch::Callbacks{[self] { self->OnAcceptable(); }, nullptr});
   transport->datagrams_ = std::make_unique<FdWatch>(
       loop, udp, FdWatch::Callbacks{[self] { self->OnDatagram(); }, nullptr});
+  transport->check_timer_ =
+      loop.timers().Every(kProgressInterval, [self] { self->CheckProgress(); });
   return transport;
 }
 
@@ -79,6 +81,12 @@
       return handlers_.on_long_frame(id, start, begun);
     };
   }
+  if (handlers_.on_silent_frame) {
+    callbacks.on_silent_frame = [this, id](const FrameStart& start,
+                                           std::string_view begun) {
+      return handlers_.on_silent_frame(id, start, begun);
+    };
+  }
   callbacks.on_closed = [this, id](const Error& error) { OnClosed(id, error); };
   connections_[id] = std::make_unique<PeerConnection>(
       loop_, fd, options_.limits, std::move(callbacks));
@@ -151,6 +159,16 @@
     OnClosed(id, MakeError(ErrorCode::kIo, "the peer does not read"));
 }
 
+void InnerTransport::CheckProgress() {
+  std::vector<ConnectionId> ids;
+  for (const auto& [id, connection] : connections_) ids.push_back(id);
+  for (const ConnectionId id : ids) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end() && !found->second->CheckProgress())
+      OnClosed(id, MakeError(ErrorCode::kIo, "the peer takes no bodies"));
+  }
+}
+
 void InnerTransport::SendDatagramBody(const std::string& address,
                                       MessageType type,
                                       const std::string& body) {
--- a/source/core/inner/inner_transport.h
+++ b/source/core/inner/inner_transport.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "common/error.h"
+#include "common/timer_service.h"
 #include "inner/messages.h"
 #include "inner/peer_connection.h"
 #include "net/socket_address.h"
@@ -47,6 +48,9 @@
   std::function<std::optional<bool>(ConnectionId, const FrameStart&,
                                     std::string_view begun)>
       on_long_frame = nullptr;
+  // See PeerConnectionCallbacks::on_silent_frame.
+  std::function<bool(ConnectionId, const FrameStart&, std::string_view begun)>
+      on_silent_frame = nullptr;
 };
 
 class InnerTransport {
@@ -120,6 +124,8 @@
   ConnectionId AddConnection(int fd);
   void OnAcceptable();
   void OnDatagram();
+  // Gives up the long transfers that make no progress.
+  void CheckProgress();
   void OnClosed(ConnectionId id, const Error& error);
   std::string Route(const std::string& address) const;
 
@@ -134,6 +140,7 @@
   // Invariant: holds only connections that are in connections_.
   std::unordered_map<std::string, ConnectionId> by_address_;
   uint64_t control_bytes_sent_ = 0;
+  TimerId check_timer_ = kNoTimer;
 };
 
 }  // namespace mimosadeal
--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -101,6 +101,7 @@
       return;
     }
     any_sent_ = true;
+    sent_ = true;
     progress_at_ = loop_.timers().now();
     if (piece.limit == FrameLimit::kBacklog)
       backlog_ -= static_cast<size_t>(count);
@@ -125,6 +126,7 @@
     Close(MakeError(ErrorCode::kIo, std::strerror(errno)));
     return;
   }
+  received_ = true;
   const std::string_view bytes(buffer.data(), static_cast<size_t>(count));
   const size_t dropped = std::min(dropped_, bytes.size());
   dropped_ -= dropped;
@@ -179,6 +181,36 @@
   return true;
 }
 
+bool PeerConnection::CheckProgress() {
+  const bool received = std::exchange(received_, false);
+  const bool sent = std::exchange(sent_, false);
+  silent_checks_ = reads_long_frame_ && !received ? silent_checks_ + 1 : 0;
+  stuck_checks_ = KeepsLongBodies() && !sent ? stuck_checks_ + 1 : 0;
+  if (silent_checks_ >= kMaxStalledChecks) {
+    silent_checks_ = 0;
+    OfferSilentFrame();
+  }
+  return stuck_checks_ < kMaxStalledChecks;
+}
+
+void PeerConnection::OfferSilentFrame() {
+  const std::string_view input = input_;
+  const auto start = PeekFrame(input);
+  if (closed_ || !callbacks_.on_silent_frame || !start.has_value() ||
+      !callbacks_.on_silent_frame(*start, input.substr(kFrameHeaderBytes)))
+    return;
+  dropped_ = kFrameHeaderBytes + start->body_bytes - input.size();
+  input_ = std::string();
+  reads_long_frame_ = false;
+}
+
+bool PeerConnection::KeepsLongBodies() const {
+  size_t bytes = 0;
+  for (const Piece& piece : output_)
+    bytes += piece.shared == nullptr ? 0 : piece.shared->size();
+  return bytes > kLongFrameBytes;
+}
+
 void PeerConnection::Abandon() {
   closed_ = true;
   watch_.reset();
--- a/source/core/inner/peer_connection.h
+++ b/source/core/inner/peer_connection.h
@@ -26,6 +26,14 @@
 // Frames with a longer body are announced before they are read.
 inline constexpr size_t kLongFrameBytes = size_t{64} * 1024;
 
+// How often the owner of a connection calls CheckProgress.
+inline constexpr Duration kProgressInterval = std::chrono::seconds(1);
+// Checks without a byte after which a long transfer is given up, 4 to 6 s. The
+// relay has failed such a request by then: a helper is silent after 1.3 s. They
+// are counted, and not their time, so that a host that was frozen itself reads
+// first what arrived meanwhile.
+inline constexpr int kMaxStalledChecks = 5;
+
 // Who limits the bytes of a frame that is queued.
 enum class FrameLimit : uint8_t {
   kBacklog,
@@ -41,6 +49,11 @@
   // returns nothing. Must not destroy the connection.
   std::function<std::optional<bool>(const FrameStart&, std::string_view begun)>
       on_long_frame = nullptr;
+  // Nothing more of a long frame has arrived for some time. Returns whether to
+  // give it up: what is still to come is dropped then. May be null, and is
+  // called again while it returns false. Must not destroy the connection.
+  std::function<bool(const FrameStart&, std::string_view begun)>
+      on_silent_frame = nullptr;
 };
 
 class PeerConnection {
@@ -66,6 +79,10 @@
   bool StalledSince(MonotonicTime time) const {
     return !output_.empty() && progress_at_ < time;
   }
+  // Offers to give up a long frame that no longer arrives. Returns false if the
+  // peer does not read, and more than kLongFrameBytes of bodies are kept for
+  // it.
+  bool CheckProgress();
   // Whether the kernel has not accepted any byte of output yet.
   bool nothing_sent() const { return !any_sent_; }
   // Closes the connection: it reads, sends and reports nothing more. May be
@@ -82,6 +99,8 @@
   // Whether the frame that begins `input` is to be read. Sets `dropped_`
   // otherwise.
   bool ReadsFrame(std::string_view input);
+  void OfferSilentFrame();
+  bool KeepsLongBodies() const;
 
   // What is queued. The last piece grows if it is this connection's own.
   struct Piece {
@@ -104,6 +123,13 @@
   // When the kernel last accepted output, or output was queued behind none.
   MonotonicTime progress_at_ = kNever;
   bool any_sent_ = false;
+  // Since the last check.
+  bool sent_ = false;
+  bool received_ = false;
+  // Checks in a row with a long frame of which nothing arrived, and with long
+  // bodies of which nothing was sent.
+  int silent_checks_ = 0;
+  int stuck_checks_ = 0;
   bool closed_ = false;
   // False once the connection is destroyed, for callbacks that may outlive it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/source/integration_tests/entry_relay_crowds_test.cc
+++ b/source/integration_tests/entry_relay_crowds_test.cc
@@ -12,6 +12,9 @@
 
 #include "entry_crowds.h"
 #include "entry_fixture.h"
+#include "inner/frame.h"
+#include "inner/relay_messages.h"
+#include "net/tcp_stream.h"
 
 namespace mimosadeal {
 namespace {
@@ -38,6 +41,14 @@
 constexpr Duration kStallTime = seconds(4);
 // Time after which a host that lost its paths has to serve its callers again.
 constexpr Duration kNoticeTime = seconds(5);
+// Time after which a message that stopped arriving has to give back its room.
+constexpr Duration kSilentFrameTime = seconds(12);
+// Whose messages of kFittingBytes take all the room that there is for them.
+constexpr int kSilentPeers = 8;
+
+SocketAddress InnerAddress(const EntryProcess& host) {
+  return {host.callers.ip, 18413};  // See EntryFixture::AddHost.
+}
 
 // An upstream of the service "desk" to which connections open, and which never
 // reads.
@@ -326,5 +337,44 @@
   fixture.CheckRecord();
 }
 
+// Guards against room that stays taken by a request that stopped arriving, as
+// from a host that lost power.
+TEST(EntryRelayCrowds, RequestsThatStopArrivingDoNotKeepTheirRoom) {
+  StartDeployment(2, milliseconds(20), 10);
+  std::string begin;
+  AppendFrameHeader({MessageType::kRelayRequest, kFittingBytes}, begin);
+  begin.append(sizeof(RelayRequest::id) + 1, 'x');
+  const SocketAddress address = InnerAddress(Host(helper_));
+  int ended = 0;
+  std::list<std::unique_ptr<TcpStream>> peers;
+  for (int i = 0; i < kSilentPeers; ++i) {
+    auto peer =
+        TcpStream::Connect(fixture.loop, address,
+                           TcpStreamHandlers{[] {}, [](std::string_view) {},
+                                             [&ended](StreamEnd) { ++ended; }});
+    CHECK(peer.has_value());
+    peer.value()->Write(begin);
+    peers.push_back(std::move(peer.value()));
+  }
+  const std::string helper = "host-" + std::to_string(helper_);
+  CHECK(fixture.RunUntil(
+      [&] {
+        return fixture.HostLog(helper).find("relay.no-room") !=
+               std::string::npos;
+      },
+      kNoticeTime));
+  CHECK(fixture.RunUntil(
+      [&] {
+        fixture.RunFor(kSenderInterval);
+        return fixture
+                   .SendAndWait(Host(1), "POST", "/charge/a", -1,
+                                std::string(kFittingBytes, 'x'), seconds(5))
+                   .status == 200;
+      },
+      kSilentFrameTime));
+  LONGS_EQUAL(0, ended);
+  CheckHostsHold();
+}
+
 }  // namespace
 }  // namespace mimosadeal
