Count the headers of replies to other hosts

Seen by callers: none observed; found by reading. A host that helps others could be ended by memory, and its callers lose their connections, while another host sends requests and does not read the replies.

Cause: SendReply held only the body. With FrameLimit::kSender the connection appended the head, up to 64 kB of headers, whatever its backlog, as the sender was taken to count it.

Change: the hold is for head and body. Of a frame that its sender counts the connection counts neither part in the backlog now, so short messages pass as before while such replies are queued. The head is sent before the body, so the hold outlasts both. Messages on the wire are unchanged.

Evidence: EntryRelayCrowds.HeadsOfRepliesThatAreNotReadDoNotExhaustTheHost, up to 1,600 requests whose responses have 10 bytes and a header of 60,000, from a connection that reads nothing, at a host of 64 MB.

--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -28,6 +28,8 @@
 constexpr size_t kMaxCallsToHelp = 250;
 // Replies that another host has not read for this long make room for others'.
 constexpr Duration kReplyStall = std::chrono::seconds(2);
+// Of the lengths of a header's name and value in a message.
+constexpr size_t kWireHeaderBytes = 2 * sizeof(uint32_t);
 constexpr uint32_t kNoSendLimit = std::numeric_limits<uint32_t>::max();
 // A request takes this long to the other host at most, unless a packet is lost.
 constexpr Duration kRelayTime = std::chrono::milliseconds(10);
@@ -46,6 +48,14 @@
   return headers;
 }
 
+// What the reply takes on a connection without its body, about.
+size_t HeadBytes(const RelayReply& reply) {
+  size_t bytes = reply.content_type.size();
+  for (const WireHeader& header : reply.headers)
+    bytes += header.name.size() + header.value.size() + kWireHeaderBytes;
+  return bytes;
+}
+
 uint32_t ToWireTime(Duration time) {
   return static_cast<uint32_t>(
       std::clamp<int64_t>(ToMilliseconds(time), 0, kNoSendLimit - 1));
@@ -569,7 +579,7 @@
 
 bool ExchangeRelay::SendReply(ConnectionId connection, RelayReply reply) {
   std::string text = std::exchange(reply.body, {});
-  const size_t bytes = text.size();
+  const size_t bytes = HeadBytes(reply) + text.size();
   auto hold = budget_.Hold(RelayUse::kReplies, bytes);
   const FrameLimit limit = budget_.Limits(RelayUse::kReplies)
                                ? FrameLimit::kSender
--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -50,7 +50,7 @@
   if (backlog_ + body.size() + kFrameHeaderBytes >
       limits_.max_backlog_bytes + reserve)
     return false;
-  AppendFrame(type, body, LastOwnPiece());
+  AppendFrame(type, body, LastOwnPiece(FrameLimit::kBacklog));
   backlog_ += body.size() + kFrameHeaderBytes;
   return true;
 }
@@ -64,17 +64,18 @@
                         ? start.body_bytes <= limits_.max_body_bytes
                         : HasRoom(start.body_bytes);
   if (closed_ || !fits) return false;
-  std::string& own = LastOwnPiece();
+  std::string& own = LastOwnPiece(limit);
   AppendFrameHeader(start, own);
   own.append(begin);
-  backlog_ += kFrameHeaderBytes + begin.size();
-  if (limit == FrameLimit::kBacklog) backlog_ += end->size();
+  if (limit == FrameLimit::kBacklog)
+    backlog_ += kFrameHeaderBytes + start.body_bytes;
   output_.push_back({"", std::move(end), limit});
   return true;
 }
 
-std::string& PeerConnection::LastOwnPiece() {
+std::string& PeerConnection::LastOwnPiece(FrameLimit limit) {
   const bool grows = !output_.empty() && output_.back().shared == nullptr &&
+                     output_.back().limit == limit &&
                      output_.back().own.size() < kPieceBytes;
   if (!grows) {
     // One system call sends all frames that are queued in one iteration of the
@@ -83,7 +84,7 @@
       watch_->RequestWritable();
       progress_at_ = loop_.timers().now();
     }
-    output_.emplace_back();
+    output_.push_back({"", nullptr, limit});
   }
   return output_.back().own;
 }
--- a/source/core/inner/peer_connection.h
+++ b/source/core/inner/peer_connection.h
@@ -94,8 +94,8 @@
   void OnWritable();
   void ParseInput();
   void Close(Error error);
-  // Returns the string to append a frame to.
-  std::string& LastOwnPiece();
+  // Returns the string to append a frame to, which this limit applies to.
+  std::string& LastOwnPiece(FrameLimit limit);
   // Whether the frame that begins `input` is to be read. Sets `dropped_`
   // otherwise.
   bool ReadsFrame(std::string_view input);
--- a/source/integration_tests/entry_crowds.h
+++ b/source/integration_tests/entry_crowds.h
@@ -92,6 +92,8 @@
   }
   // Of the responses from now on.
   void SetResponseBytes(size_t bytes) { body_.assign(bytes, 'x'); }
+  // Adds a header of this length.
+  void SetHeaderBytes(size_t bytes) { padding_.assign(bytes, 'x'); }
   int responses() const { return responses_; }
 
  private:
@@ -100,6 +102,7 @@
     HttpResponse response;
     response.headers = {{"x-request-id", id},
                         {"x-response-signature", "s-" + id}};
+    if (!padding_.empty()) response.headers.push_back({"x-padding", padding_});
     response.body = body_;
     server_->Respond(exchange, response);
   }
@@ -108,6 +111,7 @@
   SocketAddress address_;
   Duration work_;
   std::string body_;
+  std::string padding_;
   std::unique_ptr<ExchangeServer> server_;
   int responses_ = 0;
 };
--- a/source/integration_tests/entry_relay_crowds_test.cc
+++ b/source/integration_tests/entry_relay_crowds_test.cc
@@ -13,7 +13,7 @@
 #include "entry_crowds.h"
 #include "entry_fixture.h"
 #include "inner/frame.h"
-#include "inner/relay_messages.h"
+#include "inner/messages.h"
 #include "net/tcp_stream.h"
 
 namespace mimosadeal {
@@ -46,6 +46,16 @@
 // Whose messages of kFittingBytes take all the room that there is for them.
 constexpr int kSilentPeers = 8;
 
+// Of a response. 65,536 is the most that a host reads.
+constexpr size_t kLongHeaderBytes = 60'000;
+// Requests to a host whose replies, kept, take more than its memory, and how
+// many of them it gets at once.
+constexpr int kUnreadRequests = 1600;
+constexpr int kUnreadAtOnce = 32;
+constexpr Duration kUnreadInterval = milliseconds(60);
+// More responses than it may keep.
+constexpr int kMinUnread = 100;
+
 SocketAddress InnerAddress(const EntryProcess& host) {
   return {host.callers.ip, 18413};  // See EntryFixture::AddHost.
 }
@@ -85,6 +95,62 @@
   int fd_ = -1;
 };
 
+// Another host, which sends requests to the upstream "large-1" and reads no
+// replies.
+class UnreadingHost {
+ public:
+  explicit UnreadingHost(SocketAddress helper) : helper_(std::move(helper)) {
+    Connect();
+  }
+  ~UnreadingHost() { close(fd_); }
+  UnreadingHost(const UnreadingHost&) = delete;
+  UnreadingHost& operator=(const UnreadingHost&) = delete;
+
+  void SendRequest() {
+    const std::string id = "unread-" + std::to_string(++sent_);
+    RelayRequest request;
+    request.id = sent_;
+    request.upstream = "large-1";
+    request.incarnation = 1;
+    request.request_id = id;
+    request.fingerprint = sent_;
+    request.timeout_ms = kTimeoutMs;
+    request.send_within_ms = kTimeoutMs;
+    request.method = "GET";
+    request.target = "/price/unread";
+    request.headers = {{"host", "lots.example"},
+                       {"x-request-id", id},
+                       {"x-request-deadline-ms", std::to_string(kTimeoutMs)}};
+    std::string frame;
+    AppendFrame(RelayRequest::kType, EncodeBody(request), frame);
+    if (send(fd_, frame.data(), frame.size(), MSG_NOSIGNAL | MSG_DONTWAIT) ==
+        static_cast<ssize_t>(frame.size())) {
+      return;
+    }
+    close(fd_);  // The helper closed it, as it is not read.
+    Connect();
+  }
+
+ private:
+  static constexpr uint32_t kTimeoutMs = 5000;
+
+  void Connect() {
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
+               sizeof(kSmallReceiveBuffer));
+    setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+               sizeof(kSegmentBytes));
+    const NativeAddress native = ToNative(helper_).value();
+    // The kernel of the host accepts the connection, so this does not wait.
+    connect(fd_, reinterpret_cast<const sockaddr*>(&native.storage),
+            native.length);
+  }
+
+  SocketAddress helper_;
+  int fd_ = -1;
+  uint64_t sent_ = 0;
+};
+
 class EntryRelayCrowdsTest : public EntryTest {
  public:
   // Starts `hosts` hosts, of which all but the last have no paths to the
@@ -376,5 +442,21 @@
   CheckHostsHold();
 }
 
+// Guards against heads of replies that are kept without a limit for a host that
+// does not read them.
+TEST(EntryRelayCrowds, HeadsOfRepliesThatAreNotReadDoNotExhaustTheHost) {
+  StartDeployment(2, milliseconds(20), 10);
+  large_->SetHeaderBytes(kLongHeaderBytes);
+  UnreadingHost host(InnerAddress(Host(helper_)));
+  const int before = large_->responses();
+  for (int i = 0; i < kUnreadRequests; i += kUnreadAtOnce) {
+    for (int j = 0; j < kUnreadAtOnce; ++j) host.SendRequest();
+    fixture.RunFor(kUnreadInterval);
+  }
+  CHECK(large_->responses() - before > kMinUnread);
+  large_->SetHeaderBytes(0);
+  CheckHostsHold();
+}
+
 }  // namespace
 }  // namespace mimosadeal
