--- a/source/core/entry/exchange_relay.cc
+++ b/source/core/entry/exchange_relay.cc
@@ -28,6 +28,8 @@
 constexpr size_t kMaxCallsToHelp = 250;
 // Replies that another host has not read for this long make room for others'.
 constexpr Duration kReplyStall = std::chrono::seconds(2);
+// Of the lengths of a header's name and value in a message.
+constexpr size_t kWireHeaderBytes = 2 * sizeof(uint32_t);
 constexpr uint32_t kNoSendLimit = std::numeric_limits<uint32_t>::max();
 // A request takes this long to the other host at most, unless a packet is lost.
 constexpr Duration kRelayTime = std::chrono::milliseconds(10);
@@ -46,6 +48,14 @@
   return headers;
 }
 
+// What the reply takes on a connection without its body, about.
+size_t HeadBytes(const RelayReply& reply) {
+  size_t bytes = reply.content_type.size();
+  for (const WireHeader& header : reply.headers)
+    bytes += header.name.size() + header.value.size() + kWireHeaderBytes;
+  return bytes;
+}
+
 uint32_t ToWireTime(Duration time) {
   return static_cast<uint32_t>(
       std::clamp<int64_t>(ToMilliseconds(time), 0, kNoSendLimit - 1));
@@ -398,19 +408,43 @@
   log_.LogRequest("relay.no-room",
                   {{"type", NameOf(kMessageTypeNames, start.type)},
                    {"bytes", static_cast<uint64_t>(start.body_bytes)}});
-  if (is_request) {
-    Decline(connection, *id, RelayStatus::kDeclined, ClientFailure::kTooLarge);
+  RefuseLong(connection, start.type, *id, "no room");
+  return false;
+}
+
+bool ExchangeRelay::OnSilentFrame(ConnectionId connection,
+                                  const FrameStart& start,
+                                  std::string_view begun) {
+  // Others cannot be missed while the connection lives.
+  if (start.type != MessageType::kRelayRequest &&
+      start.type != MessageType::kRelayReply) {
     return false;
   }
-  loop_.Post([this, id = *id] {
-    metrics_.ObserveRelayed("no room");
+  const std::optional<uint64_t> id = PeekRelayId(begun);
+  if (!id.has_value()) return false;
+  arriving_.erase(connection);
+  log_.LogRequest("relay.silent",
+                  {{"type", NameOf(kMessageTypeNames, start.type)},
+                   {"bytes", static_cast<uint64_t>(start.body_bytes)},
+                   {"arrived", static_cast<uint64_t>(begun.size())}});
+  RefuseLong(connection, start.type, *id, "silent");
+  return true;
+}
+
+void ExchangeRelay::RefuseLong(ConnectionId connection, MessageType type,
+                               uint64_t id, std::string_view outcome) {
+  if (type == MessageType::kRelayRequest) {
+    Decline(connection, id, RelayStatus::kDeclined, ClientFailure::kTooLarge);
+    return;
+  }
+  loop_.Post([this, id, outcome = std::string(outcome)] {
+    metrics_.ObserveRelayed(outcome);
     RelayResult result;
     result.exchange.failure = ClientFailure::kTooLarge;
     result.exchange.request_written = true;
     result.exchange.response_started = true;
     Complete(id, std::move(result));
   });
-  return false;
 }
 
 void ExchangeRelay::OnDisconnected(ConnectionId connection) {
@@ -545,7 +579,7 @@
 
 bool ExchangeRelay::SendReply(ConnectionId connection, RelayReply reply) {
   std::string text = std::exchange(reply.body, {});
-  const size_t bytes = text.size();
+  const size_t bytes = HeadBytes(reply) + text.size();
   auto hold = budget_.Hold(RelayUse::kReplies, bytes);
   const FrameLimit limit = budget_.Limits(RelayUse::kReplies)
                                ? FrameLimit::kSender
--- a/source/core/inner/peer_connection.cc
+++ b/source/core/inner/peer_connection.cc
@@ -50,7 +50,7 @@
   if (backlog_ + body.size() + kFrameHeaderBytes >
       limits_.max_backlog_bytes + reserve)
     return false;
-  AppendFrame(type, body, LastOwnPiece());
+  AppendFrame(type, body, LastOwnPiece(FrameLimit::kBacklog));
   backlog_ += body.size() + kFrameHeaderBytes;
   return true;
 }
@@ -64,17 +64,18 @@
                         ? start.body_bytes <= limits_.max_body_bytes
                         : HasRoom(start.body_bytes);
   if (closed_ || !fits) return false;
-  std::string& own = LastOwnPiece();
+  std::string& own = LastOwnPiece(limit);
   AppendFrameHeader(start, own);
   own.append(begin);
-  backlog_ += kFrameHeaderBytes + begin.size();
-  if (limit == FrameLimit::kBacklog) backlog_ += end->size();
+  if (limit == FrameLimit::kBacklog)
+    backlog_ += kFrameHeaderBytes + start.body_bytes;
   output_.push_back({"", std::move(end), limit});
   return true;
 }
 
-std::string& PeerConnection::LastOwnPiece() {
+std::string& PeerConnection::LastOwnPiece(FrameLimit limit) {
   const bool grows = !output_.empty() && output_.back().shared == nullptr &&
+                     output_.back().limit == limit &&
                      output_.back().own.size() < kPieceBytes;
   if (!grows) {
     // One system call sends all frames that are queued in one iteration of the
@@ -83,7 +84,7 @@
       watch_->RequestWritable();
       progress_at_ = loop_.timers().now();
     }
-    output_.emplace_back();
+    output_.push_back({"", nullptr, limit});
   }
   return output_.back().own;
 }
@@ -101,6 +102,7 @@
       return;
     }
     any_sent_ = true;
+    sent_ = true;
     progress_at_ = loop_.timers().now();
     if (piece.limit == FrameLimit::kBacklog)
       backlog_ -= static_cast<size_t>(count);
@@ -125,6 +127,7 @@
     Close(MakeError(ErrorCode::kIo, std::strerror(errno)));
     return;
   }
+  received_ = true;
   const std::string_view bytes(buffer.data(), static_cast<size_t>(count));
   const size_t dropped = std::min(dropped_, bytes.size());
   dropped_ -= dropped;
@@ -179,6 +182,41 @@
   return true;
 }
 
+bool PeerConnection::CheckProgress() {
+  const bool received = std::exchange(received_, false);
+  const bool sent = std::exchange(sent_, false);
+  silent_checks_ = reads_long_frame_ && !received ? silent_checks_ + 1 : 0;
+  stuck_checks_ = KeepsLongBodies() && !sent ? stuck_checks_ + 1 : 0;
+  if (silent_checks_ >= kMaxStalledChecks) {
+    silent_checks_ = 0;
+    OfferSilentFrame();
+  }
+  return stuck_checks_ < kMaxStalledChecks;
+}
+
+void PeerConnection::OfferSilentFrame() {
+  const std::string_view input = input_;
+  const auto start = PeekFrame(input);
+  if (closed_ || !callbacks_.on_silent_frame || !start.has_value() ||
+      !callbacks_.on_silent_frame(*start, input.substr(kFrameHeaderBytes)))
+    return;
+  dropped_ = kFrameHeaderBytes + start->body_bytes - input.size();
+  input_ = std::string();
+  reads_long_frame_ = false;
+}
+
+bool PeerConnection::KeepsLongBodies() const {
+  size_t bytes = 0;
+  for (const Piece& piece : output_)
+    bytes += piece.shared == nullptr ? 0 : piece.shared->size();
+  return bytes > kLongFrameBytes;
+}
+
+void PeerConnection::Abandon() {
+  closed_ = true;
+  watch_.reset();
+}
+
 void PeerConnection::Close(Error error) {
   if (closed_) return;
   closed_ = true;
