A response that sends the rest of the one before ends its hold

Callers would see: a connection that pipelines requests and has read everything is closed, with a request in flight, in favour of callers whose responses are not read.

Cause: if the write of the next response sent what was left of the one before, HoldResponse returned before it set the hold, and on_drained does not run because nothing is queued when the stream becomes writable.

The close itself was not shown: it follows from the hold by reading (Candidates takes every connection that holds bytes).

Why it works: with nothing queued nothing is held.

--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -99,8 +99,12 @@
 void ExchangeServer::HoldResponse(uint64_t id) {
   if (budget_ == nullptr) return;
   Connection& connection = *connections_.at(id);
-  if (connection.stream->queued_bytes() == 0) return;
   ByteHold& hold = *connection.response_hold;
+  if (connection.stream->queued_bytes() == 0) {
+    // This response's write may have sent what was left of the one before.
+    hold.Set(0);
+    return;
+  }
   const size_t wanted = connection.stream->held_bytes();
   if (wanted <= hold.bytes()) return;
   const size_t shortage =
--- a/source/unit_tests/net/exchange_test.cc
+++ b/source/unit_tests/net/exchange_test.cc
@@ -1,5 +1,6 @@
 // Tests of ExchangeServer and ExchangeClient over loopback sockets.
 #include <CppUTest/TestHarness.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -161,6 +162,15 @@
       }
       ended = ended || count == 0;
     }
+    // As ReadAvailable, after at most `limit` for bytes to arrive. Returns
+    // whether any did.
+    bool ReadAvailableWithin(std::chrono::milliseconds limit) {
+      const size_t before = received.size();
+      pollfd waiting = {fd, POLLIN, 0};
+      poll(&waiting, 1, static_cast<int>(limit.count()));
+      ReadAvailable();
+      return received.size() > before;
+    }
     void Send(const std::string& text) {
       send(fd, text.data(), text.size(), MSG_NOSIGNAL);
     }
@@ -248,6 +258,42 @@
   CHECK(received.find("one") < received.find("two"));
 }
 
+// Guards against bytes of a response that stay held, until the connection
+// closes, if the response after it sends what is left of it.
+TEST(Exchange, AResponseSentByTheNextOneIsNotHeldAnyLonger) {
+  constexpr size_t step = size_t{64} * 1024;
+  constexpr size_t most_bytes = size_t{64} * 1024 * 1024;
+  constexpr size_t memory_mb = 1024;
+  StartServer();
+  const auto budget = std::make_shared<ByteBudget>(MakeByteBudget(memory_mb));
+  server->ShareBudget(budget, [](const PressureEvent&) {});
+  const BytePart& part = PartOf(*budget, ByteUse::kUnreadResponses);
+  // The smallest response of which the kernel does not take the whole, so that
+  // it takes the rest at once when the caller has read.
+  size_t body_bytes = 0;
+  std::unique_ptr<RawCaller> caller;
+  while (part.used == 0 && body_bytes < most_bytes) {
+    body_bytes += step;
+    requests.clear();
+    caller = std::make_unique<RawCaller>(ConnectTcp(kAddress).value());
+    loop.RunOnce();
+    caller->Send(Pipelined(1, 0) + Pipelined(1, 0));
+    CHECK(RunUntil([&] { return requests.size() == 1; }));
+    server->Respond(requests[0].first, Ok("1", std::string(body_bytes, 'x')));
+    CHECK(RunUntil([&] { return requests.size() == 2; }));
+  }
+  CHECK(part.used > 0);
+  while (caller->ReadAvailableWithin(milliseconds(300))) {
+  }
+  server->Respond(requests[1].first, Ok("2", "two"));
+  CHECK(RunUntil([&] {
+    RunIteration();
+    caller->ReadAvailable();
+    return caller->received.find("two") != std::string::npos;
+  }));
+  LONGS_EQUAL(0, part.used);
+}
+
 TEST(Exchange, ADisconnectIsReportedWhileTheRequestWaits) {
   StartServer();
   ExchangeClient client(loop, kAddress, kLimits);
