--- a/source/core/net/shared_body.h
+++ b/source/core/net/shared_body.h
@@ -14,11 +14,13 @@
  public:
   SharedBody() = default;
   // Not explicit: a body is written where a text is.
+  // NOLINTNEXTLINE(google-explicit-constructor)
   SharedBody(std::string bytes) : SharedBody(std::move(bytes), nullptr) {}
   // `hold` counts the bytes for as long as anyone keeps them; may be null.
   SharedBody(std::string bytes, std::shared_ptr<ByteHold> hold);
 
   bool empty() const { return bytes_ == nullptr || bytes_->empty(); }
+  // NOLINTNEXTLINE(google-explicit-constructor)
   operator std::string_view() const {
     return bytes_ == nullptr ? std::string_view() : *bytes_;
   }
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -205,7 +205,7 @@
   // once.
   sockaddr unspecified{};
   unspecified.sa_family = AF_UNSPEC;
-  connect(watch_->fd(), &unspecified, sizeof(unspecified));
+  static_cast<void>(connect(watch_->fd(), &unspecified, sizeof(unspecified)));
 }
 
 bool TcpStream::PeerHasClosed() const {
--- a/source/core/store/object_store.cc
+++ b/source/core/store/object_store.cc
@@ -89,7 +89,7 @@
   calls_.push_back(std::move(call));
   const auto position = std::prev(calls_.end());
   started_call->client->Start(
-      std::move(request), [this, position](ExchangeResult result) {
+      std::move(request), [this, position](const ExchangeResult& result) {
         const std::unique_ptr<Call> finished = std::move(*position);
         calls_.erase(position);
         if (result.failure != ClientFailure::kNone) {
--- a/source/standins/fault_links.cc
+++ b/source/standins/fault_links.cc
@@ -95,7 +95,8 @@
                  sizeof(reset_on_close));
       sockaddr unspecified{};
       unspecified.sa_family = AF_UNSPEC;
-      connect((*side)->fd(), &unspecified, sizeof(unspecified));
+      static_cast<void>(
+          connect((*side)->fd(), &unspecified, sizeof(unspecified)));
     }
     CloseStream(*stream);
   }
