Ranges: a lasting lease still bounds the wait after a restore

 let the wait after a restore begin with the restore, also where this host had held the lease for long.

Both bounds hold: the last renewal of a lost holder was confirmed before the restore, and before this host got the lease. The earlier one counts now.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -71,6 +71,7 @@
   running_ = true;
   if (!gain.continued) {
     claimed_eras_.clear();
+    held_since_ = loop_.timers().now();
     others_until_ = gain.others_until;
   }
   ++epoch_;
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -196,6 +196,8 @@
   uint64_t epoch_ = 0;
   uint64_t timer_ = 0;
   MonotonicTime started_at_ = kNever;
+  // Since when no other host has held the lease; kNever before the first.
+  MonotonicTime held_since_ = kNever;
   // By then the authority of all holders had ended that the store knows of.
   MonotonicTime others_until_ = kNever;
   std::map<std::string, std::unique_ptr<Service>> services_;
--- a/source/core/entry/range_manager_tables.cc
+++ b/source/core/entry/range_manager_tables.cc
@@ -49,13 +49,15 @@
     return kNever;
   }
   // The last renewal of a holder that was lost with the restore was confirmed
-  // before it, and so before this host saw the era.
+  // before it, and so before this host saw the era. Since this host holds the
+  // lease, no other renewal was confirmed.
   const auto lease_duration = Duration(static_cast<int64_t>(
       static_cast<double>(options_.lease_duration.count()) *
       (1 + options_.clock_guard)));
-  return holds_.HoldEnd(
-      std::max(others_until_, store_.era_since() + lease_duration),
-      options_.longest_hold);
+  const MonotonicTime since_restore =
+      std::max(others_until_, store_.era_since() + lease_duration);
+  return holds_.HoldEnd(std::min(since_restore, held_since_ + lease_duration),
+                        options_.longest_hold);
 }
 
 void RangeManager::CreateTable(const ServiceConfig& config) {
