--- a/source/core/balance/crash_suspects.h
+++ b/source/core/balance/crash_suspects.h
@@ -5,6 +5,7 @@
 // power, the request may not be their cause: one request is sent as a trial.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -17,14 +18,17 @@
 
 struct CrashSuspectPolicy {
   // Number of different upstream incarnations that must have crashed.
-  size_t crashes_to_refuse = 0;
-  Duration retention{};  // Since the latest crash.
-  size_t max_suspects = 0;
-  // Crashes that are recorded within this time may have one common cause.
-  Duration common_cause_time{};
+  // The platform allows three.
+  size_t crashes_to_refuse = 3;
+  // Since the latest crash. Callers retry such a request for less than that.
+  Duration retention = std::chrono::seconds(60);
+  size_t max_suspects = 4096;
+  // Crashes that are recorded within this time may have one common cause. A
+  // host confirms a crash within 3 s.
+  Duration common_cause_time = std::chrono::milliseconds(3500);
   // Between the first crash and a trial, and between two trials. Longer than
   // common_cause_time, so that the crash of a trial counts as a separate one.
-  Duration trial_interval{};
+  Duration trial_interval = std::chrono::seconds(4);
 };
 
 enum class SuspectVerdict { kSend, kTrial, kRefuse };
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -53,11 +53,6 @@
 // Hosts use no more of a longer bound: the rest is for delays of their own, and
 // moves of keys take half a second.
 constexpr Duration kLongestUsedBound = std::chrono::seconds(2);
-// The platform allows a request to crash three upstreams. Its callers retry
-// such a request for less than a minute. Hosts confirm a crash within 3 s.
-constexpr CrashSuspectPolicy kCrashPolicy = {3, std::chrono::seconds(60), 4096,
-                                             std::chrono::milliseconds(3500),
-                                             std::chrono::seconds(4)};
 // How long a stopping host still accepts connections. The platform sends it new
 // callers until two readiness probes, 1 s apart, have failed.
 constexpr Duration kStopAcceptingAfter = std::chrono::milliseconds(3000);
@@ -191,7 +186,6 @@
   options.host = settings_.host_id;
   options.zone = settings_.zone;
   options.retry_policy = MakeRetryBudgetPolicy(bounds_);
-  options.crash_policy = kCrashPolicy;
   options.hedge_share = settings_.hedge_share;
   options.drain = std::min(bounds_.drain, kLongestUsedBound);
   options.configuration_apply =
@@ -274,19 +268,14 @@
                              const std::string& upstream_incarnation) {
     forwarder_->NoteCrash(fingerprint, upstream_incarnation);
   };
-  handlers.on_relay_message = [this](ConnectionId connection,
-                                     const Frame& frame) {
-    relay_->OnMessage(connection, frame);
+  handlers.on_relay_message = [this](auto&&... frame) {
+    relay_->OnMessage(frame...);
   };
-  handlers.on_long_frame = [this](ConnectionId connection,
-                                  const FrameStart& start,
-                                  std::string_view begun) {
-    return relay_->OnLongFrame(connection, start, begun);
+  handlers.on_long_frame = [this](auto&&... frame) {
+    return relay_->OnLongFrame(frame...);
   };
-  handlers.on_silent_frame = [this](ConnectionId connection,
-                                    const FrameStart& start,
-                                    std::string_view begun) {
-    return relay_->OnSilentFrame(connection, start, begun);
+  handlers.on_silent_frame = [this](auto&&... frame) {
+    return relay_->OnSilentFrame(frame...);
   };
   handlers.on_room_loan = [this](const RoomLoan& loan) {
     if (room_ != nullptr) room_->OnLoan(loan);
--- a/source/core/entry/exchange_relay.h
+++ b/source/core/entry/exchange_relay.h
@@ -160,6 +160,7 @@
   std::shared_ptr<ByteHold> HoldRequest(ConnectionId connection, size_t bytes);
   void Decline(ConnectionId connection, uint64_t id, RelayStatus status,
                ClientFailure failure);
+  bool MayHelp() const;
   // Returns the upstream if this host may send it the request, else null with
   // the reason in `status`.
   const ListedUpstream* FindUpstream(const RelayRequest& request,
