--- a/source/integration_tests/entry_crowds.h
+++ b/source/integration_tests/entry_crowds.h
@@ -45,6 +45,21 @@
          framing + "\r\n";
 }
 
+// Registers an upstream of the service "desk" that has room for a crowd.
+inline void RegisterDesk(EntryFixture& fixture, const std::string& id,
+                         const SocketAddress& address) {
+  fixture.store->Put("servers", id,
+                     {{"service", "desk"},
+                      {"address", address.ToString()},
+                      {"zone", "north"},
+                      {"version", "v1"},
+                      {"slots", kLargeUpstreamSlots},
+                      {"state", "ready"},
+                      {"warmupLeft", "0ms"},
+                      {"seq", 1},
+                      {"born", 1}});
+}
+
 // An upstream of the service "desk" that reads bodies of any allowed size and
 // responds after `work` with a body of `response_bytes`.
 class LargeUpstream {
@@ -78,18 +93,7 @@
     Register();
   }
 
-  void Register() {
-    fixture_.store->Put("servers", "large-1",
-                        {{"service", "desk"},
-                         {"address", address_.ToString()},
-                         {"zone", "north"},
-                         {"version", "v1"},
-                         {"slots", kLargeUpstreamSlots},
-                         {"state", "ready"},
-                         {"warmupLeft", "0ms"},
-                         {"seq", 1},
-                         {"born", 1}});
-  }
+  void Register() { RegisterDesk(fixture_, "large-1", address_); }
   // Of the responses from now on.
   void SetResponseBytes(size_t bytes) { body_.assign(bytes, 'x'); }
   // Adds a header of this length.
@@ -135,18 +139,7 @@
   StallingUpstream(const StallingUpstream&) = delete;
   StallingUpstream& operator=(const StallingUpstream&) = delete;
 
-  void Register() {
-    fixture_.store->Put("servers", "stalling-1",
-                        {{"service", "desk"},
-                         {"address", address_.ToString()},
-                         {"zone", "north"},
-                         {"version", "v1"},
-                         {"slots", kLargeUpstreamSlots},
-                         {"state", "ready"},
-                         {"warmupLeft", "0ms"},
-                         {"seq", 1},
-                         {"born", 1}});
-  }
+  void Register() { RegisterDesk(fixture_, "stalling-1", address_); }
   int responses() const { return responses_; }
 
  private:
--- a/source/integration_tests/entry_relay_crowds_test.cc
+++ b/source/integration_tests/entry_relay_crowds_test.cc
@@ -76,18 +76,7 @@
   SilentUpstream(const SilentUpstream&) = delete;
   SilentUpstream& operator=(const SilentUpstream&) = delete;
 
-  void Register() {
-    fixture_.store->Put("servers", "silent-1",
-                        {{"service", "desk"},
-                         {"address", address_.ToString()},
-                         {"zone", "north"},
-                         {"version", "v1"},
-                         {"slots", kLargeUpstreamSlots},
-                         {"state", "ready"},
-                         {"warmupLeft", "0ms"},
-                         {"seq", 1},
-                         {"born", 1}});
-  }
+  void Register() { RegisterDesk(fixture_, "silent-1", address_); }
 
  private:
   EntryFixture& fixture_;
--- a/source/unit_tests/inner/inner_transport_test.cc
+++ b/source/unit_tests/inner/inner_transport_test.cc
@@ -91,6 +91,23 @@
   loop.timers().Cancel(tick);
 }
 
+InnerTransportOptions OptionsFor(uint16_t number) {
+  InnerTransportOptions options;
+  options.address = {kAddress.ip,
+                     static_cast<uint16_t>(kAddress.port + number)};
+  options.limits = {1024 * 1024, 64 * 1024};
+  return options;
+}
+
+// Returns a connection to the address that ignores what it receives.
+std::unique_ptr<TcpStream> ConnectPeer(EventLoop& loop,
+                                       const SocketAddress& address) {
+  auto stream = TcpStream::Connect(
+      loop, address, {nullptr, [](std::string_view) {}, [](StreamEnd) {}});
+  CHECK(stream.has_value());
+  return std::move(stream.value());
+}
+
 TEST_GROUP(InnerTransport){};
 
 // The transport looked the connection up when its failure was reported, and
@@ -112,14 +129,10 @@
   auto made = InnerTransport::Listen(loop, options, std::move(handlers));
   CHECK(made.has_value());
   transport = std::move(made.value());
-  TcpStreamHandlers peer;
-  peer.on_data = [](std::string_view) {};
-  peer.on_end = [](StreamEnd) {};
-  auto stream = TcpStream::Connect(loop, kAddress, std::move(peer));
-  CHECK(stream.has_value());
+  auto stream = ConnectPeer(loop, options.address);
   std::string bytes;
   AppendFrame(MessageType::kHello, EncodeBody(Hello{"peer"}), bytes);
-  stream.value()->Write(bytes + "no frame at all");
+  stream->Write(bytes + "no frame at all");
   const auto tick = loop.timers().Every(std::chrono::milliseconds(5), [] {});
   for (int i = 0; i < kMaxIterations && disconnected == 0; ++i) loop.RunOnce();
   for (int i = 0; i < 3; ++i) loop.RunOnce();
@@ -132,9 +145,7 @@
   EventLoop loop({64, 16, 8192});
   std::vector<size_t> announced;
   std::vector<size_t> read;
-  InnerTransportOptions options;
-  options.address = {kAddress.ip, static_cast<uint16_t>(kAddress.port + 1)};
-  options.limits = {1024 * 1024, 64 * 1024};
+  const InnerTransportOptions options = OptionsFor(1);
   InnerTransportHandlers handlers;
   handlers.on_frame = [&](ConnectionId, const Frame& frame) {
     read.push_back(frame.body.size());
@@ -148,15 +159,11 @@
   };
   auto made = InnerTransport::Listen(loop, options, std::move(handlers));
   CHECK(made.has_value());
-  TcpStreamHandlers peer;
-  peer.on_data = [](std::string_view) {};
-  peer.on_end = [](StreamEnd) {};
-  auto stream = TcpStream::Connect(loop, options.address, std::move(peer));
-  CHECK(stream.has_value());
+  auto stream = ConnectPeer(loop, options.address);
   std::string bytes;
   for (const size_t length : {10, 300'000, 20, 200'000, 30})
     AppendFrame(MessageType::kRelayRequest, std::string(length, 'x'), bytes);
-  stream.value()->Write(bytes);
+  stream->Write(bytes);
   const auto tick = loop.timers().Every(std::chrono::milliseconds(5), [] {});
   for (int i = 0; i < kMaxIterations && read.size() < 4; ++i) loop.RunOnce();
   loop.timers().Cancel(tick);
@@ -170,9 +177,7 @@
   EventLoop loop({64, 16, 8192});
   std::vector<std::string> reports;
   ConnectionId connection = kNoConnection;
-  InnerTransportOptions options;
-  options.address = {kAddress.ip, static_cast<uint16_t>(kAddress.port + 2)};
-  options.limits = {1024 * 1024, 64 * 1024};
+  const InnerTransportOptions options = OptionsFor(2);
   InnerTransportHandlers handlers;
   handlers.on_frame = [&](ConnectionId id, const Frame&) {
     connection = id;
@@ -189,20 +194,16 @@
   };
   auto made = InnerTransport::Listen(loop, options, std::move(handlers));
   CHECK(made.has_value());
-  TcpStreamHandlers peer;
-  peer.on_data = [](std::string_view) {};
-  peer.on_end = [](StreamEnd) {};
-  auto stream = TcpStream::Connect(loop, options.address, std::move(peer));
-  CHECK(stream.has_value());
+  auto stream = ConnectPeer(loop, options.address);
   std::string bytes;
   AppendFrame(MessageType::kHello, EncodeBody(Hello{"peer"}), bytes);
-  stream.value()->Write(bytes);
+  stream->Write(bytes);
   const auto tick = loop.timers().Every(std::chrono::milliseconds(5), [] {});
   for (int i = 0; i < kMaxIterations && reports.empty(); ++i) loop.RunOnce();
   AppendFrame(MessageType::kRelayRequest, std::string(300'000, 'x'), bytes);
   bytes.resize(bytes.size() - 290'000);
   loop.timers().After(Duration::zero(), [&] {
-    stream.value()->Write(bytes);
+    stream->Write(bytes);
     made.value()->Disconnect(connection);
   });
   for (int i = 0; i < 5; ++i) loop.RunOnce();
@@ -258,9 +259,7 @@
   std::vector<size_t> silent;
   std::vector<size_t> read;
   int disconnected = 0;
-  InnerTransportOptions options;
-  options.address = {kAddress.ip, static_cast<uint16_t>(kAddress.port + 7)};
-  options.limits = {1024 * 1024, 64 * 1024};
+  const InnerTransportOptions options = OptionsFor(7);
   InnerTransportHandlers handlers;
   handlers.on_frame = [&](ConnectionId, const Frame& frame) {
     read.push_back(frame.body.size());
@@ -278,18 +277,14 @@
   std::list<std::unique_ptr<TcpStream>> peers;
   std::list<std::string> rests;
   for (const size_t length : {300'000, 200'000}) {
-    TcpStreamHandlers peer;
-    peer.on_data = [](std::string_view) {};
-    peer.on_end = [](StreamEnd) {};
-    auto stream = TcpStream::Connect(loop, options.address, std::move(peer));
-    CHECK(stream.has_value());
+    auto stream = ConnectPeer(loop, options.address);
     std::string bytes;
     AppendFrame(MessageType::kRelayRequest, std::string(length, 'x'), bytes);
     AppendFrame(MessageType::kRelayRequest, std::string(length / 1000, 'x'),
                 bytes);
     const size_t begun = kFrameHeaderBytes + 100;
-    stream.value()->Write(bytes.substr(0, begun));
-    peers.push_back(std::move(stream.value()));
+    stream->Write(bytes.substr(0, begun));
+    peers.push_back(std::move(stream));
     rests.push_back(bytes.substr(begun));
   }
   RunUntil(
--- a/source/unit_tests/net/stream_error_test.cc
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -59,6 +59,30 @@
                    : std::string();
 }
 
+// A stream, with what was received and how it ended.
+struct ReadingStream {
+  ReadingStream(EventLoop& loop, int fd)
+      : stream(loop, fd,
+               {nullptr, [this](std::string_view bytes) { received += bytes; },
+                [this](StreamEnd end) {
+                  ended = true;
+                  how = end;
+                }}) {}
+
+  std::string received;
+  bool ended = false;
+  StreamEnd how = StreamEnd::kNone;
+  TcpStream stream;
+};
+
+// Resets the connection.
+void Reset(int fd) {
+  const linger reset_on_close = {1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+             sizeof(reset_on_close));
+  close(fd);
+}
+
 TEST_GROUP(StreamError) {
   EventLoop loop{{64, 16, 4096}};
 
@@ -96,52 +120,28 @@
 // fails takes the reset's error, and the stream then seems to end in order.
 TEST(StreamError, AResetThatASendHasMetIsNoOrderlyEnd) {
   TcpPair connection;
-  std::string received;
-  bool ended = false;
-  StreamEnd how = StreamEnd::kNone;
-  TcpStream stream(
-      loop, connection.near,
-      {nullptr, [&received](std::string_view bytes) { received += bytes; },
-       [&](StreamEnd end) {
-         ended = true;
-         how = end;
-       }});
+  ReadingStream near(loop, connection.near);
   CHECK_EQUAL(4, send(connection.far, "part", 4, MSG_NOSIGNAL));
-  const linger reset_on_close = {1, 0};
-  setsockopt(connection.far, SOL_SOCKET, SO_LINGER, &reset_on_close,
-             sizeof(reset_on_close));
-  close(connection.far);
-  stream.Write("first");
-  stream.Write("second");
-  RunUntil(ended);
-  STRCMP_EQUAL("reset", std::string(StreamEndName(how)).c_str());
-  STRCMP_EQUAL("part", received.c_str());
+  Reset(connection.far);
+  near.stream.Write("first");
+  near.stream.Write("second");
+  RunUntil(near.ended);
+  STRCMP_EQUAL("reset", std::string(StreamEndName(near.how)).c_str());
+  STRCMP_EQUAL("part", near.received.c_str());
 }
 
 // Guards against a complete response that is lost: the peer responds to a long
 // request early, and resets the connection on which more is to be sent.
 TEST(StreamError, WhatArrivedBeforeAResetIsReadAlthoughOutputIsQueued) {
   TcpPair connection;
-  std::string received;
-  bool ended = false;
-  StreamEnd how = StreamEnd::kNone;
-  TcpStream stream(
-      loop, connection.near,
-      {nullptr, [&received](std::string_view bytes) { received += bytes; },
-       [&](StreamEnd end) {
-         ended = true;
-         how = end;
-       }});
-  stream.Write(std::string(kMoreThanTheKernelTakes, 'x'));
-  CHECK(stream.queued_bytes() > 0);
+  ReadingStream near(loop, connection.near);
+  near.stream.Write(std::string(kMoreThanTheKernelTakes, 'x'));
+  CHECK(near.stream.queued_bytes() > 0);
   CHECK_EQUAL(5, send(connection.far, "whole", 5, MSG_NOSIGNAL));
-  const linger reset_on_close = {1, 0};
-  setsockopt(connection.far, SOL_SOCKET, SO_LINGER, &reset_on_close,
-             sizeof(reset_on_close));
-  close(connection.far);
-  RunUntil(ended);
-  STRCMP_EQUAL("whole", received.c_str());
-  STRCMP_EQUAL("reset", std::string(StreamEndName(how)).c_str());
+  Reset(connection.far);
+  RunUntil(near.ended);
+  STRCMP_EQUAL("whole", near.received.c_str());
+  STRCMP_EQUAL("reset", std::string(StreamEndName(near.how)).c_str());
 }
 
 // Guards against a connection to another host that stays in use although
