Net: a stream that discards its output sends nothing after its end

A grant that its host had given up could arrive later: after a response that could not be read, or when the upstream closed its sending direction, the kernel went on sending what was left until the loop closed the socket, in one of its next iterations, and libwebsockets shuts a socket down before that. A host that stops in between sends for as long as it is stopped.

Cause: DiscardUnsentOnClose only sets SO_LINGER, which acts when the descriptor is closed. Streams that discard their output are now reset before on_end is called, and when they are destroyed.

StreamError.NothingIsSentAfterAStream... failed without the change (EAGAIN in place of ECONNRESET: the connection was open) and passes with it.

--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -75,7 +75,9 @@
   return stream;
 }
 
-TcpStream::~TcpStream() = default;
+TcpStream::~TcpStream() {
+  if (discards_unsent_) DiscardUnsent();
+}
 
 void TcpStream::Watch(int fd) {
   SetOptions(fd);
@@ -192,6 +194,7 @@
 
 void TcpStream::DiscardUnsentOnClose() {
   if (ended_) return;
+  discards_unsent_ = true;
   const linger reset_on_close = {1, 0};
   setsockopt(watch_->fd(), SOL_SOCKET, SO_LINGER, &reset_on_close,
              sizeof(reset_on_close));
@@ -225,6 +228,8 @@
 }
 
 void TcpStream::End(StreamEnd end) {
+  // The loop closes the socket later.
+  if (discards_unsent_) DiscardUnsent();
   ended_ = true;
   // Moved to the stack, because the handler may destroy the stream that owns
   // it.
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -62,7 +62,8 @@
   // received. After an ordinary close the kernel would keep sending them.
   void DiscardUnsent();
   // The same as soon as the connection is closed, also by the end of this
-  // process.
+  // process. So nothing is sent after on_end was called, or this object
+  // destroyed.
   void DiscardUnsentOnClose();
   // Whether the peer has closed the connection and every byte before its end
   // has been read.
@@ -102,6 +103,7 @@
   StreamEnd send_failure_ = StreamEnd::kNone;
   bool connecting_ = false;
   bool finishing_ = false;
+  bool discards_unsent_ = false;
   bool ended_ = false;
 };
 
--- a/source/unit_tests/net/stream_error_test.cc
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <memory>
 #include <string>
 
@@ -160,5 +161,25 @@
   close(connection.far);
 }
 
+// Guards against grants that arrive after their host has given them up: the
+// kernel sent what was left until the loop closed the socket.
+TEST(StreamError, NothingIsSentAfterAStreamThatDiscardsItsOutputHasEnded) {
+  TcpPair connection;
+  ReadingStream near(loop, connection.near);
+  near.stream.DiscardUnsentOnClose();
+  near.stream.Write(std::string(kMoreThanTheKernelTakes, 'x'));
+  CHECK_EQUAL(0, shutdown(connection.far, SHUT_WR));
+  RunUntil(near.ended);
+  CHECK(near.ended);
+  std::array<char, 4096> buffer;
+  ssize_t count = 0;
+  do {
+    count = recv(connection.far, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  } while (count > 0);
+  LONGS_EQUAL(-1, count);
+  LONGS_EQUAL(ECONNRESET, errno);
+  close(connection.far);
+}
+
 }  // namespace
 }  // namespace mimosadeal
