Grants: the kernel of a host that has stopped gives them up as well

The next lease holder takes its predecessor's grants to arrive within 0.9 s of the end of its authority: 0.7 s until a grant is given up, and 0.2 s. The first holds only while the predecessor runs. If it has stopped, its kernel sends a grant that is not acknowledged for the 2 s of TCP_USER_TIMEOUT, so a grant could arrive 1.3 s after its hold was reckoned to begin, and two upstreams hold a key.

Connections for grants now have a TCP_USER_TIMEOUT of 0.7 s. With the first retransmission after 0.2 s, the kernel ends them within the 0.9 s. Connections for releases keep theirs too.

StreamError.TheKernelLimitsTheDelivery checks the option only.

--- a/source/core/entry/key_command_client.cc
+++ b/source/core/entry/key_command_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "entry/grant_timing.h"
 #include "net/event_loop.h"
 #include "ranges/incarnation_proof.h"
 
@@ -73,6 +74,8 @@
                                                        kCommandLimits);
     // A grant must not arrive after the end of the process that sent it.
     channel->client->DiscardUnsentOnClose();
+    if (!channel_name.starts_with(kReleasePrefix))
+      channel->client->LimitDelivery(kGrantDelivery);
   }
   if (channel->queue.size() >= kMaxQueuedCommands) {
     loop_.Post([callback = std::move(command.callback)] {
--- a/source/core/net/exchange_client.cc
+++ b/source/core/net/exchange_client.cc
@@ -141,6 +141,8 @@
   if (!stream.has_value()) return false;
   stream_ = std::move(stream.value());
   if (discards_unsent_) stream_->DiscardUnsentOnClose();
+  if (delivery_limit_ > Duration::zero())
+    stream_->LimitDelivery(delivery_limit_);
   connected_ = false;
   connect_started_at_ = loop_.timers().now();
   if (timeout > Duration::zero()) {
--- a/source/core/net/exchange_client.h
+++ b/source/core/net/exchange_client.h
@@ -80,6 +80,8 @@
   // What is unsent when this process ends does not reach the peer. To be called
   // before a connection is opened.
   void DiscardUnsentOnClose() { discards_unsent_ = true; }
+  // See TcpStream. To be called before a connection is opened.
+  void LimitDelivery(Duration limit) { delivery_limit_ = limit; }
   ExchangeClient(const ExchangeClient&) = delete;
   ExchangeClient& operator=(const ExchangeClient&) = delete;
 
@@ -151,6 +153,7 @@
   bool must_not_reuse_ = false;
   bool lost_while_idle_ = false;
   bool discards_unsent_ = false;
+  Duration delivery_limit_{};  // Zero: that of all connections.
   // Bytes of earlier requests on this connection.
   uint64_t bytes_sent_before_ = 0;
   MonotonicTime idle_since_ = kNever;
--- a/source/core/net/tcp_stream.cc
+++ b/source/core/net/tcp_stream.cc
@@ -211,6 +211,13 @@
   static_cast<void>(connect(watch_->fd(), &unspecified, sizeof(unspecified)));
 }
 
+void TcpStream::LimitDelivery(Duration limit) {
+  if (ended_) return;
+  const auto limit_ms = static_cast<unsigned>(ToMilliseconds(limit));
+  setsockopt(watch_->fd(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+             sizeof(limit_ms));
+}
+
 bool TcpStream::PeerHasClosed() const {
   if (ended_) return true;
   char next = 0;
--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "common/boot_clock.h"
 #include "common/error.h"
 #include "net/socket_address.h"
 
@@ -65,6 +66,10 @@
   // process. So nothing is sent after on_end was called, or this object
   // destroyed.
   void DiscardUnsentOnClose();
+  // Ends the connection when bytes have not been acknowledged for `limit` after
+  // they were sent again. The kernel does so also while this process is
+  // stopped.
+  void LimitDelivery(Duration limit);
   // Whether the peer has closed the connection and every byte before its end
   // has been read.
   bool PeerHasClosed() const;
--- a/source/unit_tests/net/stream_error_test.cc
+++ b/source/unit_tests/net/stream_error_test.cc
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <linux/errqueue.h>
 #include <linux/net_tstamp.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -181,5 +182,18 @@
   close(connection.far);
 }
 
+// A host that has stopped must not go on sending for the default of 2 s.
+TEST(StreamError, TheKernelLimitsTheDelivery) {
+  TcpPair connection;
+  ReadingStream near(loop, connection.near);
+  near.stream.LimitDelivery(std::chrono::milliseconds(700));
+  unsigned limit_ms = 0;
+  socklen_t length = sizeof(limit_ms);
+  CHECK_EQUAL(0, getsockopt(connection.near, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                            &limit_ms, &length));
+  LONGS_EQUAL(700, limit_ms);
+  close(connection.far);
+}
+
 }  // namespace
 }  // namespace mimosadeal
