Grants: commands end when their upstream changes its address

If a registration named another address, the commands to the former one ended without a callback: their connection was destroyed and their queue dropped. The grants' ranges counted as in flight from then on and were never renewed, and a release was never sent again, so its keys did not move.

The connection to the former address is now reset, and each command gets its result: the one in flight as lost, those in the queue as dropped.

KeyCommandClient.GrantsEndWhenTheirUpstreamChangesItsAddress failed without the change (no results in place of two) and passes with it.

--- a/source/core/entry/key_command_client.cc
+++ b/source/core/entry/key_command_client.cc
@@ -29,6 +29,7 @@
 struct KeyCommandClient::Channel {
   SocketAddress address;
   std::unique_ptr<ExchangeClient> client;
+  Callback in_flight;  // Of the command in flight; null if there is none.
   std::deque<Command> queue;
   IncarnationProof proof;
   MonotonicTime sent_at = kNever;  // Of the last command.
@@ -36,6 +37,7 @@
   // The callback of the last command has not run yet. It may change what has to
   // be sent next.
   bool result_pending = false;
+  bool cleared = false;  // No callback may run.
 };
 
 KeyCommandClient::KeyCommandClient(EventLoop& loop,
@@ -68,6 +70,7 @@
                                Command command) {
   std::shared_ptr<Channel>& channel = channels_[channel_name];
   if (channel == nullptr || !(channel->address == upstream.address)) {
+    if (channel != nullptr) Retire(channel);
     channel = std::make_shared<Channel>();
     channel->address = upstream.address;
     channel->client = std::make_unique<ExchangeClient>(loop_, upstream.address,
@@ -89,6 +92,20 @@
   SendNext(channel_name);
 }
 
+void KeyCommandClient::Retire(const std::shared_ptr<Channel>& channel) {
+  KeyCommandResult lost;
+  lost.written = channel->client->request_written();
+  lost.life_unproven = true;
+  channel->client->Abort();
+  loop_.Post([callback = std::exchange(channel->in_flight, nullptr),
+              queue = std::exchange(channel->queue, {}), lost] {
+    if (callback) callback(lost);
+    KeyCommandResult dropped;
+    dropped.dropped = true;
+    for (const Command& command : queue) command.callback(dropped);
+  });
+}
+
 void KeyCommandClient::SendNext(const std::string& channel_name) {
   const auto found = channels_.find(channel_name);
   if (found == channels_.end()) return;
@@ -114,17 +131,16 @@
   }
   command.request.connect_timeout = kConnectTimeout;
   channel->sent_at = loop_.timers().now();
+  channel->in_flight = std::move(command.callback);
   channel->client->Start(
       std::move(command.request),
-      [this, channel, channel_name,
-       callback = std::move(command.callback)](const ExchangeResult& exchange) {
-        OnExchange(channel, channel_name, callback, exchange);
+      [this, channel, channel_name](const ExchangeResult& exchange) {
+        OnExchange(channel, channel_name, exchange);
       });
 }
 
 void KeyCommandClient::OnExchange(const std::shared_ptr<Channel>& channel,
                                   const std::string& channel_name,
-                                  const Callback& callback,
                                   const ExchangeResult& exchange) {
   KeyCommandResult result;
   result.replied = exchange.failure == ClientFailure::kNone;
@@ -142,7 +158,9 @@
   channel->result_pending = true;
   // Runs later because Clear, which a callback may call, destroys the client,
   // and this function is called by the client.
-  loop_.Post([this, channel, channel_name, callback, result, reconnect] {
+  loop_.Post([this, channel, channel_name,
+              callback = std::exchange(channel->in_flight, nullptr), result,
+              reconnect] {
     if (reconnect) Reconnect(channel, channel_name);
     Complete(channel, channel_name, callback, result);
   });
@@ -168,11 +186,12 @@
                                 const std::string& channel_name,
                                 const Callback& callback,
                                 const KeyCommandResult& result) {
-  const auto current = channels_.find(channel_name);
-  if (current == channels_.end() || current->second != channel) return;
+  if (channel->cleared) return;
   channel->result_pending = false;
   if (result.life_unproven) ResetProof(channel->proof);
   callback(result);
+  const auto current = channels_.find(channel_name);
+  if (current == channels_.end() || current->second != channel) return;
   if (channel->queue.empty() && channel_name.starts_with(kReleasePrefix)) {
     channels_.erase(channel_name);
   } else {
@@ -187,7 +206,10 @@
       std::make_shared<std::map<std::string, std::shared_ptr<Channel>>>(
           std::move(channels_));
   channels_.clear();
-  for (const auto& [name, channel] : *channels) channel->client->Abort();
+  for (const auto& [name, channel] : *channels) {
+    channel->cleared = true;
+    channel->client->Abort();
+  }
   loop_.Post([channels] {});
 }
 
--- a/source/core/entry/key_command_client.h
+++ b/source/core/entry/key_command_client.h
@@ -24,7 +24,8 @@
   // before the next grant.
   // The log has this field under the same name.
   bool life_unproven = false;
-  // The command was written to the connection, so it may take effect.
+  // The command was written to the connection, so it may take effect. Without a
+  // reply the connection is closed, and nothing that is unsent will leave.
   bool written = false;
   // The command was not sent: `before_send` returned false, or the queue of the
   // upstream was full.
@@ -42,7 +43,8 @@
   KeyCommandClient& operator=(const KeyCommandClient&) = delete;
 
   // `timeout` starts when the command is sent. `before_send` runs just before
-  // that, and drops the command by returning false.
+  // that, and drops the command by returning false. `callback` runs once,
+  // unless Clear is called before.
   void Grant(const UpstreamRecord& upstream, const GrantCommand& command,
              Duration timeout, std::function<bool()> before_send,
              Callback callback);
@@ -50,7 +52,8 @@
   // have finished, so each release uses a separate connection.
   void Release(const UpstreamRecord& upstream, const ReleaseCommand& command,
                Duration timeout, Callback callback);
-  // Closes all connections and drops all commands without running callbacks.
+  // Closes all connections, so that nothing that is unsent will leave, and
+  // drops all commands without running callbacks.
   void Clear();
 
  private:
@@ -61,8 +64,10 @@
                Command command);
   void SendNext(const std::string& channel_name);
   void OnExchange(const std::shared_ptr<Channel>& channel,
-                  const std::string& channel_name, const Callback& callback,
+                  const std::string& channel_name,
                   const ExchangeResult& exchange);
+  // Closes the connection to an address that the upstream has left.
+  void Retire(const std::shared_ptr<Channel>& channel);
   // Opens a new connection immediately after the peer announced that it closes
   // the current one.
   void Reconnect(const std::shared_ptr<Channel>& channel,
