Grants: a host that goes on after a stop sends none that is overdue

A lease holder that stopped while it connected to an upstream sent the grant when it went on, however long ago its lease had ended: the kernel establishes the connection meanwhile, and the loop serves its sockets before its timers. The next holder could have given the keys to another upstream.

A grant is now written only when its connection has been established for a round trip, and not after the end of the lease that was known when it was started.

KeyCommandClient.AGrantIsNotSentAfterItsTime failed without the change (the grant was written and awaited its reply) and passes with it.

--- a/source/core/entry/key_command_client.cc
+++ b/source/core/entry/key_command_client.cc
@@ -20,7 +20,7 @@
 
 struct KeyCommandClient::Command {
   ExchangeRequest request;
-  std::function<bool()> before_send;
+  BeforeSend before_send;
   Callback callback;
 };
 
@@ -48,9 +48,11 @@
 
 void KeyCommandClient::Grant(const UpstreamRecord& upstream,
                              const GrantCommand& command, Duration timeout,
-                             std::function<bool()> before_send,
-                             Callback callback) {
+                             BeforeSend before_send, Callback callback) {
   ExchangeRequest request = protocol_.write_grant(command, upstream.id);
+  // While this process is stopped, a connection may be established for a
+  // command that must not be sent any more.
+  request.await_acceptance = true;
   request.timeout = timeout;
   Enqueue("grant/" + upstream.id, upstream,
           {std::move(request), std::move(before_send), std::move(callback)});
@@ -119,8 +121,10 @@
   if (channel->client->lost_while_idle()) OnConnectionBroken(channel->proof);
   KeyCommandResult unsent;
   unsent.life_unproven = !MaySendCommand(channel->proof);
-  unsent.dropped =
-      !unsent.life_unproven && command.before_send && !command.before_send();
+  if (!unsent.life_unproven && command.before_send) {
+    command.request.send_by = command.before_send();
+    unsent.dropped = command.request.send_by == kNever;
+  }
   if (unsent.life_unproven || unsent.dropped) {
     if (unsent.life_unproven) channel->client->Abort();
     channel->result_pending = true;
--- a/source/core/entry/key_command_client.h
+++ b/source/core/entry/key_command_client.h
@@ -27,7 +27,7 @@
   // The command was written to the connection, so it may take effect. Without a
   // reply the connection is closed, and nothing that is unsent will leave.
   bool written = false;
-  // The command was not sent: `before_send` returned false, or the queue of the
+  // The command was not sent: `before_send` dropped it, or the queue of the
   // upstream was full.
   bool dropped = false;
   CommandReply reply;
@@ -42,12 +42,14 @@
   KeyCommandClient(const KeyCommandClient&) = delete;
   KeyCommandClient& operator=(const KeyCommandClient&) = delete;
 
+  // Returns the time by which a command must be sent; kNever drops it.
+  using BeforeSend = std::function<MonotonicTime()>;
+
   // `timeout` starts when the command is sent. `before_send` runs just before
-  // that, and drops the command by returning false. `callback` runs once,
-  // unless Clear is called before.
+  // that, or before a connection for it is opened. `callback` runs once, unless
+  // Clear is called before.
   void Grant(const UpstreamRecord& upstream, const GrantCommand& command,
-             Duration timeout, std::function<bool()> before_send,
-             Callback callback);
+             Duration timeout, BeforeSend before_send, Callback callback);
   // An upstream delays its reply to a release until its requests in progress
   // have finished, so each release uses a separate connection.
   void Release(const UpstreamRecord& upstream, const ReleaseCommand& command,
--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -337,11 +337,11 @@
   commands_.Grant(
       listed->record, command, kGrantTimeout,
       [this, range_owner, hold, sent_at, name = service.name, range] {
-        if (!MaySendGrant(name, range)) return false;
+        if (!MaySendGrant(name, range)) return kNever;
         NoteGrantSent(Find(name)->retired, range.owner, range.generation);
         *sent_at = loop_.timers().now();
         holds_.OnSent(range_owner, *sent_at, hold);
-        return true;
+        return lease_.active_until();
       },
       [this, name = service.name, range, hold, sent_at,
        epoch = epoch_](const KeyCommandResult& result) {
--- a/source/unit_tests/entry/key_command_client_test.cc
+++ b/source/unit_tests/entry/key_command_client_test.cc
@@ -4,6 +4,8 @@
 #include <CppUTest/TestHarness.h>
 #include <unistd.h>
 
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "net/event_loop.h"
@@ -41,10 +43,10 @@
     listeners.push_back(ListenTcp(upstream.address).value());
   }
 
-  void Grant() {
+  void Grant(KeyCommandClient::BeforeSend before_send = nullptr) {
     client.Grant(
         upstream, {0, 9, 1, std::chrono::seconds(4), ""}, kTimeout,
-        nullptr,
+        std::move(before_send),
         [this](const KeyCommandResult& result) { results.push_back(result); });
   }
 
@@ -91,5 +93,17 @@
   LONGS_EQUAL(0, results.size());
 }
 
+// Guards against two owners: a lease holder that had stopped while it connected
+// sent the grant when it went on, after the end of its lease.
+TEST(KeyCommandClient, AGrantIsNotSentAfterItsTime) {
+  MoveUpstream(19315);
+  const MonotonicTime send_by = loop.timers().now() + milliseconds(50);
+  Grant([send_by] { return send_by; });
+  std::this_thread::sleep_for(milliseconds(100));
+  RunFor(kRunTime);
+  LONGS_EQUAL(1, results.size());
+  CHECK_FALSE(results[0].written);
+}
+
 }  // namespace
 }  // namespace mimosadeal
