Ranges: releases are sent at once, and count unless they overtake a grant

A release is sent at once again. If a grant of its keys was open then, its answer does not count, as the owner may have taken the grant since; another one follows when the grant has ended. A handover that the second answer lacks is kept.

HoldOrders has the rule, and finds the variant that counts such a release.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -354,7 +354,7 @@
         EndGrant(name, range, *sent, *sent_at, hold, result);
         if (epoch != epoch_) return;
         OnGrantReply(name, range, *sent_at, hold, result);
-        // Moves of the granted keys wait for its end.
+        // Releases of the granted keys wait for its end.
         Service* current = Find(name);
         if (current != nullptr && !current->moves.empty())
           AdvanceMoves(*current);
--- a/source/core/entry/range_manager.h
+++ b/source/core/entry/range_manager.h
@@ -151,6 +151,8 @@
   // The old owner may not have received the release.
   void WithdrawMove(Service& service, Move& move);
   void SendRelease(Service& service, const std::shared_ptr<Move>& move);
+  // Whether a grant of the keys is on its way to the old owner.
+  bool MayTakeKeys(const Move& move) const;
   void WriteTable(Service& service);
   void OnTableWritten(const std::string& service,
                       const std::vector<std::shared_ptr<Move>>& moves,
--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -87,11 +87,9 @@
     }
     if (move->released) continue;
     ++unreleased;
-    // An upstream may take a grant that is on its way after it has released the
-    // keys.
-    const KeySpan keys = {move->planned.first, move->planned.last};
-    if (!move->release_pending && now >= move->next_release_at &&
-        !holds_.MayTake(move->from, keys))
+    // After a release that did not count the next one waits until it does.
+    const bool useless = move->release_answered && MayTakeKeys(*move);
+    if (!move->release_pending && !useless && now >= move->next_release_at)
       SendRelease(service, move);
   }
   AnnounceMoves(service);
@@ -137,10 +135,12 @@
   // The higher generation makes the upstream refuse delayed renewals of older
   // grants.
   const uint64_t generation = view_.table(service.name)->last_generation + 1;
+  // A grant that is on its way may be taken after this release.
+  const bool overtakes = MayTakeKeys(*move);
   commands_.Release(
       listed->record, {move->planned.first, move->planned.last, generation},
       options_.longest_hold,
-      [this, name = service.name, move, restarted,
+      [this, name = service.name, move, restarted, overtakes,
        epoch = epoch_](const KeyCommandResult& result) {
         if (epoch != epoch_) return;
         const MonotonicTime now = loop_.timers().now();
@@ -157,10 +157,13 @@
         if (result.replied && result.reply.outcome == CommandOutcome::kDone) {
           // A grant without a response may still take effect at the upstream.
           move->released =
-              restarted || now >= holds_.FreeAfterRelease(move->from);
+              !overtakes &&
+              (restarted || now >= holds_.FreeAfterRelease(move->from));
+          if (overtakes) move->next_release_at = now;
           // A handover from the new incarnation does not describe the state of
           // the old one.
-          if (!restarted) move->handover = result.reply.handover;
+          if (!restarted && !result.reply.handover.empty())
+            move->handover = result.reply.handover;
           move->release_answered = true;
         } else if (Service* current = Find(name)) {
           WithdrawMove(*current, *move);
@@ -169,6 +172,10 @@
       });
 }
 
+bool RangeManager::MayTakeKeys(const Move& move) const {
+  return holds_.MayTake(move.from, {move.planned.first, move.planned.last});
+}
+
 void RangeManager::WriteTable(Service& service) {
   const MonotonicTime now = loop_.timers().now();
   if (service.write_pending || now < service.next_write_at ||
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -40,8 +40,8 @@
   MonotonicTime started_at = kNever;
   bool release_pending = false;
   MonotonicTime next_release_at = kNever;
-  // The old owner answered a release by then, though not every grant that it
-  // may still receive has expired.
+  // The old owner answered a release by then, though it may still take a grant,
+  // or not every grant that it may still receive has expired.
   bool release_answered = false;
   MonotonicTime announced_since = kNever;  // Valid once it was announced.
   MonotonicTime announced_at = kNever;     // Last; see AnnounceMoves.
--- a/source/unit_tests/ranges/hold_orders_test.cc
+++ b/source/unit_tests/ranges/hold_orders_test.cc
@@ -40,8 +40,8 @@
   kCountsAnsweredFromSending,
   // Drops the grants that are open when the lease is lost.
   kForgetsOpenGrants,
-  // Releases the keys while a grant of them is open.
-  kReleasesWhileOpen,
+  // Counts a release that was sent while a grant of the keys was open.
+  kCountsOvertakingReleases,
 };
 
 struct Rules {
@@ -81,6 +81,8 @@
   MonotonicTime from_sending = kNever;  // The bound of the bad variants.
   bool response = false;                // To the open grant, on its way.
   MoveState move = MoveState::kNone;
+  bool overtakes = false;         // The last release that was sent.
+  bool release_answered = false;  // And did not count.
   // The network and the upstream.
   std::vector<Packet> packets;
   std::vector<Arrival> arrivals;
@@ -102,7 +104,8 @@
   std::string text;
   for (const int number :
        {now, running ? 1 : 0, generation, open != 0 ? sent_at : -1,
-        response ? 1 : 0, static_cast<int>(move), seen, violated ? 1 : 0})
+        response ? 1 : 0, static_cast<int>(move), overtakes ? 1 : 0,
+        release_answered ? 1 : 0, seen, violated ? 1 : 0})
     Append(text, number);
   for (const Packet& packet : packets) {
     Append(text, packet.generation);
@@ -156,10 +159,11 @@
     FinishMove(model);
     return;
   }
-  const bool may_release = variant == Variant::kReleasesWhileOpen ||
-                           !model.tracker.MayTake(kOwner, kKeys);
-  if (model.move == MoveState::kWaiting && may_release)
-    model.move = MoveState::kReleasing;
+  const bool may_take = model.tracker.MayTake(kOwner, kKeys);
+  if (model.move != MoveState::kWaiting || (model.release_answered && may_take))
+    return;
+  model.move = MoveState::kReleasing;
+  model.overtakes = may_take && variant != Variant::kCountsOvertakingReleases;
 }
 
 void Send(Model& model) {
@@ -217,11 +221,13 @@
 
 void ReadReleaseResponse(Model& model) {
   if (!model.running || model.move != MoveState::kReleased) return;
-  if (At(model.now) >= model.tracker.FreeAfterRelease(kOwner)) {
+  if (!model.overtakes &&
+      At(model.now) >= model.tracker.FreeAfterRelease(kOwner)) {
     FinishMove(model);
-  } else {
-    model.move = MoveState::kWaiting;
+    return;
   }
+  model.move = MoveState::kWaiting;
+  model.release_answered = true;
 }
 
 // The next holder claims the keys with a new generation.
@@ -230,6 +236,7 @@
     return false;
   ++model.generation;
   model.move = MoveState::kNone;
+  model.release_answered = false;
   return true;
 }
 
@@ -361,8 +368,8 @@
   CHECK(Explore({Variant::kForgetsOpenGrants, true}, kDepth).violated);
 }
 
-TEST(HoldOrders, ReleasingKeysWhileAGrantIsOpenIsDetected) {
-  CHECK(Explore({Variant::kReleasesWhileOpen, false}, kDepth).violated);
+TEST(HoldOrders, CountingAReleaseThatOvertakesAGrantIsDetected) {
+  CHECK(Explore({Variant::kCountsOvertakingReleases, false}, kDepth).violated);
 }
 
 }  // namespace
