Callers: one that reads nothing for 2 s keeps its connection

Cause: TCP_USER_TIMEOUT is 2 s on every connection. The kernel applies it also to a peer that acknowledges every probe but has no room. Connections of callers now have the idle timeout of the configuration in its place, after which they were closed anyhow.

--- a/source/core/net/exchange_server.cc
+++ b/source/core/net/exchange_server.cc
@@ -79,6 +79,9 @@
             nullptr, [this, id](std::string_view bytes) { OnData(id, bytes); },
             [this, id](StreamEnd) { OnEnd(id); },
             [hold = connection->response_hold] { hold->Set(0); }});
+    // A caller may read a response late; it is idle when it reads nothing for
+    // the idle timeout.
+    connection->stream->LimitDelivery(limits_.idle_timeout);
     RestartProgress(connection->progress, 0, connection->state_since);
     connections_.emplace(id, std::move(connection));
   }
--- a/source/unit_tests/net/exchange_limits_test.cc
+++ b/source/unit_tests/net/exchange_limits_test.cc
@@ -48,6 +48,28 @@
   LONGS_EQUAL(0, part.used);
 }
 
+// Guards against responses that are cut: the kernel reset a caller that read
+// nothing for 2 s.
+TEST(Exchange, AResponseThatIsReadLateIsWhole) {
+  constexpr size_t more_than_the_kernel_takes = size_t{32} * 1024 * 1024;
+  constexpr Duration pause = milliseconds(2700);
+  StartServer();
+  RawCaller caller(ConnectTcp(kAddress).value());
+  RunIteration();
+  caller.Send("GET /0 HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(RunUntil([&] { return requests.size() == 1; }));
+  server->Respond(requests[0].first,
+                  Ok("1", std::string(more_than_the_kernel_takes, 'x')));
+  bool paused = false;
+  loop.timers().After(pause, [&paused] { paused = true; });
+  while (!paused) loop.RunOnce();
+  CHECK(RunUntil([&] {
+    RunIteration();
+    caller.ReadAvailable();
+    return caller.received.size() > more_than_the_kernel_takes;
+  }));
+}
+
 // A caller pipelines more bytes behind a request than the server stores. The
 // request must still get its response.
 TEST(Exchange, TooMuchPipelinedInputClosesTheConnectionAfterTheResponse) {
