--- a/source/core/net/tcp_stream.h
+++ b/source/core/net/tcp_stream.h
@@ -67,8 +67,8 @@
   // destroyed.
   void DiscardUnsentOnClose();
   // Ends the connection when bytes have not been acknowledged for `limit` after
-  // they were sent again, or when the peer has no room for them for as long. The
-  // kernel does so also while this process is stopped.
+  // they were sent again, or when the peer has no room for them for as long.
+  // The kernel does so also while this process is stopped.
   void LimitDelivery(Duration limit);
   // Whether the peer has closed the connection and every byte before its end
   // has been read.
