Ranges: a grant on its way does not keep the others of a silent owner back

Only one range of a silent owner was asked at a time since holds are reckoned from responses; the others waited for the next tick. Their holds again follow from what the owner is known to hold, as before. By reading; HoldTracker's tests have the new call.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -282,15 +282,15 @@
   // are still not moving then have nowhere to go, and their owner is asked
   // until it responds.
   const MonotonicTime now = loop_.timers().now();
-  const MonotonicTime free_at = holds_.FreeAt(range_owner);
-  if (free_at == kForever) return Duration::zero();
-  if (now >= free_at) {
-    const bool due = now - state->second.last_silent_at >= kProbeInterval;
+  const MonotonicTime held_until = holds_.KnownUntil(range_owner);
+  if (now >= held_until) {
+    const bool due = holds_.FreeAt(range_owner) != kForever &&
+                     now - state->second.last_silent_at >= kProbeInterval;
     return due ? kProbeHold : Duration::zero();
   }
   // The second margin covers the owner's clock.
   return std::min(options_.hold,
-                  free_at - now - kGrantTimeout - options_.margin * 2);
+                  held_until - now - kGrantTimeout - options_.margin * 2);
 }
 
 void RangeManager::RenewGrants(Service& service) {
--- a/source/core/ranges/hold_tracker.cc
+++ b/source/core/ranges/hold_tracker.cc
@@ -82,11 +82,18 @@
 }
 
 MonotonicTime HoldTracker::FreeAt(const UpstreamIncarnation& upstream) const {
+  const auto found = bounds_.find(upstream);
+  const bool open = found != bounds_.end() && !found->second.open.empty();
+  return open && !ended_.contains(upstream) ? kForever : KnownUntil(upstream);
+}
+
+MonotonicTime HoldTracker::KnownUntil(
+    const UpstreamIncarnation& upstream) const {
   if (ended_.contains(upstream)) return kNever;
   const auto found = bounds_.find(upstream);
-  if (found == bounds_.end()) return assumed_until_;
-  if (!found->second.open.empty()) return kForever;
-  return std::max(assumed_until_, found->second.any_until);
+  return found == bounds_.end()
+             ? assumed_until_
+             : std::max(assumed_until_, found->second.any_until);
 }
 
 MonotonicTime HoldTracker::FreeAfterRelease(
--- a/source/core/ranges/hold_tracker.h
+++ b/source/core/ranges/hold_tracker.h
@@ -89,9 +89,11 @@
   // Returns the time by which every grant to `upstream` has certainly expired;
   // kForever while one is open.
   MonotonicTime FreeAt(const UpstreamIncarnation& upstream) const;
-  // The same after the incarnation acknowledged a release that was sent when it
-  // could take none of the keys: only grants without a response can still take
-  // effect.
+  // The same without regard to open grants.
+  MonotonicTime KnownUntil(const UpstreamIncarnation& upstream) const;
+  // As FreeAt, after the incarnation acknowledged a release that was sent when
+  // it could take none of the keys: only grants without a response can still
+  // take effect.
   MonotonicTime FreeAfterRelease(const UpstreamIncarnation& upstream) const;
   // Returns the latest end of a hold by a grant that another host sent until
   // `until`.
--- a/source/unit_tests/ranges/hold_tracker_test.cc
+++ b/source/unit_tests/ranges/hold_tracker_test.cc
@@ -31,7 +31,9 @@
 TEST(HoldTracker, AGrantOnItsWayHasNoEnd) {
   const SentGrantId sent = Send(seconds(4));
   CHECK(holds.FreeAt(upstream) == kForever);
+  CHECK(holds.KnownUntil(upstream) == kNever);
   holds.OnAnswered(upstream, sent, start + seconds(60));
+  CHECK(holds.KnownUntil(upstream) == holds.FreeAt(upstream));
   CHECK(holds.FreeAt(upstream) >= start + milliseconds(64080));
 }
 
