Callers: stalled readers give way to responses from upstreams

Cause: unread responses fill the total of all parts, and a response that arrives from an upstream then fails for want of room.

ByteBudget.UnreadResponsesLeaveUpstreamsTheirPart has the new function.

--- a/source/core/net/byte_budget.cc
+++ b/source/core/net/byte_budget.cc
@@ -118,6 +118,13 @@
   return TotalUsed(budget) > budget.total_limit;
 }
 
+size_t UpstreamShortage(const ByteBudget& budget) {
+  if (budget.total_limit == SIZE_MAX) return 0;
+  const BytePart& part = PartOf(budget, ByteUse::kUpstreamResponses);
+  return Excess(TotalUsed(budget) - part.used + std::max(part.used, part.limit),
+                budget.total_limit);
+}
+
 bool MayHold(const ByteBudget& budget, ByteUse use, size_t held,
              size_t wanted) {
   return Shortage(budget, use, held, wanted) == 0;
--- a/source/core/net/byte_budget.h
+++ b/source/core/net/byte_budget.h
@@ -60,6 +60,10 @@
 // Whether all holders together exceed the total.
 bool ExceedsTotal(const ByteBudget& budget);
 
+// How many bytes have to be given back so that responses of upstreams can use
+// their part without exceeding the total.
+size_t UpstreamShortage(const ByteBudget& budget);
+
 // Whether a holder of `held` bytes may hold `wanted`, which is more.
 bool MayHold(const ByteBudget& budget, ByteUse use, size_t held, size_t wanted);
 // How many bytes others have to give back before it may; 0 if it may now,
--- a/source/core/net/exchange_server.cc
+++ b/source/core/net/exchange_server.cc
@@ -263,6 +263,7 @@
 
 void ExchangeServer::CloseTimedOut() {
   JudgeTransfers();
+  EvictStalledReaders();
   const MonotonicTime now = loop_.timers().now();
   std::vector<uint64_t> timed_out;
   for (const auto& [id, connection] : connections_) {
--- a/source/core/net/exchange_server.h
+++ b/source/core/net/exchange_server.h
@@ -115,6 +115,9 @@
   std::vector<EvictionCandidate> Candidates(ByteUse use) const;
   void Evict(uint64_t connection, ByteUse use);
   void JudgeTransfers();
+  // Evicts stalled readers if their responses take the room of those that are
+  // still to come from upstreams.
+  void EvictStalledReaders();
   // Closes a connection that is of no use to its caller, so that another can be
   // accepted. Returns false if there is none.
   bool FreeSlot();
--- a/source/core/net/exchange_server_pressure.cc
+++ b/source/core/net/exchange_server_pressure.cc
@@ -173,6 +173,20 @@
   }
 }
 
+void ExchangeServer::EvictStalledReaders() {
+  if (budget_ == nullptr) return;
+  const size_t shortage = UpstreamShortage(*budget_);
+  if (shortage == 0) return;
+  const auto candidates = Candidates(ByteUse::kUnreadResponses);
+  size_t stalled = 0;
+  for (const EvictionCandidate& one : candidates)
+    stalled += one.stalled ? one.bytes : 0;
+  for (const uint64_t id :
+       ChooseEvictions(candidates, std::min(shortage, stalled),
+                       EvictionScope::kStalledOnly))
+    Evict(id, ByteUse::kUnreadResponses);
+}
+
 bool ExchangeServer::FreeSlot() {
   const MonotonicTime now = loop_.timers().now();
   const Connection* chosen = nullptr;
--- a/source/unit_tests/net/byte_budget_test.cc
+++ b/source/unit_tests/net/byte_budget_test.cc
@@ -49,6 +49,26 @@
   CHECK(MayHold(*budget, kBodies, 0, kMb));
 }
 
+// Guards against responses that fail while callers that do not read keep the
+// room for them.
+TEST(ByteBudget, UnreadResponsesLeaveUpstreamsTheirPart) {
+  LONGS_EQUAL(0, UpstreamShortage(*Budget(0)));
+  const auto budget = Budget(64);
+  ByteHold body(budget, kBodies);
+  ByteHold unread(budget, kUnread);
+  ByteHold response(budget, ByteUse::kUpstreamResponses);
+  const size_t part = PartOf(*budget, ByteUse::kUpstreamResponses).limit;
+  body.Set(budget->total_limit - part - 2 * kMb);
+  unread.Set(2 * kMb);
+  LONGS_EQUAL(0, UpstreamShortage(*budget));
+  unread.Set(5 * kMb);
+  LONGS_EQUAL(3 * kMb, UpstreamShortage(*budget));
+  response.Set(kMb);
+  LONGS_EQUAL(3 * kMb, UpstreamShortage(*budget));
+  response.Set(part + kMb);
+  LONGS_EQUAL(4 * kMb, UpstreamShortage(*budget));
+}
+
 TEST(ByteBudget, SmallRequestsFitWhenLargeOnesUseAllThatTheyMay) {
   const auto budget = Budget(64);
   std::vector<std::unique_ptr<ByteHold>> holds;
