--- a/source/unit_tests/ranges/hold_tracker_test.cc
+++ b/source/unit_tests/ranges/hold_tracker_test.cc
@@ -82,7 +82,7 @@
   CHECK(holds.FreeAt(upstream) == kNever);
 }
 
-TEST(HoldTracker, AfterAReleaseOnlyGrantsWithoutAResponseCount) {
+TEST(HoldTracker, AfterAReleaseOnlyGrantsWithoutAReplyCount) {
   holds.OnAnswered(upstream, Send(seconds(4)), start);
   CHECK(holds.FreeAfterRelease(upstream) == kNever);
   holds.OnClosed(upstream, Send(seconds(4)), start);
