--- a/source/core/entry/range_manager_moves.cc
+++ b/source/core/entry/range_manager_moves.cc
@@ -87,9 +87,10 @@
     }
     if (move->released) continue;
     ++unreleased;
-    // After a release that did not count the next one waits until it does.
-    const bool useless = move->release_answered && MayTakeKeys(*move);
-    if (!move->release_pending && !useless && now >= move->next_release_at)
+    // The first release stops the old owner's work. A later one waits until its
+    // answer counts.
+    const bool waits = move->release_answered && MayTakeKeys(*move);
+    if (!move->release_pending && !waits && now >= move->next_release_at)
       SendRelease(service, move);
   }
   AnnounceMoves(service);
--- a/source/unit_tests/net/exchange_fixture.h
+++ b/source/unit_tests/net/exchange_fixture.h
@@ -27,6 +27,18 @@
 inline constexpr HttpMessageLimits kExchangeLimits = {16 * 1024,
                                                       4 * 1024 * 1024};
 
+// Appends what has arrived to `received`. Returns what recv(2) returned last: 0
+// at the end of the connection, else -1.
+inline ssize_t AppendAvailable(int fd, std::string& received) {
+  std::array<char, 4096> bytes{};
+  ssize_t count = 1;
+  while (count > 0) {
+    count = recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) received.append(bytes.data(), static_cast<size_t>(count));
+  }
+  return count;
+}
+
 class ExchangeTest : public Utest {
  public:
   EventLoop loop{{128, 16, 4096}};
@@ -88,13 +100,7 @@
     void ReadAvailable() {
       if (fd < 0) fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
       if (fd < 0) return;
-      std::array<char, 4096> bytes{};
-      ssize_t count = 1;
-      while (count > 0) {
-        count = recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
-        if (count > 0)
-          received.append(bytes.data(), static_cast<size_t>(count));
-      }
+      const ssize_t count = AppendAvailable(fd, received);
       ended = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
     // Returns false if the connection has failed.
@@ -158,13 +164,7 @@
     explicit RawCaller(int connected) : fd(connected) {}
     ~RawCaller() { close(fd); }
     void ReadAvailable() {
-      std::array<char, 4096> bytes{};
-      ssize_t count = 1;
-      while (count > 0) {
-        count = recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
-        if (count > 0)
-          received.append(bytes.data(), static_cast<size_t>(count));
-      }
+      const ssize_t count = AppendAvailable(fd, received);
       ended = ended || count == 0;
     }
     // As ReadAvailable, after at most `limit` for bytes to arrive. Returns
