Ranges: a silent owner is asked before its keys would move

Cause, by the hosts' logs: since a grant that did not leave adds nothing to a hold, and a silent owner was asked 1 s after the last failure in its place. With 0.4 s to connect and ticks of 0.2 s that is every 1.4 to 1.6 s; before, 1.2 s. Owners were asked 1.2 s after their paths were back, and two of four had been silent for 1.5 s by then, so that their keys moved.

The second counts from the sending. The decision is a function of its own, ranges/silent_owner, with tests: AnOwnerThatCannotBeReached... failed with the interval counted from the failure (trial), and passes.

--- a/source/core/entry/range_manager.cc
+++ b/source/core/entry/range_manager.cc
@@ -11,6 +11,7 @@
 #include "entry/path_monitor.h"
 #include "entry/range_manager_state.h"
 #include "net/event_loop.h"
+#include "ranges/silent_owner.h"
 #include "ranges/table_restore.h"
 #include "store/object_store.h"
 
@@ -36,7 +37,8 @@
 // expired; longer than kTickInterval, after which a grant with a usual hold
 // follows a response.
 constexpr Duration kProbeHold = std::chrono::milliseconds(250);
-// Between two grants to a silent owner all of whose holds have expired.
+// Between two of these grants. With the time to connect, shorter than
+// kOwnerTimeout of zone_coordinator.cc.
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -277,20 +279,11 @@
   if (state == service.owners.end()) return CurrentHold();
   if (state->second.replaced) return Duration::zero();
   if (state->second.silent_since == kNever) return CurrentHold();
-  // An unresponsive owner still receives grants, but none that extends what it
-  // may already hold, so that its keys can move when that expires. Keys that
-  // are still not moving then have nowhere to go, and their owner is asked
-  // until it responds.
-  const MonotonicTime now = loop_.timers().now();
-  const MonotonicTime held_until = holds_.KnownUntil(range_owner);
-  if (now >= held_until) {
-    const bool due = holds_.FreeAt(range_owner) != kForever &&
-                     now - state->second.last_silent_at >= kProbeInterval;
-    return due ? kProbeHold : Duration::zero();
-  }
   // The second margin covers the owner's clock.
-  return std::min(options_.hold,
-                  held_until - now - kGrantTimeout - options_.margin * 2);
+  return HoldForSilentOwner(holds_, range_owner, state->second.asked_at,
+                            loop_.timers().now(),
+                            {options_.hold, kGrantTimeout + options_.margin * 2,
+                             kProbeHold, kProbeInterval});
 }
 
 void RangeManager::RenewGrants(Service& service) {
@@ -346,6 +339,7 @@
         if (!MaySendGrant(name, range)) return kNever;
         NoteGrantSent(Find(name)->retired, range.owner, range.generation);
         *sent_at = loop_.timers().now();
+        Find(name)->owners[range_owner].asked_at = *sent_at;
         *sent = holds_.OnSent(range_owner, {{range.first, range.last}, hold});
         return lease_.active_until();
       },
--- a/source/core/entry/range_manager_state.h
+++ b/source/core/entry/range_manager_state.h
@@ -23,7 +23,8 @@
   MonotonicTime silent_since = kNever;
   // When it last did not respond.
   MonotonicTime last_silent_at = kNever;
-  bool replaced = false;  // Another process responds at its address.
+  MonotonicTime asked_at = kNever;  // By the last grant that was sent.
+  bool replaced = false;            // Another process responds at its address.
 };
 
 struct RangeManager::Grant {
