--- /dev/null
+++ b/source/integration_tests/entry_silent_watch_test.cc
@@ -0,0 +1,212 @@
+// Tests of entry hosts whose calls to the store get no response, on connections
+// that stay open, while everything else is calm: changes must be in force in
+// time all the same.
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "common/ids.h"
+#include "entry_fixture.h"
+
+namespace mimosadeal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// As in the fixture's settings.
+constexpr Duration kDrainBound = seconds(2);
+constexpr Duration kWork = milliseconds(5);
+// Longer than any watch waits.
+constexpr Duration kWatchLimit = seconds(4);
+constexpr Duration kObserved = seconds(5);
+// A host uses an upstream at least this often while requests are sent.
+constexpr Duration kUsedWithin = milliseconds(500);
+
+class EntrySilentWatchTest : public EntryTest {
+ public:
+  // Starts three hosts in one zone, so that one host reads the store and two
+  // are fed.
+  void StartZone() {
+    fixture.AddDefaultUpstreams();
+    for (const auto& [name, upstream] : fixture.upstreams)
+      upstream->SetWork(kWork);
+    for (const char* name : {"host-1", "host-2", "host-3"})
+      fixture.AddHost(name, "north");
+    CHECK(fixture.RunUntil([this] { return fixture.EveryKeyIsHeld(); },
+                           seconds(15)));
+    for (const auto& [name, host] : fixture.hosts)
+      CHECK(
+          fixture.RunUntil([&] { return fixture.Ready(*host); }, seconds(15)));
+    fixture.RunFor(seconds(3));
+  }
+
+  // Sends requests of a service without keys to every host for `time`.
+  void SendRequests(Duration time) {
+    const MonotonicTime end = fixture.loop.timers().now() + time;
+    while (fixture.loop.timers().now() < end) {
+      for (const auto& [name, host] : fixture.hosts)
+        fixture.Start(*host, "GET", "/price/" + name, -1);
+      fixture.RunFor(milliseconds(15));
+    }
+  }
+
+  // Waits until the holder of the lease has a watch of the kind waiting that
+  // will get no response.
+  void LoseNextWatch(const std::string& kind) {
+    const uint64_t before = fixture.store->lost_responses();
+    fixture.store->faults().watch_to_lose = kind;
+    const MonotonicTime limit = fixture.loop.timers().now() + kWatchLimit;
+    while (fixture.store->lost_responses() == before &&
+           fixture.loop.timers().now() < limit)
+      SendRequests(milliseconds(30));
+    CHECK(fixture.store->lost_responses() > before);
+  }
+
+  // Returns how long after `since` the last request by way of the host began to
+  // run at one of the upstreams; unset if none did.
+  std::optional<Duration> LastRun(const std::string& host,
+                                  const std::set<std::string>& upstreams,
+                                  MonotonicTime since) {
+    std::optional<Duration> last;
+    for (const UpstreamRun& run : fixture.record.runs) {
+      if (run.began_at == kNever || run.target != "/price/" + host ||
+          !upstreams.contains(run.upstream)) {
+        continue;
+      }
+      last =
+          std::max(last.value_or(run.began_at - since), run.began_at - since);
+    }
+    return last;
+  }
+
+  // Checks that all hosts used one of the upstreams until the change, and none
+  // after the bound.
+  void CheckBound(const std::set<std::string>& upstreams, MonotonicTime since,
+                  Duration bound) {
+    std::string late;
+    for (const auto& [name, host] : fixture.hosts) {
+      const std::optional<Duration> last = LastRun(name, upstreams, since);
+      CHECK_TEXT(last.has_value() && *last > -kUsedWithin,
+                 (name + " did not use them").c_str());
+      if (*last <= bound) continue;
+      late += name +
+              (name == fixture.LeaseHolder("north") ? " (holder): " : ": ") +
+              std::to_string(ToMilliseconds(*last)) + " ms; ";
+    }
+    CHECK_TEXT(late.empty(), late.c_str());
+    fixture.CheckRecord();
+  }
+};
+
+TEST_GROUP_BASE(EntrySilentWatch, EntrySilentWatchTest){};
+
+TEST(EntrySilentWatch, ADrainingUpstreamGetsNothingAfterTheBound) {
+  StartZone();
+  SendRequests(milliseconds(300));
+  LoseNextWatch("servers");
+  fixture.upstreams.at("desk-1")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  SendRequests(kObserved);
+  CheckBound({"desk-1"}, left, kDrainBound);
+}
+
+TEST(EntrySilentWatch, ARemovedUpstreamGetsNothingAfterTheBound) {
+  StartZone();
+  SendRequests(milliseconds(300));
+  LoseNextWatch("servers");
+  fixture.store->Remove("servers", "desk-1");
+  const MonotonicTime left = fixture.loop.timers().now();
+  SendRequests(kObserved);
+  CheckBound({"desk-1"}, left, kDrainBound);
+}
+
+TEST(EntrySilentWatch, ADrainingUpstreamGetsNothingAfterTheBoundIfAllIsLost) {
+  StartZone();
+  SendRequests(milliseconds(300));
+  const uint64_t before = fixture.store->lost_responses();
+  fixture.store->LoseWaitingWatches();
+  CHECK(fixture.store->lost_responses() >= before + 3);
+  fixture.upstreams.at("desk-1")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  SendRequests(kObserved);
+  CheckBound({"desk-1"}, left, kDrainBound);
+}
+
+// The route's former service must get none of its requests after the bound.
+TEST(EntrySilentWatch, AConfigurationIsInForceAfterTheBound) {
+  StartZone();
+  SendRequests(milliseconds(300));
+  LoseNextWatch("config");
+  nlohmann::json moved = fixture.Configuration(2);
+  nlohmann::json spare = moved["services"][1];
+  spare["name"] = "spare";
+  moved["services"].push_back(spare);
+  moved["virtualHosts"][0]["paths"][3]["service"] = "spare";
+  fixture.store->Put("config", "main", moved);
+  const MonotonicTime acknowledged = fixture.loop.timers().now();
+  SendRequests(kObserved);
+  CheckBound({"desk-1", "desk-2"}, acknowledged, kChangeDeadline);
+}
+
+// Each round loses another call's response, also of lists and of writes of the
+// lease and the tables, and lets an upstream leave at another moment.
+TEST(EntrySilentWatch, AnyOneResponseMayBeLost) {
+  constexpr uint64_t seed = 20261208;
+  constexpr int rounds = 8;
+  constexpr uint64_t calls_within_a_second = 6;
+  Random random(seed);
+  StartZone();
+  DeploymentUpstream& upstream = *fixture.upstreams.at("desk-1");
+  for (int round = 0; round < rounds; ++round) {
+    SendRequests(milliseconds(1000));
+    const uint64_t before = fixture.store->lost_responses();
+    fixture.store->faults().call_to_lose =
+        1 + static_cast<int>(random.Below(calls_within_a_second));
+    while (fixture.store->lost_responses() == before)
+      SendRequests(milliseconds(15));
+    SendRequests(milliseconds(random.Below(1000)));
+    upstream.Report("draining");
+    const MonotonicTime left = fixture.loop.timers().now();
+    SendRequests(milliseconds(3500));
+    CheckBound({"desk-1"}, left, kDrainBound);
+    upstream.Report("ready");
+  }
+}
+
+// The time up to which a lost watch is noticed follows from the bound.
+TEST(EntrySilentWatch, ADrainingUpstreamGetsNothingAfterALongerBound) {
+  fixture.extra_bounds = ",drain=3000ms";
+  StartZone();
+  SendRequests(milliseconds(300));
+  LoseNextWatch("servers");
+  fixture.upstreams.at("desk-1")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  SendRequests(kObserved);
+  CheckBound({"desk-1"}, left, seconds(3));
+}
+
+// An outage of the store for all, with every answer lost, ends no service.
+TEST(EntrySilentWatch, UpstreamsAreUsedWhileTheStoreRespondsToNobody) {
+  StartZone();
+  fixture.store->faults().silent = true;
+  fixture.store->LoseWaitingWatches();
+  SendRequests(seconds(6));
+  const size_t before = fixture.record.runs.size();
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  for (int i = 0; i < 50; ++i) {
+    for (const auto& [name, host] : fixture.hosts)
+      responses.push_back(fixture.Start(*host, "GET", "/price/a", -1));
+    fixture.RunFor(milliseconds(20));
+  }
+  fixture.RunFor(seconds(1));
+  CHECK(fixture.record.runs.size() > before);
+  for (const auto& response : responses) LONGS_EQUAL(200, response->status);
+}
+
+}  // namespace
+}  // namespace mimosadeal
--- a/source/standins/deployment_store.cc
+++ b/source/standins/deployment_store.cc
@@ -112,6 +112,7 @@
     self->OnRequest(id, request);
   };
   handlers.on_abandoned = [self](ExchangeId id) {
+    self->unanswered_.erase(id);
     self->watches_.remove_if(
         [id](const Watch& watch) { return watch.exchange == id; });
   };
@@ -134,6 +135,7 @@
 
 void DeploymentStore::Respond(ExchangeId id, int status,
                               const nlohmann::json& body) {
+  if (unanswered_.contains(id)) return;
   HttpResponse response;
   response.status = status;
   response.headers = {{"Store-Era", std::to_string(era_)}};
@@ -144,6 +146,15 @@
   server_->Respond(id, response);
 }
 
+void DeploymentStore::LoseResponse(ExchangeId id) {
+  unanswered_.insert(id);
+  ++lost_responses_;
+}
+
+void DeploymentStore::LoseWaitingWatches() {
+  for (const Watch& watch : watches_) LoseResponse(watch.exchange);
+}
+
 void DeploymentStore::TakeCopy() {
   copy_ = objects_;
   copy_revision_ = revision_;
@@ -173,6 +184,7 @@
 void DeploymentStore::OnRequest(ExchangeId id, const HttpRequest& request) {
   ++calls_;
   if (faults_.silent) return;
+  if (faults_.call_to_lose > 0 && --faults_.call_to_lose == 0) LoseResponse(id);
   if (faults_.delay == Duration::zero()) {
     Handle(id, request);
     return;
@@ -225,6 +237,10 @@
     OnList(id, kind, after == query.end() ? "" : after->second);
     return;
   }
+  if (kind == faults_.watch_to_lose) {
+    faults_.watch_to_lose.clear();
+    LoseResponse(id);
+  }
   Watch watch{id, kind, std::stoull(query.at("watch")),
               loop_.timers().now() +
                   std::chrono::milliseconds(std::stoll(query.at("waitMs")))};
--- a/source/standins/deployment_store.h
+++ b/source/standins/deployment_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -42,6 +43,12 @@
   bool raw_names = false;
   // Lists and watches of this kind get a response without their members.
   std::string malformed_kind;
+  // The next watch of this kind gets no response, and its connection stays
+  // open. Empty for none; cleared when the watch arrives.
+  std::string watch_to_lose;
+  // The response to this one of the next calls, counted from 1, is lost in the
+  // same way after the call has taken effect. 0 for none; counted down.
+  int call_to_lose = 0;
 };
 
 class DeploymentStore {
@@ -65,6 +72,9 @@
   void Compact() { oldest_revision_ = revision_; }
   // Closes the connections of all waiting watches without a response.
   void CancelWatches();
+  // The watches that are waiting get no response, and their connections stay
+  // open.
+  void LoseWaitingWatches();
   // Takes a copy of all objects and of the revision.
   void TakeCopy();
   // Replaces the objects and the revision by those of the copy, and increments
@@ -80,6 +90,8 @@
   // Calls for one object whose name a server or proxy may read as another place
   // of the path: empty, "." or "..", or with a "/".
   uint64_t misplaced_calls() const { return misplaced_calls_; }
+  // Number of calls whose responses were lost on a connection that stays open.
+  uint64_t lost_responses() const { return lost_responses_; }
 
  private:
   struct Event {
@@ -117,6 +129,7 @@
   // Returns whether it responded: if the watch has events, or if it timed out.
   bool RespondToWatch(const Watch& watch, bool timed_out);
   void Respond(ExchangeId id, int status, const nlohmann::json& body);
+  void LoseResponse(ExchangeId id);
   void ExpireWatches();
 
   EventLoop& loop_;
@@ -136,6 +149,9 @@
   Objects lost_;  // The objects before the last restore.
   std::list<Event> history_;
   std::list<Watch> watches_;
+  // Calls whose responses are lost.
+  std::set<ExchangeId> unanswered_;
+  uint64_t lost_responses_ = 0;
   // Expires with this object, so that timers that fire later do not use it.
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
