Zones: holders tell each other of changes that they have read

A lost watch showed only by its own silence. A holder that reads a change of the configuration, the registry or the evacuations now sends its revision to the other zones' holders by datagram. One whose own watch does not bring it within 0.3 s repeats the watch. No call to the store unless a change is missing.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -47,6 +47,10 @@
 constexpr Duration kForgetMissingAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
+// For a change to arrive that another host has read. Longer than the delays
+// before a watch, but for that of the tables.
+constexpr Duration kExpectedChangeTime = std::chrono::milliseconds(300);
+
 // Registrations have about 300 bytes.
 constexpr size_t kMaxRegistrationBytes = 16 * 1024;
 
@@ -157,10 +161,6 @@
     log_.LogRequest("view.malformed", {{"watch", NameOf(kViewKindNames, kind)},
                                        {"reason", reason}});
   };
-  // While the store is unreachable, only the registry's watch retries.
-  if (kind != ViewKind::kRegistry)
-    handlers.may_retry = [this] { return store_reachable(); };
-  watchers_.push_back(std::make_unique<KindWatcher>(
   handlers.on_watch_lost = [this, kind](Duration waited,
                                         const std::string& reason) {
     OnWatchLost(kind, waited, reason);
@@ -173,10 +173,18 @@
                          {"took_ms", took},
                          {"revision", watcher(kind).revision()}});
   };
+  // While the store is unreachable, only the registry's watch retries.
+  if (kind != ViewKind::kRegistry)
+    handlers.may_retry = [this] { return store_reachable(); };
+  watchers_.push_back(std::make_unique<KindWatcher>(
       loop_, store_, stored_kind, timing, std::move(handlers)));
 }
 
-DeploymentView::~DeploymentView() { loop_.timers().Cancel(timer_); }
+DeploymentView::~DeploymentView() {
+  loop_.timers().Cancel(timer_);
+  for (const auto& [kind, timer] : expected_changes_)
+    loop_.timers().Cancel(timer);
+}
 
 void DeploymentView::Start() {
   timer_ = loop_.timers().Every(kAdvanceInterval, [this] { Advance(); });
@@ -311,6 +319,19 @@
 }
 
 void DeploymentView::OnConfiguration(const StoredObject& object) {
+void DeploymentView::ExpectChange(ViewKind kind, uint64_t revision) {
+  const auto is_missing = [this, kind, revision] {
+    return !watcher(kind).paused() && watcher(kind).last_change() < revision;
+  };
+  if (!is_missing() || expected_changes_.contains(kind)) return;
+  expected_changes_[kind] =
+      loop_.timers().After(kExpectedChangeTime, [this, kind, is_missing] {
+        expected_changes_.erase(kind);
+        if (is_missing())
+          watcher(kind).RepeatWatch("another host read a later change");
+      });
+}
+
   if (object.deleted || object.name != protocol_.configuration_name) return;
   Result<RouteTable> read = protocol_.read_configuration(object.content);
   newest_configuration_read_ = read.has_value();
@@ -397,6 +418,8 @@
   if (!directory_.Update(record, now, changed_after)) return;
   LogColdness(*directory_.Find(record.id), cold_before);
   if (!known) last_upstream_added_at_ = now;
+  if (changed_after != kNever)
+    NotePropagation(PropagationPart::kHeard, now - changed_after);
   if (only_warmup_changed) return;
   log_.LogStateChange("upstream.registered",
                       {{"upstream", record.id},
@@ -418,8 +441,6 @@
                       {{"upstream", id}, {"incarnation", incarnation}});
   Notify();
   return true;
-  if (changed_after != kNever)
-    NotePropagation(PropagationPart::kHeard, now - changed_after);
 }
 
 void DeploymentView::OnReachable(ViewKind kind, bool reachable,
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -114,6 +114,9 @@
   // store without delay if this host reads it.
   void ReadTablesNow();
   // The store accepted a write with that revision, sent at `sent_at` or later.
+  // Another host read a change with that revision. If this host reads the store
+  // and its watch does not bring the change soon, it asks again.
+  void ExpectChange(ViewKind kind, uint64_t revision);
   void NoteWrite(uint64_t revision, MonotonicTime sent_at);
   // Another host that reads the store reported since when it is reachable;
   // kNever if there was no outage.
@@ -125,14 +128,14 @@
   void Subscribe(std::function<void()> listener);
 
   // Whether this host's copy of the evacuations is complete, if the deployment
-  // has any.
-  bool evacuations_synced() const;
-  // Whether the operator requested that the zone's upstreams get no requests.
   // `observer` receives how long parts of the way of changes took.
   void ObservePropagation(
       std::function<void(PropagationPart, Duration)> observer) {
     on_propagation_ = std::move(observer);
   }
+  // has any.
+  bool evacuations_synced() const;
+  // Whether the operator requested that the zone's upstreams get no requests.
   bool IsEvacuated(const std::string& zone) const;
   // When this host learned that the zone is evacuated; kNever if it is not.
   MonotonicTime EvacuatedAt(const std::string& zone) const;
@@ -254,10 +257,10 @@
   UpstreamDirectory directory_;
   ColdBound cold_bound_;
   uint64_t unreadable_registrations_ = 0;
+  std::function<void(PropagationPart, Duration)> on_propagation_;
   uint64_t unreadable_objects_ = 0;
   bool newest_configuration_read_ = false;
   RevisionClock revision_clock_;
-  std::function<void(PropagationPart, Duration)> on_propagation_;
   std::map<std::string, RangeTable> range_tables_;
   // By service; see the functions of these names.
   std::map<std::string, uint64_t> stored_revisions_;
@@ -270,6 +273,14 @@
   MonotonicTime last_upstream_added_at_ = kNever;
   // Last argument of NoteStoreReachable, and when it was given.
   MonotonicTime reported_reachable_since_ = kNever;
+  // Of the copies of the configuration and the registry.
+  struct ConfirmedCopy {
+    ConfirmationLimits limits;
+    CopyConfirmation confirmation;
+  };
+  std::map<ViewKind, ConfirmedCopy> confirmed_copies_;
+  // Timers of ExpectChange, by kind.
+  std::map<ViewKind, uint64_t> expected_changes_;
   MonotonicTime reported_at_ = kNever;
   uint64_t timer_ = 0;
   bool notify_posted_ = false;
--- a/source/core/entry/zone_coordinator.cc
+++ b/source/core/entry/zone_coordinator.cc
@@ -292,6 +292,9 @@
     case MessageType::kTableStepNotice:
       decode_and_handle(TableStepNotice{}, &ZoneCoordinator::OnTableStepNotice);
       return;
+    case MessageType::kChangeNotice:
+      decode_and_handle(ChangeNotice{}, &ZoneCoordinator::OnChangeNotice);
+      return;
     case MessageType::kLeaseNotice:
       decode_and_handle(LeaseNotice{}, &ZoneCoordinator::OnLeaseNotice);
       return;
--- a/source/core/entry/zone_coordinator.h
+++ b/source/core/entry/zone_coordinator.h
@@ -200,6 +200,10 @@
   // in the view.
   void AnnounceTable(const RangeTable& written);
   void Forward(TableStepNotice notice);
+  // Tells the other zones' holders of changes that this host read, except those
+  // of tables, whose steps are sent instead.
+  void AnnounceChange(ViewKind kind, const KindUpdate& update);
+  void OnChangeNotice(const ChangeNotice& notice);
   // Notifies the zone's other hosts and the other zones' holders that this host
   // holds the lease.
   void AnnounceLease();
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -65,6 +65,7 @@
 
 void ZoneCoordinator::OnStoreUpdate(ViewKind kind, const KindUpdate& update) {
   const KindUpdate sent = EncodeSteps(kind, update);
+  AnnounceChange(kind, update);
   if (!CanFeed()) return;
   std::vector<std::string> addresses;
   for (auto& [address, follower] : followers_) {
@@ -77,6 +78,24 @@
     transport_->SendToAll(addresses, MakeUpdate(kind, sent));
 }
 
+void ZoneCoordinator::AnnounceChange(ViewKind kind, const KindUpdate& update) {
+  if (!home().lease->active() || update.full || update.objects.empty() ||
+      kind == ViewKind::kRangeTables) {
+    return;
+  }
+  ChangeNotice notice;
+  notice.kind = static_cast<uint8_t>(kind);
+  for (const StoredObject& object : update.objects)
+    notice.revision = std::max(notice.revision, object.revision);
+  for (const std::string& address : OtherHolders())
+    transport_->SendDatagram(address, notice);
+}
+
+void ZoneCoordinator::OnChangeNotice(const ChangeNotice& notice) {
+  if (notice.kind >= view_.kinds()) return;
+  view_.ExpectChange(static_cast<ViewKind>(notice.kind), notice.revision);
+}
+
 void ZoneCoordinator::AnnounceTable(const RangeTable& written) {
   const RangeTable* before = view_.table(written.service);
   // After a restore of the store, other hosts may not have the same base.
--- a/source/core/inner/message_type.h
+++ b/source/core/inner/message_type.h
@@ -49,9 +49,10 @@
   kOwnerContention = 45,
   kOwnerPlaceRequest = 46,
   kOwnerPlaceNotice = 47,
+  kChangeNotice = 48,
 };
 
-inline constexpr EnumNames<MessageType, 39> kMessageTypeNames = {{
+inline constexpr EnumNames<MessageType, 40> kMessageTypeNames = {{
     {MessageType::kHello, "hello"},
     {MessageType::kLeaseRequest, "lease-request"},
     {MessageType::kLeaseReply, "lease-reply"},
@@ -91,6 +92,7 @@
     {MessageType::kOwnerContention, "owner-contention"},
     {MessageType::kOwnerPlaceRequest, "owner-place-request"},
     {MessageType::kOwnerPlaceNotice, "owner-place-notice"},
+    {MessageType::kChangeNotice, "change-notice"},
 }};
 
 }  // namespace mimosadeal
--- a/source/core/inner/messages.cc
+++ b/source/core/inner/messages.cc
@@ -59,6 +59,8 @@
       return Check<LeavingReport>(body);
     case MessageType::kLeaseNotice:
       return Check<LeaseNotice>(body);
+    case MessageType::kChangeNotice:
+      return Check<ChangeNotice>(body);
     case MessageType::kTableStepNotice:
       return Check<TableStepNotice>(body);
     case MessageType::kLimitReport:
--- a/source/core/inner/zone_messages.h
+++ b/source/core/inner/zone_messages.h
@@ -179,6 +179,20 @@
   }
 };
 
+// Tells the holder of another zone's lease that the store has a change, which
+// its own watch must bring too.
+struct ChangeNotice {
+  static constexpr MessageType kType = MessageType::kChangeNotice;
+
+  uint8_t kind = 0;       // ViewKind.
+  uint64_t revision = 0;  // Of the object that changed.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, revision);
+  }
+};
+
 // An upstream that announced in a response that it is leaving.
 struct LeavingReport {
   static constexpr MessageType kType = MessageType::kLeavingReport;
--- a/source/core/server/node.cc
+++ b/source/core/server/node.cc
@@ -332,6 +332,7 @@
     case MessageType::kViewUpdate:
     case MessageType::kLeavingReport:
     case MessageType::kLeaseNotice:
+    case MessageType::kChangeNotice:
     case MessageType::kTableStepNotice:
     case MessageType::kLimitReport:
     case MessageType::kPermitRequest:
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -278,6 +278,7 @@
 }
 
 void KindWatcher::Apply(const StoredObject& object, const ChangeBound& bound) {
+  last_change_ = std::max(last_change_, object.revision);
   const auto found = objects_.find(object.name);
   if (object.deleted) {
     if (found == objects_.end()) return;
@@ -308,8 +309,8 @@
 }
 
 void KindWatcher::OnFailure(const Error& error) {
-  if (error.code == ErrorCode::kMalformed) {
   repeating_ = false;
+  if (error.code == ErrorCode::kMalformed) {
     NoteReachable();
     if (handlers_.on_malformed) handlers_.on_malformed(DescribeError(error));
   } else if (reachable_) {
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -127,12 +127,14 @@
   // Revision up to which this copy contains all changes; 0 until it is
   // complete.
   uint64_t content_revision() const { return content_revision_; }
+  // The highest revision of an object that changed in this copy.
+  uint64_t last_change() const { return last_change_; }
   bool reachable() const { return reachable_; }
-  // When the store's last response since Start arrived; kNever before the
-  // first.
   // Whether the store's last response is as recent as responses are while all
   // is well, or a lost watch has just been noticed.
   bool HasRecentResponse() const;
+  // When the store's last response since Start arrived; kNever before the
+  // first.
   MonotonicTime answered_at() const { return answered_at_; }
   // The last time at which this copy is known to have matched the store, by the
   // store's responses and NoteCurrent; kNever if unknown. A response with a
@@ -163,10 +165,10 @@
   void Apply(const StoredObject& object, const ChangeBound& bound);
   void NoteLeftOut(size_t count);
   void OnFailure(const Error& error);
-  void Retry();
-  void OnSuccess();
   // Notes that the watch that was waiting is lost. Its response is ignored.
   void LoseWatch(const std::string& reason);
+  void Retry();
+  void OnSuccess();
   void NoteReachable();
   void Schedule(Duration delay, std::function<void()> next);
 
@@ -178,6 +180,7 @@
   std::map<std::string, StoredObject> objects_;
   uint64_t revision_ = 0;  // From which the next watch starts; 0 before a list.
   uint64_t content_revision_ = 0;  // Invariant: not above revision_.
+  uint64_t last_change_ = 0;
   bool paused_ = true;
   MonotonicTime answered_at_ = kNever;
   MonotonicTime current_at_ = kNever;    // Invariant: never decreases.
--- a/source/unit_tests/inner/messages_test.cc
+++ b/source/unit_tests/inner/messages_test.cc
@@ -108,6 +108,7 @@
       MakeSample(MoveNotice{"yard", {{100, 199, "u1", 7}}, 1000, 2}),
       MakeSample(LeaseNotice{"north", 9, "h", "p", "a", 3}),
       MakeSample(TableStepNotice{"yard", 9, "{}", 1}),
+      MakeSample(ChangeNotice{1, 9}),
       MakeSample(Hello{"h"}),
       MakeSample(lease),
       MakeSample(LeaseReply{}),
