Requests: a call whose connection opens is decided again at news

A request's upstream was chosen, and the time up to which it may be sent set, when its connection began to open; for an upstream that served that was for ever. Such calls are now cancelled, with nothing written, and their requests decided again. By reading; no test of a real host shows it.

--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -313,6 +313,7 @@
     if (MayTryAgain(*pending)) waiting.push_back(exchange);
   }
   for (const ExchangeId exchange : waiting) {
+  DecideUnsentAgain();
     const auto found = pending_.find(exchange);
     if (found == pending_.end() || !MayTryAgain(*found->second)) continue;
     found->second->permit_asked_for.clear();
--- a/source/core/entry/request_forwarder.h
+++ b/source/core/entry/request_forwarder.h
@@ -283,6 +283,12 @@
   // have received the request.
   bool CancelCall(PendingRequest& pending);
   void Send(PendingRequest& pending, const ListedUpstream& upstream);
+  // Whether the request's only call still opens its connection.
+  bool IsUnsent(const PendingRequest& pending) const;
+  // Cancels the calls whose connections are still being opened and whose
+  // upstreams may be used for a shorter time than when they were selected, and
+  // tries to send their requests again.
+  void DecideUnsentAgain();
   // Takes back what Send counted, because nothing of the request was written.
   static void NoteUnsent(PendingRequest& pending);
   // Logs a request that was sent to a leaving upstream. `upstream`: its entry
@@ -290,17 +296,17 @@
   void LogSentToLeaving(const PendingRequest& pending,
                         const ListedUpstream& upstream, MonotonicTime chosen_at,
                         const ExchangeResult& result);
+  // Records how old the copy of the registry is by which the upstream was
+  // selected. At times logs a request for which it is older than while all is
+  // well.
+  void NoteCopyAge(const PendingRequest& pending,
+                   const ListedUpstream& upstream);
   // Logs a request that is being sent to an upstream whose registration lapsed.
   void NoteSentToLapsed(const PendingRequest& pending,
                         const RegistrationLapse& lapse);
   // Logs a request that is being sent to an upstream with a limit, or to a cold
   // one.
   void NoteSentToLimited(const PendingRequest& pending,
-  // Records how old the copy of the registry is by which the upstream was
-  // selected. At times logs a request for which it is older than while all is
-  // well.
-  void NoteCopyAge(const PendingRequest& pending,
-                   const ListedUpstream& upstream);
                          const ListedUpstream& upstream);
   // Records what a response says about the limit of its upstream.
   void NoteStatedLimit(const PendingRequest& pending,
@@ -418,11 +424,11 @@
   std::map<std::string, RoomQueue> room_queues_;  // By service.
   std::set<std::string> room_posted_;  // Services that ServeRoom runs for soon.
   uint64_t room_timer_ = 0;
+  MonotonicTime old_copy_logged_at_ = kNever;  // See NoteCopyAge.
   // See BeginStop; kForever while no stop is planned.
   MonotonicTime refuse_from_ = kForever;
   MonotonicTime respond_by_ = kForever;
   std::map<ExchangeId, std::unique_ptr<PendingRequest>> pending_;
 };
 
-  MonotonicTime old_copy_logged_at_ = kNever;  // See NoteCopyAge.
 }  // namespace mimosadeal
--- a/source/core/entry/request_forwarder_calls.cc
+++ b/source/core/entry/request_forwarder_calls.cc
@@ -5,14 +5,15 @@
 #include <optional>
 #include <utility>
 
+#include "balance/owner_places.h"
 #include "common/event_log.h"
 #include "entry/deployment_view.h"
 #include "entry/entry_metrics.h"
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_forwarder_state.h"
-#include "net/event_loop.h"
 #include "fleet/propagation.h"
+#include "net/event_loop.h"
 
 namespace mimosadeal {
 namespace {
@@ -20,9 +21,9 @@
 // After a helper did not reach an upstream either. A host notices within this
 // time that its own paths are back.
 constexpr Duration kRelayBackoff = std::chrono::milliseconds(500);
-
 // While the store is away, every request is sent on an old copy.
 constexpr Duration kOldCopyLogInterval = std::chrono::seconds(1);
+
 }  // namespace
 
 void RequestForwarder::Send(PendingRequest& pending,
@@ -49,15 +50,16 @@
   if (pending.permit.has_value())
     request.send_by = std::min(request.send_by, pending.permit->valid_until);
   pending.permit.reset();
+  pending.send_by = request.send_by;
   UsePlace(pending, upstream.record);
   request.require_new_connection = tried_before && !pending.idempotent();
   if (view_.RateLimitOf(upstream).has_value())
     NoteSentToLimited(pending, upstream);
   if (const RegistrationLapse* lapse = view_.directory().FindLapse(id))
     NoteSentToLapsed(pending, *lapse);
+  NoteCopyAge(pending, upstream);
   const ExchangeId exchange = pending.exchange;
   std::optional<ListedUpstream> leaving;
-  NoteCopyAge(pending, upstream);
   if (upstream.leaving_since != kNever) leaving = upstream;
   const bool evacuated = view_.IsEvacuated(upstream.record.zone);
   const bool relayed = UsesRelay(upstream);
@@ -140,8 +142,6 @@
                    {"sends", pending.sends}});
 }
 
-void RequestForwarder::NoteSentToLapsed(const PendingRequest& pending,
-                                        const RegistrationLapse& lapse) {
 void RequestForwarder::NoteCopyAge(const PendingRequest& pending,
                                    const ListedUpstream& upstream) {
   const MonotonicTime now = loop_.timers().now();
@@ -163,6 +163,8 @@
         view_.Revisions().at(static_cast<size_t>(ViewKind::kRegistry))}});
 }
 
+void RequestForwarder::NoteSentToLapsed(const PendingRequest& pending,
+                                        const RegistrationLapse& lapse) {
   const MonotonicTime now = loop_.timers().now();
   metrics_.ObserveSentToLapsed(now - lapse.since);
   log_.LogRequest(
@@ -198,12 +200,40 @@
   if (pending.newly_tried) std::erase(pending.tried, pending.called);
 }
 
+bool RequestForwarder::IsUnsent(const PendingRequest& pending) const {
+  return pending.call != 0 && pending.hedge.call == 0 &&
+         pool_.IsConnecting(pending.call);
+}
+
+void RequestForwarder::DecideUnsentAgain() {
+  std::vector<ExchangeId> outdated;
+  for (const auto& [exchange, pending] : pending_) {
+    if (!IsUnsent(*pending)) continue;
+    const ListedUpstream* listed = view_.directory().Find(pending->called);
+    const MonotonicTime until =
+        listed == nullptr ? kNever : UsableUntil(*listed);
+    if (until < pending->send_by) outdated.push_back(exchange);
+  }
+  for (const ExchangeId exchange : outdated) {
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end() || !IsUnsent(*found->second)) continue;
+    PendingRequest& pending = *found->second;
+    log_.LogRequest(
+        "request.decided-again",
+        {{"id", pending.request.id},
+         {"upstream", pending.called},
+         {"chosen_ms_before", loop_.timers().now() - pending.sent_at}});
+    CancelCall(pending);
+    NoteUnsent(pending);
+    ReturnPlace(pending, PlaceOutcome::kNotSent, std::nullopt);
+    TrySend(pending);
+  }
+}
+
 void RequestForwarder::OnHelper() {
   std::vector<ExchangeId> stuck;
   for (const auto& [exchange, pending] : pending_) {
-    const bool sending = pending->call != 0 && pending->hedge.call == 0 &&
-                         pool_.IsConnecting(pending->call);
-    if ((sending || pending->waiting) &&
+    if ((IsUnsent(*pending) || pending->waiting) &&
         paths_.IsCutOff(pending->service->name) &&
         relay_.HasHelper(pending->service->name)) {
       stuck.push_back(exchange);
--- a/source/core/entry/request_forwarder_state.h
+++ b/source/core/entry/request_forwarder_state.h
@@ -105,6 +105,7 @@
   bool newly_tried = false;        // That call added it to `tried`.
   bool may_have_run = false;       // At a call that has ended.
   MonotonicTime sent_at = kNever;
+  MonotonicTime send_by = kForever;  // See ExchangeRequest; of the last call.
   // Requests expected to wait for a slot before this one when it was sent.
   int waiting_ahead = 0;
   HedgeState hedge;
