Soak: responses of single calls to the store are lost, drawn by seed

From seed 11000 on, with a random sequence of its own. In these seeds the bound on leaving upstreams is checked as well, and a lost response is no excuse.

--- a/source/integration_tests/soak.cc
+++ b/source/integration_tests/soak.cc
@@ -39,6 +39,12 @@
 constexpr uint64_t kColdSeedOffset = 5'000'000;
 constexpr uint64_t kFirstSeedWithColdUpstreams = 500;
 constexpr double kColdRate = 4.5;
+// The same for responses of the store that are lost, one at a time.
+constexpr Duration kMaxLostCallInterval = seconds(3);
+constexpr uint64_t kLostCallSeedOffset = 6'000'000;
+constexpr uint64_t kFirstSeedWithLostCalls = 11'000;
+// Calls of all hosts in about 2 s.
+constexpr uint64_t kMaxCallsUntilLoss = 16;
 // The routes' timeout of 1.5 s, and delays on a busy machine.
 constexpr Duration kResponseLimit = seconds(6);
 // A host that was frozen or restarted closes its connections.
@@ -60,6 +66,8 @@
       loses_paths_(seed >= kFirstSeedWithPathCuts && seed % 2 == 0),
       evacuation_random_(seed + kEvacuationSeedOffset),
       evacuates_(seed >= kFirstSeedWithEvacuations),
+      calls_random_(seed + kLostCallSeedOffset),
+      loses_responses_(seed >= kFirstSeedWithLostCalls),
       has_cold_upstreams_(seed >= kFirstSeedWithColdUpstreams &&
                           !loses_paths_) {}
 
@@ -89,11 +97,12 @@
   MonotonicTime next_restore = Now();
   MonotonicTime next_paths = loses_paths_ ? Now() : kForever;
   MonotonicTime next_evacuation = evacuates_ ? Now() : kForever;
+  MonotonicTime next_lost_call = loses_responses_ ? Now() : kForever;
   while (Now() < end) {
     SendRequest();
     fixture_.RunFor(kRequestInterval);
     CheckResponses(false);
-    CheckEvacuations();
+    CheckBounds();
     while (!fault_ends_.empty() && fault_ends_.begin()->first <= Now()) {
       const auto end_fault = std::move(fault_ends_.begin()->second);
       fault_ends_.erase(fault_ends_.begin());
@@ -121,6 +130,11 @@
       next_evacuation = Now() + milliseconds(evacuation_random_.Below(
                                     ToMilliseconds(kMaxEvacuationInterval)));
     }
+    if (Now() >= next_lost_call) {
+      LoseOneResponse();
+      next_lost_call = Now() + milliseconds(calls_random_.Below(
+                                   ToMilliseconds(kMaxLostCallInterval)));
+    }
     if (Now() < next) continue;
     (this->*actions.at(random_.Below(actions.size())))();
     next =
@@ -263,6 +277,11 @@
   });
 }
 
+void Soak::LoseOneResponse() {
+  fixture_.store->faults().call_to_lose =
+      1 + static_cast<int>(calls_random_.Below(kMaxCallsUntilLoss));
+}
+
 void Soak::CompactStore() {
   fixture_.store->Compact();
   fixture_.store->CancelWatches();
@@ -278,6 +297,7 @@
 
 void Soak::ReplaceUpstream(const std::string& id) {
   if (!crashed_.insert(id).second) return;
+  leaving_.erase(id);
   const DeploymentUpstreamOptions options =
       fixture_.upstreams.at(id)->options();
   fixture_.CrashUpstream(id);
@@ -299,6 +319,7 @@
   const std::string id = PickUpstream(random_.Below(2) == 0);
   if (crashed_.contains(id)) return;
   fixture_.upstreams.at(id)->Report("draining");
+  leaving_.try_emplace(id, Now());
   EndLater(seconds(5), [this, id] { ReplaceUpstream(id); });
 }
 
--- a/source/integration_tests/soak.h
+++ b/source/integration_tests/soak.h
@@ -62,6 +62,9 @@
   void RestoreStore();
   void LosePaths();
   void EvacuateZone();
+  // Loses the response to one of the next calls to the store, on a connection
+  // that stays open.
+  void LoseOneResponse();
 
   // Calls `end` after a random time below `longest`, to end a fault.
   void EndLater(Duration longest, std::function<void()> end);
@@ -74,10 +77,12 @@
   void CheckResponses(bool all);
   void Check(const SentRequest& request);
   // Notes the begin or end of a fault during which a host, or with an empty
-  // name every host, need not keep the bound on evacuations.
+  // name every host, need not keep its bounds.
   void NoteOutOfTouch(const std::string& host, bool ended);
-  // Checks that the latest requests reached no evacuated zone after the bound.
-  void CheckEvacuations();
+  // Checks that the latest requests reached no evacuated zone and no leaving
+  // upstream after the bound.
+  void CheckBounds();
+  void CheckBounds(const UpstreamRun& run);
   // Ends all faults and checks that every key is served again.
   void Recover();
   void AddViolation(const std::string& what);
@@ -93,8 +98,12 @@
   Random evacuation_random_;  // For EvacuateZone.
   bool evacuates_;
   std::map<std::string, MonotonicTime> evacuated_;  // By zone, since when.
-  // Faults that keep a host, or under the empty name every host, from its bound
-  // on evacuations: how many there are, and when the last one ended.
+  Random calls_random_;                             // For LoseOneResponse.
+  bool loses_responses_;
+  std::map<std::string, MonotonicTime> leaving_;  // By upstream, since when.
+  // Faults that keep a host, or under the empty name every host, from its
+  // bounds: how many there are, and when the last one ended. The loss of a
+  // single response is not one of them.
   struct Touch {
     int faults = 0;
     MonotonicTime ended_at = kNever;
