Copies: one that is old while the others are recent is not acted on

Nothing limited the age of the copy of the registry or the configuration as long as something else answered. What the copy of the evacuations had holds for these two now, with limits that follow from their timing: a copy that is older than it gets while all is well, while the other one has been recent for as long as the bound, is asked for again, and until it is confirmed requests are refused with 503. If all copies are old, the store is away, slow or cut off, and the last ones count. After a pause the first watch ends when the copy is to be confirmed.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -195,6 +195,41 @@
       .SetTiming(MakeTiming(ViewKind::kConfiguration, configuration_apply));
   for (const ViewKind kind : {ViewKind::kRegistry, ViewKind::kRangeTables})
     watcher(kind).SetTiming(MakeTiming(kind, drain));
+  const auto limit = [this](ViewKind kind, Duration bound) {
+    confirmed_copies_[kind].limits = MakeConfirmationLimits(
+        MakePropagationTiming(bound, BatchDelayOf(kind)), bound);
+  };
+  limit(ViewKind::kConfiguration, configuration_apply);
+  limit(ViewKind::kRegistry, drain);
+}
+
+bool DeploymentView::IsConfirmed(ViewKind kind) const {
+  const auto found = confirmed_copies_.find(kind);
+  return found == confirmed_copies_.end() ||
+         found->second.confirmation.confirmed;
+}
+
+void DeploymentView::AdvanceConfirmations() {
+  const MonotonicTime now = loop_.timers().now();
+  for (auto& [kind, copy] : confirmed_copies_) {
+    const ViewKind other = kind == ViewKind::kRegistry
+                               ? ViewKind::kConfiguration
+                               : ViewKind::kRegistry;
+    if (!UpdateConfirmation(copy.confirmation, now, current_at(kind),
+                            current_at(other), copy.limits)) {
+      continue;
+    }
+    log_.LogStateChange(
+        copy.confirmation.confirmed ? "copy.confirmed" : "copy.unconfirmed",
+        {{"copy", NameOf(kViewKindNames, kind)},
+         {"age_ms", AgeOrUnknown(now, current_at(kind))},
+         {"other_age_ms", AgeOrUnknown(now, current_at(other))},
+         {"fed", fed_},
+         {"revision", watcher(kind).revision()}});
+    if (!copy.confirmation.confirmed)
+      watcher(kind).RepeatWatch("the copy is not confirmed");
+    Notify();
+  }
 }
 
 void DeploymentView::SetFed(bool fed, std::string_view reason,
@@ -278,6 +313,19 @@
   watcher(ViewKind::kRangeTables).EndBatch();
 }
 
+void DeploymentView::ExpectChange(ViewKind kind, uint64_t revision) {
+  const auto is_missing = [this, kind, revision] {
+    return !watcher(kind).paused() && watcher(kind).last_change() < revision;
+  };
+  if (!is_missing() || expected_changes_.contains(kind)) return;
+  expected_changes_[kind] =
+      loop_.timers().After(kExpectedChangeTime, [this, kind, is_missing] {
+        expected_changes_.erase(kind);
+        if (is_missing())
+          watcher(kind).RepeatWatch("another host read a later change");
+      });
+}
+
 void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
   watcher(kind).NoteCurrent(current_at);
 }
@@ -293,7 +341,6 @@
 }
 
 bool DeploymentView::ReadsStore() const {
-  const MonotonicTime now = loop_.timers().now();
   return std::all_of(watchers_.begin(), watchers_.end(),
                      [](const std::unique_ptr<KindWatcher>& watcher) {
                        return !watcher->paused() && watcher->synced() &&
@@ -319,19 +366,6 @@
 }
 
 void DeploymentView::OnConfiguration(const StoredObject& object) {
-void DeploymentView::ExpectChange(ViewKind kind, uint64_t revision) {
-  const auto is_missing = [this, kind, revision] {
-    return !watcher(kind).paused() && watcher(kind).last_change() < revision;
-  };
-  if (!is_missing() || expected_changes_.contains(kind)) return;
-  expected_changes_[kind] =
-      loop_.timers().After(kExpectedChangeTime, [this, kind, is_missing] {
-        expected_changes_.erase(kind);
-        if (is_missing())
-          watcher(kind).RepeatWatch("another host read a later change");
-      });
-}
-
   if (object.deleted || object.name != protocol_.configuration_name) return;
   Result<RouteTable> read = protocol_.read_configuration(object.content);
   newest_configuration_read_ = read.has_value();
@@ -374,8 +408,11 @@
 
 void DeploymentView::OnRegistration(const StoredObject& object,
                                     const ChangeBound& bound) {
+  const MonotonicTime now = loop_.timers().now();
   const MonotonicTime changed_after =
       std::max(bound.after, revision_clock_.Before(bound.after_revision + 1));
+  if (changed_after != kNever)
+    NotePropagation(PropagationPart::kHeard, now - changed_after);
   if (object.deleted) {
     if (const auto last = protocol_.read_registration(object); last.has_value())
       directory_.NoteReport(last.value());
@@ -418,8 +455,6 @@
   if (!directory_.Update(record, now, changed_after)) return;
   LogColdness(*directory_.Find(record.id), cold_before);
   if (!known) last_upstream_added_at_ = now;
-  if (changed_after != kNever)
-    NotePropagation(PropagationPart::kHeard, now - changed_after);
   if (only_warmup_changed) return;
   log_.LogStateChange("upstream.registered",
                       {{"upstream", record.id},
@@ -450,6 +485,25 @@
       {{"watch", NameOf(kViewKindNames, kind)}, {"reason", reason}});
 }
 
+void DeploymentView::NotePropagation(PropagationPart part,
+                                     Duration time) const {
+  if (on_propagation_) on_propagation_(part, time);
+}
+
+void DeploymentView::OnWatchLost(ViewKind kind, Duration waited,
+                                 const std::string& reason) {
+  NotePropagation(PropagationPart::kWatchLost, waited);
+  log_.LogStateChange("watch.lost", {{"watch", NameOf(kViewKindNames, kind)},
+                                     {"waited_ms", waited},
+                                     {"revision", watcher(kind).revision()},
+                                     {"reason", reason}});
+  // What took its response may have taken those of the other watches.
+  if (std::exchange(repeating_watches_, true)) return;
+  for (const auto& watcher : watchers_)
+    watcher->RepeatWatch("another watch got no response");
+  repeating_watches_ = false;
+}
+
 void DeploymentView::OnWatched(ViewKind kind, const WatchedChanges& changes) {
   if (changes.count < kMinLoggedChanges) return;
   log_.LogStateChange("view.read", {{"watch", NameOf(kViewKindNames, kind)},
@@ -473,26 +527,8 @@
 
 void DeploymentView::Advance() {
   AdvanceEvacuations();
+  AdvanceConfirmations();
   if (directory_.Advance(loop_.timers().now(), kForgetMissingAfter)) Notify();
 }
 
 }  // namespace mimosadeal
-void DeploymentView::NotePropagation(PropagationPart part,
-                                     Duration time) const {
-  if (on_propagation_) on_propagation_(part, time);
-}
-
-void DeploymentView::OnWatchLost(ViewKind kind, Duration waited,
-                                 const std::string& reason) {
-  NotePropagation(PropagationPart::kWatchLost, waited);
-  log_.LogStateChange("watch.lost", {{"watch", NameOf(kViewKindNames, kind)},
-                                     {"waited_ms", waited},
-                                     {"revision", watcher(kind).revision()},
-                                     {"reason", reason}});
-  // What took its response may have taken those of the other watches.
-  if (std::exchange(repeating_watches_, true)) return;
-  for (const auto& watcher : watchers_)
-    watcher->RepeatWatch("another watch got no response");
-  repeating_watches_ = false;
-}
-
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "balance/cold_upstream.h"
+#include "fleet/copy_confirmation.h"
 #include "fleet/upstream_directory.h"
 #include "fleet/zone_evacuations.h"
 #include "forwarding/deployment_protocol.h"
@@ -29,8 +30,8 @@
 class EventLog;
 class EventLoop;
 class ObjectStore;
-
 enum class PropagationPart : uint8_t;
+
 // Kind of the objects that hold one range table for each keyed service. Only
 // hosts of this router write them.
 inline constexpr char kRangeTableKind[] = "range-tables";
@@ -65,10 +66,10 @@
   void SetAddressRoutes(std::map<std::string, std::string> routes) {
     address_routes_ = std::move(routes);
   }
-  // To be called before Start in deployments with this bound on evacuations;
   // Sets the times within which changes must be in force. To be called before
   // Start.
   void SetBounds(Duration drain, Duration configuration_apply);
+  // To be called before Start in deployments with this bound on evacuations;
   // see DeploymentBounds::evacuation.
   void EnableEvacuations(Duration bound);
   // To be called before Start.
@@ -104,19 +105,22 @@
   // A time at which this host's copy of the kind was certainly up to date;
   // kNever if there was none.
   MonotonicTime current_at(ViewKind kind) const;
+  // Whether this host may act on its copy of the configuration or the registry:
+  // unless others of its copies are recent and this one is not.
+  bool IsConfirmed(ViewKind kind) const;
   // A time at which routes() was certainly the newest configuration; kNever if
   // unknown, or if the newest one could not be read.
   MonotonicTime routes_current_at() const;
   // The host that feeds this one has the same copy and reported that it was up
   // to date at `current_at`.
   void NoteCurrent(ViewKind kind, MonotonicTime current_at);
+  // Another host read a change with that revision. If this host reads the store
+  // and its watch does not bring the change soon, it asks again.
+  void ExpectChange(ViewKind kind, uint64_t revision);
   // Another host's table shows that a former one is missing here. Reads the
   // store without delay if this host reads it.
   void ReadTablesNow();
   // The store accepted a write with that revision, sent at `sent_at` or later.
-  // Another host read a change with that revision. If this host reads the store
-  // and its watch does not bring the change soon, it asks again.
-  void ExpectChange(ViewKind kind, uint64_t revision);
   void NoteWrite(uint64_t revision, MonotonicTime sent_at);
   // Another host that reads the store reported since when it is reachable;
   // kNever if there was no outage.
@@ -124,15 +128,15 @@
   // Whether this host reads the store itself, has complete copies of all kinds,
   // and got the latest responses in time.
   bool ReadsStore() const;
-  // `listener` runs after each change that affects routing or ownership.
-  void Subscribe(std::function<void()> listener);
-
-  // Whether this host's copy of the evacuations is complete, if the deployment
   // `observer` receives how long parts of the way of changes took.
   void ObservePropagation(
       std::function<void(PropagationPart, Duration)> observer) {
     on_propagation_ = std::move(observer);
   }
+  // `listener` runs after each change that affects routing or ownership.
+  void Subscribe(std::function<void()> listener);
+
+  // Whether this host's copy of the evacuations is complete, if the deployment
   // has any.
   bool evacuations_synced() const;
   // Whether the operator requested that the zone's upstreams get no requests.
@@ -238,6 +242,9 @@
     return *watchers_.at(static_cast<size_t>(kind));
   }
   void OnReachable(ViewKind kind, bool reachable, const std::string& reason);
+  void AdvanceConfirmations();
+  void NotePropagation(PropagationPart part, Duration time) const;
+  void OnWatchLost(ViewKind kind, Duration waited, const std::string& reason);
   void OnWatched(ViewKind kind, const WatchedChanges& changes);
   // Schedules the listeners.
   void Notify();
@@ -250,6 +257,7 @@
   std::map<std::string, std::string> address_routes_;
   std::vector<std::unique_ptr<KindWatcher>> watchers_;  // By ViewKind.
   std::function<void(ViewKind, const KindUpdate&)> on_update_;
+  std::function<void(PropagationPart, Duration)> on_propagation_;
   bool fed_ = true;
   size_t fed_kinds_ = kViewKinds;  // Valid while `fed_`.
   std::shared_ptr<const RouteTable> routes_;
@@ -257,7 +265,6 @@
   UpstreamDirectory directory_;
   ColdBound cold_bound_;
   uint64_t unreadable_registrations_ = 0;
-  std::function<void(PropagationPart, Duration)> on_propagation_;
   uint64_t unreadable_objects_ = 0;
   bool newest_configuration_read_ = false;
   RevisionClock revision_clock_;
@@ -266,13 +273,6 @@
   std::map<std::string, uint64_t> stored_revisions_;
   std::map<std::string, RangeTable> tables_before_restore_;
   std::unique_ptr<ZoneEvacuations> evacuations_;  // Null without a bound.
-  // Zones that the update being applied no longer lists.
-  std::set<std::string> ended_evacuations_;
-  uint64_t evacuations_revision_ = 0;  // Of the copy, as last synced.
-  std::vector<std::function<void()>> listeners_;
-  MonotonicTime last_upstream_added_at_ = kNever;
-  // Last argument of NoteStoreReachable, and when it was given.
-  MonotonicTime reported_reachable_since_ = kNever;
   // Of the copies of the configuration and the registry.
   struct ConfirmedCopy {
     ConfirmationLimits limits;
@@ -281,10 +281,17 @@
   std::map<ViewKind, ConfirmedCopy> confirmed_copies_;
   // Timers of ExpectChange, by kind.
   std::map<ViewKind, uint64_t> expected_changes_;
+  // Zones that the update being applied no longer lists.
+  std::set<std::string> ended_evacuations_;
+  uint64_t evacuations_revision_ = 0;  // Of the copy, as last synced.
+  std::vector<std::function<void()>> listeners_;
+  MonotonicTime last_upstream_added_at_ = kNever;
+  // Last argument of NoteStoreReachable, and when it was given.
+  MonotonicTime reported_reachable_since_ = kNever;
   MonotonicTime reported_at_ = kNever;
   uint64_t timer_ = 0;
   bool notify_posted_ = false;
+  bool repeating_watches_ = false;  // OnWatchLost is running.
 };
 
 }  // namespace mimosadeal
-  bool repeating_watches_ = false;  // OnWatchLost is running.
--- a/source/core/entry/deployment_view_evacuations.cc
+++ b/source/core/entry/deployment_view_evacuations.cc
@@ -126,8 +126,8 @@
   });
   const MonotonicTime registry = current_at(ViewKind::kRegistry);
   const MonotonicTime evacuations = current_at(ViewKind::kEvacuations);
-  if (!UpdateConfirmation(evacuations_->confirmation(), now, registry,
-                          evacuations, evacuations_->bound())) {
+  if (!UpdateConfirmation(evacuations_->confirmation(), now, evacuations,
+                          registry, EvacuationLimits(evacuations_->bound()))) {
     return;
   }
   log_.LogStateChange(evacuations_->confirmation().confirmed
--- a/source/core/entry/request_forwarder.cc
+++ b/source/core/entry/request_forwarder.cc
@@ -91,6 +91,11 @@
            kRetryAfterNoConfiguration);
     return;
   }
+  if (!view_.IsConfirmed(ViewKind::kConfiguration)) {
+    Refuse(pending, RefusalReason::kRouteUnconfirmed,
+           kRetryAfterNoConfiguration);
+    return;
+  }
   pending.route =
       FindRoute(*pending.routes, pending.request.host, pending.request.path);
   if (pending.route == nullptr) {
@@ -308,12 +313,12 @@
 
 void RequestForwarder::OnViewChanged() {
   ApplyTablesToMoves();
+  DecideUnsentAgain();
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
     if (MayTryAgain(*pending)) waiting.push_back(exchange);
   }
   for (const ExchangeId exchange : waiting) {
-  DecideUnsentAgain();
     const auto found = pending_.find(exchange);
     if (found == pending_.end() || !MayTryAgain(*found->second)) continue;
     found->second->permit_asked_for.clear();
--- a/source/core/entry/request_forwarder_selection.cc
+++ b/source/core/entry/request_forwarder_selection.cc
@@ -36,6 +36,8 @@
 
 MonotonicTime RequestForwarder::UsableUntil(
     const ListedUpstream& upstream) const {
+  // The upstream may have left unnoticed.
+  if (!view_.IsConfirmed(ViewKind::kRegistry)) return kNever;
   return std::min(UsableUntilDeparture(upstream),
                   view_.ZoneUsableUntil(upstream.record.zone));
 }
--- a/source/unit_tests/fleet/zone_evacuations_test.cc
+++ b/source/unit_tests/fleet/zone_evacuations_test.cc
@@ -87,7 +87,8 @@
       now += milliseconds(250);
       if (registry_confirmed) registry = now;
       if (evacuations_confirmed) evacuations = now;
-      UpdateConfirmation(confirmation, now, registry, evacuations, kBound);
+      UpdateConfirmation(confirmation, now, evacuations, registry,
+                         EvacuationLimits(kBound));
     }
   }
 };
