Copies: a host that begins to feed others confirms its copies at once

The first watch after a pause waited as long as any other, and that of the tables longer than before: a new holder fed nobody until then. It now asks at once.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -215,8 +215,12 @@
     const ViewKind other = kind == ViewKind::kRegistry
                                ? ViewKind::kConfiguration
                                : ViewKind::kRegistry;
-    if (!UpdateConfirmation(copy.confirmation, now, current_at(kind),
-                            current_at(other), copy.limits)) {
+    // A host of a former build confirms the registry less often. It feeds all
+    // that it knows.
+    const bool up_to_date_with_feed = fed_ && !behind_[kind];
+    const MonotonicTime copy_at = up_to_date_with_feed ? now : current_at(kind);
+    if (!UpdateConfirmation(copy.confirmation, now, copy_at, current_at(other),
+                            copy.limits)) {
       continue;
     }
     log_.LogStateChange(
@@ -251,12 +255,19 @@
     if (fed && kind < fed_kinds) {
       watchers_.at(kind)->Pause();
     } else {
-      watchers_.at(kind)->Start();
+      watchers_.at(kind)->Start(replicating_);
     }
   }
 }
 
 void DeploymentView::SetReplicating(bool replicating) {
+  const bool begins = replicating && !replicating_;
+  replicating_ = replicating;
+  // The feed begins when all copies are known to be recent.
+  for (const auto& watcher : watchers_) {
+    if (begins && watcher->answered_at() == kNever)
+      watcher->RepeatWatch("this host begins to feed others");
+  }
   for (size_t kind = 0; kind < kinds(); ++kind) {
     watchers_.at(kind)->SetBatchDelay(
         replicating ? BatchDelayOf(static_cast<ViewKind>(kind))
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -111,6 +111,8 @@
   // A time at which routes() was certainly the newest configuration; kNever if
   // unknown, or if the newest one could not be read.
   MonotonicTime routes_current_at() const;
+  // Whether this host's copy lacks an update that the host that feeds it has.
+  void NoteBehind(ViewKind kind, bool behind) { behind_[kind] = behind; }
   // The host that feeds this one has the same copy and reported that it was up
   // to date at `current_at`.
   void NoteCurrent(ViewKind kind, MonotonicTime current_at);
@@ -259,7 +261,9 @@
   std::function<void(ViewKind, const KindUpdate&)> on_update_;
   std::function<void(PropagationPart, Duration)> on_propagation_;
   bool fed_ = true;
-  size_t fed_kinds_ = kViewKinds;  // Valid while `fed_`.
+  size_t fed_kinds_ = kViewKinds;    // Valid while `fed_`.
+  std::map<ViewKind, bool> behind_;  // See NoteBehind; valid while `fed_`.
+  bool replicating_ = false;
   std::shared_ptr<const RouteTable> routes_;
   uint64_t routes_revision_ = 0;  // Of the object that `routes_` was read from.
   UpstreamDirectory directory_;
--- a/source/core/entry/zone_coordinator_feed.cc
+++ b/source/core/entry/zone_coordinator_feed.cc
@@ -404,6 +404,8 @@
          ++kind) {
       lags |= LagExceeds(own_lags_.at(kind), own[kind], status.revisions[kind],
                          now, kFeedTimeout);
+      view_.NoteBehind(static_cast<ViewKind>(kind),
+                       own[kind] < status.revisions[kind]);
     }
     // A feed whose updates do not arrive is treated as missing.
     fed_at_ = lags ? kNever : now;
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -45,10 +45,11 @@
 
 KindWatcher::~KindWatcher() { loop_.timers().Cancel(timer_); }
 
-void KindWatcher::Start() {
+void KindWatcher::Start(bool at_once) {
   if (!paused_) return;
   paused_ = false;
-  resuming_ = current_at_ != kNever;
+  resuming_ = revision_ != 0 && (at_once || current_at_ != kNever);
+  resumed_from_ = at_once ? kNever : current_at_;
   answered_at_ = kNever;
   loop_.timers().Cancel(timer_);
   if (revision_ == 0) {
@@ -122,7 +123,7 @@
   // connection shows as soon after a change as at other times.
   // After a pause, the copy is as old as its last confirmation.
   const Duration delayed = batched   ? call_sent_at_ - answered_at_
-                           : resumed ? call_sent_at_ - current_at_
+                           : resumed ? call_sent_at_ - resumed_from_
                                      : Duration::zero();
   waiting_ = reachable_ && !repeating_;
   // The store is told whole milliseconds. A part of one would make it seem to
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -98,8 +98,9 @@
   KindWatcher(const KindWatcher&) = delete;
   KindWatcher& operator=(const KindWatcher&) = delete;
 
-  // Starts or resumes reading from the store.
-  void Start();
+  // Starts or resumes reading from the store. `at_once`: asks for a response
+  // without delay, although the copy may have been confirmed recently.
+  void Start(bool at_once = false);
   // Stops calls to the store until Start. Another host feeds this copy.
   void Pause();
   bool paused() const { return paused_; }
@@ -190,9 +191,10 @@
   bool batching_ = false;      // The next watch is being delayed.
   bool history_lost_ = false;  // The next call must be a list.
   bool resuming_ = false;      // The next watch is the first one since Start.
-  bool waiting_ = false;       // A watch waits for changes.
-  bool repeating_ = false;     // The next call, or the one under way, repeats a
-                               // lost watch.
+  MonotonicTime resumed_from_ = kNever;  // Up to which its wait counts.
+  bool waiting_ = false;                 // A watch waits for changes.
+  bool repeating_ = false;  // The next call, or the one under way, repeats a
+                            // lost watch.
   // The store took long to respond to the repetition of a watch, so watches get
   // more time.
   bool slow_ = false;
--- a/source/integration_tests/entry_silent_watch_test.cc
+++ b/source/integration_tests/entry_silent_watch_test.cc
@@ -220,5 +220,54 @@
   for (const auto& response : responses) LONGS_EQUAL(200, response->status);
 }
 
+// A holder whose watch was lost hears of the change from the other zone's
+// holder, long before it would notice the loss by itself.
+TEST(EntrySilentWatch, AChangeThatAnotherZonesHolderReadIsAskedFor) {
+  constexpr Duration noticed_by_itself = milliseconds(1050);
+  fixture.StartDefaultDeployment(4);
+  for (const auto& [name, upstream] : fixture.upstreams)
+    upstream->SetWork(kWork);
+  fixture.RunFor(seconds(3));
+  SendRequests(milliseconds(300));
+  LoseNextWatch("servers");
+  fixture.upstreams.at("desk-1")->Report("draining");
+  const MonotonicTime left = fixture.loop.timers().now();
+  SendRequests(seconds(3));
+  for (const auto& [name, host] : fixture.hosts) {
+    const std::optional<Duration> last = LastRun(name, {"desk-1"}, left);
+    CHECK(!last.has_value() || *last < noticed_by_itself);
+  }
+  const std::string logs = fixture.HostLog(fixture.LeaseHolder("north")) +
+                           fixture.HostLog(fixture.LeaseHolder("south"));
+  STRCMP_CONTAINS("another host read a later change", logs.c_str());
+}
+
+// A request that waits for a connection to an upstream which then leaves goes
+// to another one at once.
+TEST(EntrySilentWatch, ARequestWhoseConnectionOpensIsDecidedAgainAtNews) {
+  fixture.AddDefaultUpstreams();
+  fixture.link_upstreams = true;
+  fixture.StartHosts(1);
+  LinkFaults faults;
+  faults.connecting = LinkConnecting::kUnanswered;
+  fixture.hosts.at("host-1")->upstream_links.at("desk-1")->SetFaults(faults);
+  // The link listens again.
+  fixture.RunFor(milliseconds(200));
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  for (int i = 0; i < 4; ++i)
+    responses.push_back(fixture.Start(Host(1), "POST", "/charge/a", -1));
+  fixture.RunFor(milliseconds(40));
+  fixture.upstreams.at("desk-1")->Report("draining");
+  fixture.RunUntil(
+      [&] {
+        return std::all_of(responses.begin(), responses.end(),
+                           [](const auto& r) { return r->status != 0; });
+      },
+      seconds(3));
+  for (const auto& response : responses) LONGS_EQUAL(200, response->status);
+  STRCMP_CONTAINS("request.decided-again", fixture.HostLog("host-1").c_str());
+  fixture.CheckRecord();
+}
+
 }  // namespace
 }  // namespace mimosadeal
