Store: an outage ends when the call is sent that shows it

An upstream whose registration went around an outage is used for 1.3 s from the outage's end.

LostWatch.AnOutageEndsWhenTheCallIsSentThatShowsIt failed before.

--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -305,7 +305,8 @@
 void KindWatcher::NoteReachable() {
   if (reachable_) return;
   reachable_ = true;
-  reachable_since_ = loop_.timers().now();
+  // Not the time of arrival: a long response takes a second on a narrow link.
+  reachable_since_ = call_sent_at_;
   if (handlers_.on_reachable) handlers_.on_reachable(true, "");
 }
 
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -145,8 +145,8 @@
   // matched the store at `at`.
   void NoteCurrent(MonotonicTime at);
   uint64_t revision() const { return revision_; }
-  // When the store became reachable again after the last failure; kNever if no
-  // call has failed.
+  // When the call was sent that showed that the store is reachable again after
+  // the last failure; kNever if no call has failed.
   MonotonicTime reachable_since() const { return reachable_since_; }
   const std::map<std::string, StoredObject>& objects() const {
     return objects_;
--- a/source/unit_tests/store/kind_watcher_test.cc
+++ b/source/unit_tests/store/kind_watcher_test.cc
@@ -561,5 +561,19 @@
   CHECK(wait >= 20);
 }
 
+// Guards against the use of an upstream whose registration lapsed for longer,
+// by the time that the first response after an outage takes to arrive.
+TEST(LostWatch, AnOutageEndsWhenTheCallIsSentThatShowsIt) {
+  lossy.responds = {true, false, false};
+  Start();
+  RunUntilCalls(3);
+  lossy.delay = std::chrono::milliseconds(300);
+  RunUntilCalls(5);
+  LONGS_EQUAL(1, unreachable);
+  CHECK(watcher->reachable());
+  CHECK(watcher->reachable_since() <=
+        lossy.at[3] + std::chrono::milliseconds(50));
+}
+
 }  // namespace
 }  // namespace mimosadeal
