--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -243,6 +243,9 @@
     return;
   fed_ = fed;
   fed_kinds_ = fed_kinds;
+  // The new source has not confirmed any copy yet.
+  for (auto& [kind, copy] : confirmed_copies_)
+    copy.confirmation.others_recent_since = kNever;
   log_.LogStateChange(
       "view.source",
       {{"fed", fed},
