--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -20,6 +20,7 @@
 #include "entry/path_monitor.h"
 #include "entry/request_forwarder.h"
 #include "entry/room_borrower.h"
+#include "entry/settings_reload.h"
 #include "entry/upstream_pool.h"
 #include "entry/zone_coordinator.h"
 #include "fleet/propagation.h"
@@ -28,7 +29,7 @@
 #include "net/exchange_server.h"
 #include "net/fd_watch.h"
 #include "net/signal_descriptor.h"
-#include "settings/settings_loader.h"
+#include "settings/settings.h"
 #include "store/object_store.h"
 
 namespace mimosadeal {
@@ -106,7 +107,6 @@
   void OnViewChanged();
   bool ready() const;
   void OnSignal();
-  void Reload();
   void Stop();
   void ContinueStop();
   void UpdateGauges();
@@ -408,28 +408,13 @@
   signalfd_siginfo info{};
   while (read(signals_->fd(), &info, sizeof(info)) == sizeof(info)) {
     if (info.ssi_signo == SIGHUP) {
-      Reload();
+      CheckSettingsFile(settings_path_, protocol_, log_);
     } else if (!stopping_) {
       Stop();
     }
   }
 }
 
-void EntryNode::Impl::Reload() {
-  LoadedSettings loaded = LoadSettings(settings_path_, {});
-  if (!loaded.faults.empty()) {
-    log_.LogStateChange("settings.rejected",
-                        {{"path", settings_path_},
-                         {"reason", loaded.faults.front().ToString()}});
-    return;
-  }
-  const auto bounds = protocol_.read_bounds(loaded.settings.platform_bounds);
-  // The file is only checked; changed settings take effect at the next start.
-  log_.LogStateChange(
-      "settings.reloaded",
-      {{"path", settings_path_}, {"bounds_readable", bounds.has_value()}});
-}
-
 void EntryNode::Impl::Stop() {
   stopping_ = true;
   stop_started_at_ = loop_.timers().now();
