Store: fewer calls around lost watches, feeds that end and tables

Now the others are repeated once the first repetition has a response, a kind whose repetition the registry's probe decides does not repeat by itself, only a host that begins to feed asks at once, and the tables are read at most every 1.2 s (1.7 s in all if a notice is lost, of 2 s).

LostWatch's test of the first watch after a pause is replaced: it waits unless the host begins to feed. The part of DeploymentView about the age of its copies, and the tests of lost watches, have files of their own.

--- a/source/core/entry/deployment_view.cc
+++ b/source/core/entry/deployment_view.cc
@@ -14,13 +14,6 @@
 namespace mimosadeal {
 namespace {
 
-constexpr EnumNames<ViewKind, kViewKinds> kViewKindNames = {{
-    {ViewKind::kConfiguration, "configuration"},
-    {ViewKind::kRegistry, "registry"},
-    {ViewKind::kRangeTables, "range-tables"},
-    {ViewKind::kEvacuations, "evacuations"},
-}};
-
 constexpr Duration kInitialRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(900);
 // Delays before the next watch, so that several changes shortly after each
@@ -28,9 +21,6 @@
 // be in force.
 constexpr Duration kRegistryBatchDelay = std::chrono::milliseconds(150);
 constexpr Duration kConfigurationBatchDelay = std::chrono::milliseconds(100);
-// A host that writes a table also sends it to the others; the watch delivers
-// tables that were lost on the way, and ends this delay when one shows to be.
-constexpr Duration kTableBatchDelay = std::chrono::milliseconds(600);
 // The same for a host that replicates to no others. There may be many of them,
 // and each change costs a call of each.
 constexpr Duration kNonHolderBatchDelay = std::chrono::milliseconds(400);
@@ -47,10 +37,6 @@
 constexpr Duration kForgetMissingAfter = std::chrono::seconds(60);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(250);
 
-// For a change to arrive that another host has read. Longer than the delays
-// before a watch, but for that of the tables.
-constexpr Duration kExpectedChangeTime = std::chrono::milliseconds(300);
-
 // Registrations have about 300 bytes.
 constexpr size_t kMaxRegistrationBytes = 16 * 1024;
 
@@ -64,7 +50,7 @@
     case ViewKind::kRegistry:
       return kRegistryBatchDelay;
     case ViewKind::kRangeTables:
-      return kTableBatchDelay;
+      return kAnnouncedBatchDelay;
     case ViewKind::kEvacuations:
       return Duration::zero();
   }
@@ -166,12 +152,7 @@
     OnWatchLost(kind, waited, reason);
   };
   handlers.on_watch_repeated = [this, kind](size_t changes, Duration took) {
-    NotePropagation(PropagationPart::kRepeated, took);
-    log_.LogStateChange("watch.repeated",
-                        {{"watch", NameOf(kViewKindNames, kind)},
-                         {"changes", uint64_t{changes}},
-                         {"took_ms", took},
-                         {"revision", watcher(kind).revision()}});
+    OnWatchRepeated(kind, changes, took);
   };
   // While the store is unreachable, only the registry's watch retries.
   if (kind != ViewKind::kRegistry)
@@ -203,39 +184,6 @@
   limit(ViewKind::kRegistry, drain);
 }
 
-bool DeploymentView::IsConfirmed(ViewKind kind) const {
-  const auto found = confirmed_copies_.find(kind);
-  return found == confirmed_copies_.end() ||
-         found->second.confirmation.confirmed;
-}
-
-void DeploymentView::AdvanceConfirmations() {
-  const MonotonicTime now = loop_.timers().now();
-  for (auto& [kind, copy] : confirmed_copies_) {
-    const ViewKind other = kind == ViewKind::kRegistry
-                               ? ViewKind::kConfiguration
-                               : ViewKind::kRegistry;
-    // A host of a former build confirms the registry less often. It feeds all
-    // that it knows.
-    const bool up_to_date_with_feed = fed_ && !behind_[kind];
-    const MonotonicTime copy_at = up_to_date_with_feed ? now : current_at(kind);
-    if (!UpdateConfirmation(copy.confirmation, now, copy_at, current_at(other),
-                            copy.limits)) {
-      continue;
-    }
-    log_.LogStateChange(
-        copy.confirmation.confirmed ? "copy.confirmed" : "copy.unconfirmed",
-        {{"copy", NameOf(kViewKindNames, kind)},
-         {"age_ms", AgeOrUnknown(now, current_at(kind))},
-         {"other_age_ms", AgeOrUnknown(now, current_at(other))},
-         {"fed", fed_},
-         {"revision", watcher(kind).revision()}});
-    if (!copy.confirmation.confirmed)
-      watcher(kind).RepeatWatch("the copy is not confirmed");
-    Notify();
-  }
-}
-
 void DeploymentView::SetFed(bool fed, std::string_view reason,
                             size_t fed_kinds) {
   fed_kinds = std::min(fed_kinds, kinds());
@@ -327,19 +275,6 @@
   watcher(ViewKind::kRangeTables).EndBatch();
 }
 
-void DeploymentView::ExpectChange(ViewKind kind, uint64_t revision) {
-  const auto is_missing = [this, kind, revision] {
-    return !watcher(kind).paused() && watcher(kind).last_change() < revision;
-  };
-  if (!is_missing() || expected_changes_.contains(kind)) return;
-  expected_changes_[kind] =
-      loop_.timers().After(kExpectedChangeTime, [this, kind, is_missing] {
-        expected_changes_.erase(kind);
-        if (is_missing())
-          watcher(kind).RepeatWatch("another host read a later change");
-      });
-}
-
 void DeploymentView::NoteCurrent(ViewKind kind, MonotonicTime current_at) {
   watcher(kind).NoteCurrent(current_at);
 }
@@ -494,30 +429,12 @@
 
 void DeploymentView::OnReachable(ViewKind kind, bool reachable,
                                  const std::string& reason) {
+  if (lost_watch_ == kind) lost_watch_.reset();
   log_.LogStateChange(
       reachable ? "store.regained" : "store.lost",
       {{"watch", NameOf(kViewKindNames, kind)}, {"reason", reason}});
 }
 
-void DeploymentView::NotePropagation(PropagationPart part,
-                                     Duration time) const {
-  if (on_propagation_) on_propagation_(part, time);
-}
-
-void DeploymentView::OnWatchLost(ViewKind kind, Duration waited,
-                                 const std::string& reason) {
-  NotePropagation(PropagationPart::kWatchLost, waited);
-  log_.LogStateChange("watch.lost", {{"watch", NameOf(kViewKindNames, kind)},
-                                     {"waited_ms", waited},
-                                     {"revision", watcher(kind).revision()},
-                                     {"reason", reason}});
-  // What took its response may have taken those of the other watches.
-  if (std::exchange(repeating_watches_, true)) return;
-  for (const auto& watcher : watchers_)
-    watcher->RepeatWatch("another watch got no response");
-  repeating_watches_ = false;
-}
-
 void DeploymentView::OnWatched(ViewKind kind, const WatchedChanges& changes) {
   if (changes.count < kMinLoggedChanges) return;
   log_.LogStateChange("view.read", {{"watch", NameOf(kViewKindNames, kind)},
--- a/source/core/entry/deployment_view.h
+++ b/source/core/entry/deployment_view.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "balance/cold_upstream.h"
+#include "common/enum_names.h"
 #include "fleet/copy_confirmation.h"
 #include "fleet/upstream_directory.h"
 #include "fleet/zone_evacuations.h"
@@ -46,6 +47,14 @@
 };
 
 inline constexpr size_t kViewKinds = 4;
+
+inline constexpr EnumNames<ViewKind, kViewKinds> kViewKindNames = {{
+    {ViewKind::kConfiguration, "configuration"},
+    {ViewKind::kRegistry, "registry"},
+    {ViewKind::kRangeTables, "range-tables"},
+    {ViewKind::kEvacuations, "evacuations"},
+}};
+
 // The kinds that every deployment has, and hosts of former builds know: the
 // first ones of ViewKind.
 inline constexpr size_t kCommonViewKinds = 3;
@@ -246,6 +255,7 @@
   void OnReachable(ViewKind kind, bool reachable, const std::string& reason);
   void AdvanceConfirmations();
   void NotePropagation(PropagationPart part, Duration time) const;
+  void OnWatchRepeated(ViewKind kind, size_t changes, Duration took);
   void OnWatchLost(ViewKind kind, Duration waited, const std::string& reason);
   void OnWatched(ViewKind kind, const WatchedChanges& changes);
   // Schedules the listeners.
@@ -295,7 +305,10 @@
   MonotonicTime reported_at_ = kNever;
   uint64_t timer_ = 0;
   bool notify_posted_ = false;
-  bool repeating_watches_ = false;  // OnWatchLost is running.
+  // The watch that was found to be lost and is being repeated, if any. Once the
+  // store has responded, so are the others.
+  std::optional<ViewKind> lost_watch_;
+  bool repeating_watches_ = false;  // The others are being repeated.
 };
 
 }  // namespace mimosadeal
--- a/source/core/fleet/propagation.h
+++ b/source/core/fleet/propagation.h
@@ -90,6 +90,12 @@
 // An update that was sent within this time may still be in flight.
 inline constexpr Duration kMinResendInterval = std::chrono::milliseconds(500);
 
+// Delay between a change that its writer announces and the next watch. It ends
+// when a notice shows that a change is missing. Two zones' holders that move
+// keys write a table several times a second.
+inline constexpr Duration kAnnouncedBatchDelay =
+    std::chrono::milliseconds(1200);
+
 // Returns the timing for changes that must be in force within `bound`.
 PropagationTiming MakePropagationTiming(Duration bound, Duration batch_delay);
 
--- a/source/core/store/kind_watcher.cc
+++ b/source/core/store/kind_watcher.cc
@@ -48,8 +48,7 @@
 void KindWatcher::Start(bool at_once) {
   if (!paused_) return;
   paused_ = false;
-  resuming_ = revision_ != 0 && (at_once || current_at_ != kNever);
-  resumed_from_ = at_once ? kNever : current_at_;
+  confirm_at_once_ = revision_ != 0 && at_once;
   answered_at_ = kNever;
   loop_.timers().Cancel(timer_);
   if (revision_ == 0) {
@@ -114,16 +113,15 @@
 
 void KindWatcher::Watch() {
   const bool batched = std::exchange(batching_, false);
-  const bool resumed = std::exchange(resuming_, false);
+  const bool at_once = std::exchange(confirm_at_once_, false);
   const uint64_t call_id = ++call_id_;
   call_sent_at_ = loop_.timers().now();
   // While the store is unreachable, asks for an immediate response: a waiting
   // watch would show late that the store is reachable again. Otherwise the
   // delay since the last response is part of the wait, so that a silent
   // connection shows as soon after a change as at other times.
-  // After a pause, the copy is as old as its last confirmation.
-  const Duration delayed = batched   ? call_sent_at_ - answered_at_
-                           : resumed ? call_sent_at_ - resumed_from_
+  const Duration delayed = at_once   ? timing_.wait
+                           : batched ? call_sent_at_ - answered_at_
                                      : Duration::zero();
   waiting_ = reachable_ && !repeating_;
   // The store is told whole milliseconds. A part of one would make it seem to
@@ -222,7 +220,8 @@
       return;
     }
     // The response of a single call may be lost while all others arrive.
-    if (waited && changes.error().code == ErrorCode::kUnavailable) {
+    if (waited && changes.error().code == ErrorCode::kUnavailable &&
+        (!handlers_.may_retry || handlers_.may_retry())) {
       LoseWatch(DescribeError(changes.error()));
       const bool timed_out = loop_.timers().now() - call_sent_at_ >= call_wait_;
       Schedule(timed_out ? Duration::zero() : AddJitter(timing_.first_retry),
--- a/source/core/store/kind_watcher.h
+++ b/source/core/store/kind_watcher.h
@@ -98,8 +98,8 @@
   KindWatcher(const KindWatcher&) = delete;
   KindWatcher& operator=(const KindWatcher&) = delete;
 
-  // Starts or resumes reading from the store. `at_once`: asks for a response
-  // without delay, although the copy may have been confirmed recently.
+  // Starts or resumes reading from the store. `at_once`: the first watch asks
+  // for a response without delay.
   void Start(bool at_once = false);
   // Stops calls to the store until Start. Another host feeds this copy.
   void Pause();
@@ -188,11 +188,10 @@
   MonotonicTime call_sent_at_ = kNever;  // When the last call was sent.
   MonotonicTime reachable_since_ = kNever;
   bool reachable_ = true;
-  bool batching_ = false;      // The next watch is being delayed.
-  bool history_lost_ = false;  // The next call must be a list.
-  bool resuming_ = false;      // The next watch is the first one since Start.
-  MonotonicTime resumed_from_ = kNever;  // Up to which its wait counts.
-  bool waiting_ = false;                 // A watch waits for changes.
+  bool batching_ = false;         // The next watch is being delayed.
+  bool history_lost_ = false;     // The next call must be a list.
+  bool confirm_at_once_ = false;  // See Start; until the next watch.
+  bool waiting_ = false;          // A watch waits for changes.
   bool repeating_ = false;  // The next call, or the one under way, repeats a
                             // lost watch.
   // The store took long to respond to the repetition of a watch, so watches get
